The whole path, thin: caller, entry instance, target, platform

Cause: the repository was empty. This lands a request served end to end by separate processes: a PostgreSQL client writes through one entry instance and reads through another, with three members of one group and the platform each a process of its own on loopback (make run).

Decided here: control is slices without clock, network or goroutines behind one loop (internal/controller); every outside contact is one interface (networker, storer, lister, commander); the same code runs as processes and in a testing/ synctest bubble on a network in memory (internal/standin/stager).

Ruled out: acknowledging a write when the primary answers (replication is asynchronous, a promotion would lose it). The answer is held until a majority of the group has the position.

No promotion, shares or admission yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# make run, make test and make fleet do everything on a fresh machine with Go.
+BUILD := $(CURDIR)/build
+TOOLS := $(BUILD)/tools
+
+.PHONY: all build run fleet test check format tools clean
+
+all: build
+
+build:
+	go build -o $(BUILD)/ ./cmd/...
+
+run: build
+	$(BUILD)/oriolegw-fleet -programs $(BUILD) -work $(BUILD)/fleet
+
+tools: $(TOOLS)/staticcheck $(TOOLS)/gofumpt
+
+$(TOOLS)/staticcheck: tools/go.mod
+	cd tools && go build -o $@ honnef.co/go/tools/cmd/staticcheck
+
+$(TOOLS)/gofumpt: tools/go.mod
+	cd tools && go build -o $@ mvdan.cc/gofumpt
+
+format: tools
+	$(TOOLS)/gofumpt -w cmd internal pkg
+
+check: tools
+	@out=$$($(TOOLS)/gofumpt -l cmd internal pkg); if [ -n "$$out" ]; then echo "not formatted (make format):"; echo "$$out"; exit 1; fi
+	go vet ./...
+	$(TOOLS)/staticcheck ./...
+
+test: check build
+	go test ./...
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/cmd/oriolegw-platform/main.go
@@ -0,0 +1,37 @@
+// Command oriolegw-platform is the stand-in for the platform: its key-value
+// service and its list of instances.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/oriolegw/oriolegw/internal/networker"
+	"github.com/oriolegw/oriolegw/internal/standin/keeper"
+	"github.com/oriolegw/oriolegw/internal/storer"
+)
+
+func main() {
+	address := flag.String("address", "127.0.0.1:7000", "where to serve, `ip:port`")
+	lag := flag.Duration("list-lag", 0, "how late the instance list shows a change")
+	flag.Parse()
+	if flag.NArg() > 0 {
+		flag.Usage()
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k := &keeper.Keeper{
+		Address: *address, Network: networker.TCP{}, Store: storer.NewMemory(), ListLag: *lag,
+		Log: log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)),
+	}
+	if err := k.Run(ctx); err != nil && ctx.Err() == nil {
+		fmt.Fprintln(os.Stderr, "oriolegw-platform:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/oriolegw/main.go
@@ -0,0 +1,49 @@
+// Command oriolegw is an entry instance.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/oriolegw/oriolegw/internal/lister"
+	"github.com/oriolegw/oriolegw/internal/loader"
+	"github.com/oriolegw/oriolegw/internal/networker"
+	"github.com/oriolegw/oriolegw/internal/runner"
+	"github.com/oriolegw/oriolegw/internal/storer"
+)
+
+func main() {
+	file := flag.String("settings", "", "the settings `file` (JSON with comments)")
+	flag.Usage = func() {
+		fmt.Fprint(flag.CommandLine.Output(), "oriolegw is an entry instance of the proxy.\n\nUsage: oriolegw -settings FILE\n\n")
+		flag.PrintDefaults()
+	}
+	flag.Parse()
+	if *file == "" || flag.NArg() > 0 {
+		flag.Usage()
+		os.Exit(2)
+	}
+	s, err := loader.Load(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "oriolegw:", err)
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	n := networker.TCP{}
+	i := &runner.Instance{
+		Settings: s, Network: n,
+		Log:   log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC),
+		Store: (&storer.Gateway{Address: s.Platform, Network: n}).Open(),
+		List:  (&lister.Page{Address: s.Platform, Network: n}).Open(),
+	}
+	if err := i.Run(ctx); err != nil && ctx.Err() == nil {
+		fmt.Fprintln(os.Stderr, "oriolegw:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/configurer/document.go
@@ -0,0 +1,89 @@
+// Package configurer holds the one document that operators declare services in:
+// its form, its check, and which version of it is in force.
+package configurer
+
+import (
+	"slices"
+	"time"
+)
+
+type (
+	// Document is the whole configuration of a fleet.
+	Document struct {
+		Services []Service
+	}
+
+	// Service is a database group with its members, rules and budget. Callers
+	// name it as their database.
+	Service struct {
+		Name    string
+		Members []Member
+		// Connections is the budget: how many connections all instances
+		// together may hold to all members of the group.
+		Connections int
+		// Slots is how many statements a member runs at once.
+		Slots int
+		// Hold is how long a request that was not run waits for a primary.
+		Hold time.Duration
+		// Rules say how stale a read may be, for each kind of request.
+		Rules []ReaderRule
+		// Customers share the service.
+		Customers []Customer
+	}
+
+	// Member is one target of a group.
+	Member struct {
+		Name    string
+		Address string
+		Zone    string
+	}
+
+	// ReaderRule bounds the age of what a kind of request may be shown. Callers
+	// name the kind in a leading comment, /* kind=drop-status */, or in the
+	// parameter oriole.kind. Kind "default" is for requests that name none.
+	ReaderRule struct {
+		Kind string
+		// MaxAge is the stated age; 0 sends the request to the primary.
+		MaxAge time.Duration
+	}
+
+	// Customer is a party whose callers share a service with others.
+	Customer struct {
+		Name string
+		// Share is the weight among the customers of the service.
+		Share int
+		// Users are the caller users that belong to the customer.
+		Users []string
+	}
+)
+
+// DefaultKind is the kind of a request that names none.
+const DefaultKind = "default"
+
+// Service returns the service with the name, or nil.
+func (d *Document) Service(name string) *Service {
+	if d == nil {
+		return nil
+	}
+	i := slices.IndexFunc(d.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &d.Services[i]
+}
+
+// MaxAge returns the stated age of a kind of request; known is false when the
+// service has no rule for it and none for the default kind.
+func (s *Service) MaxAge(kind string) (age time.Duration, known bool) {
+	for _, k := range []string{kind, DefaultKind} {
+		for _, r := range s.Rules {
+			if r.Kind == k {
+				return r.MaxAge, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// Quorum returns how many members are a majority.
+func (s *Service) Quorum() int { return len(s.Members)/2 + 1 }
--- /dev/null
+++ b/internal/lister/lister.go
@@ -0,0 +1,122 @@
+// Package lister reads the platform's lagging list of instances: entry instances
+// of this system and the target instances, live or leaving. The list is a hint.
+// It may lack an instance that lives and hold one that is gone, so nothing that
+// must hold may rest on it.
+package lister
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/networker"
+)
+
+// Path is where the platform serves the list.
+const Path = "/instances"
+
+// The kinds and states of an instance.
+const (
+	KindEntry    = "entry"
+	KindTarget   = "target"
+	StateLive    = "live"
+	StateLeaving = "leaving"
+	// WireGone, sent to the stand-in, takes an instance from the list.
+	WireGone = "gone"
+
+	callTimeout = 2 * time.Second
+	maxBytes    = 4 << 20
+)
+
+type (
+	// Instance is one row of the list.
+	Instance struct {
+		Name string
+		Kind string
+		// Address is where peers reach the instance, "ip:port".
+		Address string
+		Zone    string
+		State   string
+	}
+
+	// WireInstance is its JSON form.
+	WireInstance struct {
+		Name    string `json:"name"`
+		Kind    string `json:"kind"`
+		Address string `json:"address"`
+		Zone    string `json:"availability-zone"`
+		State   string `json:"state"`
+	}
+
+	// List is the platform's list of instances.
+	List interface {
+		Instances(ctx context.Context) ([]Instance, error)
+	}
+
+	// Page reads the list over HTTP. Set the fields, then call Open.
+	Page struct {
+		Address string
+		Network networker.Network
+
+		client *http.Client
+	}
+)
+
+// ToWire maps instances to their JSON form.
+func ToWire(list []Instance) []WireInstance {
+	out := make([]WireInstance, 0, len(list))
+	for _, i := range list {
+		out = append(out, WireInstance{Name: i.Name, Kind: i.Kind, Address: i.Address, Zone: i.Zone, State: i.State})
+	}
+	return out
+}
+
+// FromWire maps one instance from its JSON form.
+func FromWire(w WireInstance) Instance {
+	return Instance{Name: w.Name, Kind: w.Kind, Address: w.Address, Zone: w.Zone, State: w.State}
+}
+
+// Open prepares the client; it makes no call.
+func (p *Page) Open() *Page {
+	p.client = &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return p.Network.Dial(ctx, p.Address)
+		},
+		MaxIdleConnsPerHost: 1,
+	}}
+	return p
+}
+
+// Close drops the open connection.
+func (p *Page) Close() { p.client.CloseIdleConnections() }
+
+// Instances implements List.
+func (p *Page) Instances(ctx context.Context) ([]Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+Path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make call")
+	}
+	a, err := p.client.Do(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "read instance list")
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("read instance list: status %d", a.StatusCode)
+	}
+	var rows []WireInstance
+	if err := json.NewDecoder(io.LimitReader(a.Body, maxBytes)).Decode(&rows); err != nil {
+		return nil, errors.Wrap(err, "decode instance list")
+	}
+	var out []Instance
+	for _, w := range rows {
+		out = append(out, FromWire(w))
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/standin/replicator/control.go
@@ -0,0 +1,147 @@
+package replicator
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/oriolegw/oriolegw/pkg/orderer"
+)
+
+// Codes that a member reports beside those of PostgreSQL. A statement refused
+// with CodeFenced was not run.
+const (
+	CodeFenced      = "OG001"
+	CodeReadOnly    = "25006"
+	codeNotFence    = "OG002"
+	codeUnsupported = "0A000"
+	codeAborted     = "25P02"
+)
+
+var statusColumns = []column{
+	{"role", oidText},
+	{"term", oidInt8},
+	{"owner", oidText},
+	{"received", oidText},
+	{"replayed", oidText},
+	{"followers", oidText},
+}
+
+func statusResult(s Status) result {
+	followers := map[string]string{}
+	for n, p := range s.Followers {
+		followers[n] = p.String()
+	}
+	text, _ := json.Marshal(followers)
+	return result{
+		Columns: statusColumns,
+		Rows: [][]string{{
+			s.Role, strconv.FormatUint(s.Term, 10), s.Owner, s.Received.String(), s.Replayed.String(), string(text),
+		}},
+		Tag: "SELECT 1",
+	}
+}
+
+func runStatus(_ context.Context, s *session, _ []string) result {
+	return statusResult(s.member.Status())
+}
+
+// runAwait answers whether a majority of the group holds a position of this
+// primary's term. The answer true stays true: a follower that was fenced before
+// it held the entry never acknowledges it, and one fenced later shows it to
+// whoever fenced it.
+func runAwait(ctx context.Context, s *session, a []string) result {
+	m := s.member
+	want := parsePosition(a[0], a[1])
+	milliseconds, _ := strconv.Atoi(a[2])
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(milliseconds)*time.Millisecond)
+	defer cancel()
+	m.mutex.Lock()
+	held := false
+	m.await(ctx, func() bool {
+		held = m.majorityHolds(want)
+		return held || m.term != want.Term || m.role != RolePrimary
+	})
+	m.mutex.Unlock()
+	text := "f"
+	if held {
+		text = "t"
+	}
+	return result{Columns: []column{{"oriole_await", oidBool}}, Rows: [][]string{{text}}, Tag: "SELECT 1"}
+}
+
+func (m *Member) majorityHolds(p orderer.Position) bool {
+	if m.role != RolePrimary || m.term != p.Term {
+		return false
+	}
+	holders := 1
+	for _, q := range m.acked {
+		if q.Term == p.Term && q.Offset >= p.Offset {
+			holders++
+		}
+	}
+	return holders > m.size()/2
+}
+
+func (m *Member) size() int {
+	if m.GroupSize > 0 {
+		return m.GroupSize
+	}
+	return defaultGroupSize
+}
+
+// runFence makes the member obey a newer term. A member grants each term to one
+// owner, so that two promoters with the same term can't both fence a majority.
+func runFence(_ context.Context, s *session, a []string) result {
+	m := s.member
+	term, _ := strconv.ParseUint(a[0], 10, 64)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if term < m.term || (term == m.term && a[1] != m.owner) {
+		return result{Err: &refusal{Code: codeNotFence, Message: "term " + strconv.FormatUint(m.term, 10) + " is already granted to " + m.owner}}
+	}
+	if term > m.term {
+		m.term, m.owner, m.role, m.primary = term, a[1], RoleFenced, ""
+		m.acked = map[string]orderer.Position{}
+		m.notify()
+	}
+	return statusResult(m.status())
+}
+
+// runPromote makes a member that was fenced for the term its primary.
+func runPromote(_ context.Context, s *session, a []string) result {
+	m := s.member
+	term, _ := strconv.ParseUint(a[0], 10, 64)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if term != m.term || a[1] != m.owner || m.role == RoleReplica {
+		return result{Err: &refusal{Code: codeNotFence, Message: "not fenced for this term and owner"}}
+	}
+	if m.role == RoleFenced {
+		m.role, m.primary = RolePrimary, ""
+		m.ledger.append(term, nil)
+		m.ledger.replay(len(m.ledger.entries))
+		m.arrivals = nil
+		m.notify()
+	}
+	return statusResult(m.status())
+}
+
+// runFollow makes the member a replica of the primary of a term.
+func runFollow(_ context.Context, s *session, a []string) result {
+	m := s.member
+	term, _ := strconv.ParseUint(a[0], 10, 64)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if term < m.term || (term == m.term && m.role == RolePrimary) {
+		return result{Err: &refusal{Code: codeNotFence, Message: "term " + strconv.FormatUint(m.term, 10) + " is newer, or this is its primary"}}
+	}
+	if term > m.term {
+		m.owner = ""
+	}
+	m.term, m.role, m.primary = term, RoleReplica, a[1]
+	m.acked = map[string]orderer.Position{}
+	m.notify()
+	return statusResult(m.status())
+}
--- /dev/null
+++ b/internal/standin/replicator/faults.go
@@ -0,0 +1,104 @@
+package replicator
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Faults are the switches of a member. All can be thrown while it runs.
+type Faults struct {
+	mutex     sync.Mutex
+	thawed    chan struct{} // nil while not frozen
+	replayLag time.Duration
+	streamLag time.Duration
+	slow      time.Duration
+	refuse    bool
+	loseAfter bool
+}
+
+// Freeze stops the member: connections stay open and nothing is answered.
+func (f *Faults) Freeze() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.thawed == nil {
+		f.thawed = make(chan struct{})
+	}
+}
+
+// Thaw lets a frozen member go on where it stopped.
+func (f *Faults) Thaw() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.thawed != nil {
+		close(f.thawed)
+		f.thawed = nil
+	}
+}
+
+// SetReplayLag delays the visibility of entries on a replica.
+func (f *Faults) SetReplayLag(d time.Duration) { f.set(func() { f.replayLag = d }) }
+
+// SetStreamLag delays the receipt of entries on a replica.
+func (f *Faults) SetStreamLag(d time.Duration) { f.set(func() { f.streamLag = d }) }
+
+// SetSlow adds to the time of each statement.
+func (f *Faults) SetSlow(d time.Duration) { f.set(func() { f.slow = d }) }
+
+// SetRefuse makes the member close every new connection at once.
+func (f *Faults) SetRefuse(on bool) { f.set(func() { f.refuse = on }) }
+
+// LoseNextAnswer makes the member run the next write and close the connection
+// in place of the answer.
+func (f *Faults) LoseNextAnswer() { f.set(func() { f.loseAfter = true }) }
+
+func (f *Faults) set(change func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	change()
+}
+
+func (f *Faults) read(get func() time.Duration) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return get()
+}
+
+// takeLose reports, once per LoseNextAnswer, that an answer is to be lost.
+func (f *Faults) takeLose() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	lose := f.loseAfter
+	f.loseAfter = false
+	return lose
+}
+
+// pass blocks while the member is frozen.
+func (f *Faults) pass(ctx context.Context) error {
+	for {
+		f.mutex.Lock()
+		c := f.thawed
+		f.mutex.Unlock()
+		if c == nil {
+			return ctx.Err()
+		}
+		select {
+		case <-c:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// sleep waits for d, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/replicator/handler.go
@@ -0,0 +1,61 @@
+package replicator
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// wireFaults is the body of a fault switch; an absent field changes nothing.
+type wireFaults struct {
+	Freeze      *bool `json:"freeze"`
+	Refuse      *bool `json:"refuse"`
+	ReplayLagMS *int  `json:"replay-lag-ms"`
+	StreamLagMS *int  `json:"stream-lag-ms"`
+	SlowMS      *int  `json:"slow-ms"`
+	LoseAnswer  bool  `json:"lose-answer"`
+	Silence     bool  `json:"silence"`
+}
+
+// Handler serves the fault switches, the state and the journal over HTTP.
+func (m *Member) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /faults", m.handleFaults)
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(m.Status()) })
+	mux.HandleFunc("GET /journal", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(m.Journal()) })
+	return mux
+}
+
+func (m *Member) handleFaults(w http.ResponseWriter, r *http.Request) {
+	in := json.NewDecoder(r.Body)
+	in.DisallowUnknownFields()
+	var f wireFaults
+	if err := in.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if f.Freeze != nil {
+		if *f.Freeze {
+			m.Faults.Freeze()
+		} else {
+			m.Faults.Thaw()
+		}
+	}
+	if f.Refuse != nil {
+		m.Faults.SetRefuse(*f.Refuse)
+	}
+	for _, d := range []struct {
+		value *int
+		set   func(time.Duration)
+	}{{f.ReplayLagMS, m.Faults.SetReplayLag}, {f.StreamLagMS, m.Faults.SetStreamLag}, {f.SlowMS, m.Faults.SetSlow}} {
+		if d.value != nil {
+			d.set(time.Duration(*d.value) * time.Millisecond)
+		}
+	}
+	if f.LoseAnswer {
+		m.Faults.LoseNextAnswer()
+	}
+	if f.Silence {
+		m.SilenceOpen()
+	}
+}
--- /dev/null
+++ b/internal/standin/stager/stager.go
@@ -0,0 +1,319 @@
+// Package stager puts a whole fleet into one process for tests: the platform,
+// groups of targets and entry instances, each a host of a network in memory. The
+// code is that of the programs; inside testing/synctest it runs on virtual time.
+package stager
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/jackc/pgx/v5"
+	"github.com/oriolegw/oriolegw/internal/configurer"
+	"github.com/oriolegw/oriolegw/internal/lister"
+	"github.com/oriolegw/oriolegw/internal/loader"
+	"github.com/oriolegw/oriolegw/internal/runner"
+	"github.com/oriolegw/oriolegw/internal/standin/keeper"
+	"github.com/oriolegw/oriolegw/internal/standin/replicator"
+	"github.com/oriolegw/oriolegw/internal/standin/wirer"
+	"github.com/oriolegw/oriolegw/internal/storer"
+	"github.com/uber-go/tally/v4"
+)
+
+type (
+	// Plan says what to stage. The zero values of its fields are usable.
+	Plan struct {
+		Seed uint64
+		// Zones are the availability zones; default "a", "b", "c".
+		Zones []string
+		// Services are the groups; members are placed one in each zone, in
+		// order. Default: one service "lockers" with three members.
+		Services []configurer.Service
+		// PerZone is how many instances each zone has; default 1.
+		PerZone int
+		// ZoneLatency is the one-way delay between zones, CallerLatency that
+		// between callers and instances.
+		ZoneLatency, CallerLatency time.Duration
+		// Jitter is the largest random addition to each delay.
+		Jitter time.Duration
+		// ConnectTime, Slots and Work are those of the targets.
+		ConnectTime, Work time.Duration
+		Slots             int
+		Log               log.Logger
+	}
+
+	// Fleet is what has been staged.
+	Fleet struct {
+		Plan      Plan
+		Net       *wirer.Net
+		Store     *storer.Memory
+		Platform  *keeper.Keeper
+		Document  *configurer.Document
+		Members   []*Target
+		Instances []*Entry
+
+		ctx    context.Context
+		cancel context.CancelFunc
+		ended  chan error
+		open   int
+	}
+
+	// Target is one member of a group, as a process.
+	Target struct {
+		*replicator.Member
+		Service string
+		IP      string
+		Zone    string
+
+		cancel context.CancelFunc
+		ended  chan error
+	}
+
+	// Entry is one entry instance, as a process.
+	Entry struct {
+		Name    string
+		IP      string
+		Zone    string
+		Metrics tally.TestScope
+
+		cancel context.CancelFunc
+		ended  chan error
+	}
+)
+
+const (
+	platformIP = "10.0.0.1"
+	callerIP   = "10.0.9.1"
+	tokenKey   = "0123456789abcdef0123456789abcdef"
+	// DefaultService is the service of an empty plan.
+	DefaultService = "lockers"
+)
+
+func (p *Plan) defaults() {
+	if len(p.Zones) == 0 {
+		p.Zones = []string{"a", "b", "c"}
+	}
+	if p.PerZone == 0 {
+		p.PerZone = 1
+	}
+	if len(p.Services) == 0 {
+		p.Services = []configurer.Service{{
+			Name: DefaultService, Connections: 60, Slots: 4,
+			Rules: []configurer.ReaderRule{{Kind: configurer.DefaultKind, MaxAge: 10 * time.Second}},
+		}}
+	}
+	if p.Log == nil {
+		p.Log = log.NewNopLogger()
+	}
+}
+
+// Start stages a plan. Close ends what it started.
+func Start(ctx context.Context, p Plan) (*Fleet, error) {
+	p.defaults()
+	f := &Fleet{Plan: p, Net: wirer.New(p.Seed), Store: storer.NewMemory(), Document: &configurer.Document{}, ended: make(chan error)}
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	f.Net.Latency = f.latency
+	f.Platform = &keeper.Keeper{Address: platformIP + ":7000", Network: f.Net.Host(platformIP, "platform"), Store: f.Store, Log: p.Log}
+	f.run(f.Platform.Run)
+	for i, s := range p.Services {
+		f.addGroup(i, s)
+	}
+	if _, ok, err := f.Store.Swap(f.ctx, storer.Pair{Key: configurer.Key, Value: configurer.Encode(f.Document)}, 0); err != nil || !ok {
+		return nil, errors.Errorf("publish document: %v", err)
+	}
+	for z, zone := range p.Zones {
+		for k := range p.PerZone {
+			e := &Entry{Name: fmt.Sprintf("entry-%s-%d", zone, k+1), IP: fmt.Sprintf("10.1.%d.%d", z+1, k+1), Zone: zone}
+			f.Instances = append(f.Instances, e)
+			f.StartInstance(e)
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) run(run func(context.Context) error) {
+	f.open++
+	go func() { f.ended <- run(f.ctx) }()
+}
+
+// Close stops every process and waits for its end.
+func (f *Fleet) Close() {
+	for _, e := range f.Instances {
+		f.StopInstance(e)
+	}
+	for _, t := range f.Members {
+		f.StopTarget(t)
+	}
+	f.cancel()
+	for ; f.open > 0; f.open-- {
+		<-f.ended
+	}
+}
+
+func (f *Fleet) latency(from, to *wirer.Host) time.Duration {
+	var d time.Duration
+	switch {
+	case from == to:
+		return 0
+	case from.IP == callerIP || to.IP == callerIP:
+		d = f.Plan.CallerLatency
+	case from.Zone != to.Zone:
+		d = f.Plan.ZoneLatency
+	}
+	if f.Plan.Jitter > 0 {
+		d += f.Net.Jitter(f.Plan.Jitter)
+	}
+	return d
+}
+
+func (f *Fleet) addGroup(n int, s configurer.Service) {
+	if len(s.Members) == 0 {
+		for z, zone := range f.Plan.Zones {
+			s.Members = append(s.Members, configurer.Member{
+				Name: fmt.Sprintf("%s-%d", s.Name, z+1), Address: fmt.Sprintf("10.2.%d.%d:5432", n+1, z+1), Zone: zone,
+			})
+		}
+	}
+	f.Document.Services = append(f.Document.Services, s)
+	for _, m := range s.Members {
+		ip, _, _ := net.SplitHostPort(m.Address)
+		t := &Target{
+			Service: s.Name, IP: ip, Zone: m.Zone,
+			Member: &replicator.Member{
+				Name: m.Name, Group: s.Name, Address: m.Address, GroupSize: len(s.Members),
+				Network: f.Net.Host(ip, m.Zone), Log: f.Plan.Log,
+				ConnectTime: f.Plan.ConnectTime, Slots: f.Plan.Slots, Work: f.Plan.Work,
+			},
+		}
+		t.Bootstrap(s.Members[0].Address)
+		f.Members = append(f.Members, t)
+		f.startTarget(t)
+	}
+}
+
+func (f *Fleet) startTarget(t *Target) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	t.cancel, t.ended = cancel, make(chan error, 1)
+	go func() { t.ended <- t.Run(ctx) }()
+}
+
+// StopTarget ends a target's process.
+func (f *Fleet) StopTarget(t *Target) {
+	if t.cancel == nil {
+		return
+	}
+	t.cancel()
+	<-t.ended
+	t.cancel = nil
+}
+
+// KillTarget ends a target as a crash does: its connections are reset and new
+// ones refused. Its log stays, as on a disk.
+func (f *Fleet) KillTarget(t *Target) {
+	f.Net.Kill(t.IP)
+	f.StopTarget(t)
+}
+
+// RestartTarget starts a killed target again with the log it had.
+func (f *Fleet) RestartTarget(t *Target) {
+	f.Net.Revive(t.IP)
+	f.startTarget(t)
+}
+
+// StartInstance starts an entry instance with an empty memory.
+func (f *Fleet) StartInstance(e *Entry) {
+	h := f.Net.Host(e.IP, e.Zone)
+	f.Net.Revive(e.IP)
+	e.Metrics = tally.NewTestScope("", nil)
+	store := (&storer.Gateway{Address: f.Platform.Address, Network: h}).Open()
+	list := (&lister.Page{Address: f.Platform.Address, Network: h}).Open()
+	i := &runner.Instance{
+		Settings: &loader.Settings{
+			Name: e.Name, Zone: e.Zone, Callers: e.IP + ":5432", Peers: e.IP + ":7100", Platform: f.Platform.Address,
+			TokenKeys: []loader.TokenKey{{Number: 1, Secret: tokenKey}},
+		},
+		Network: h, Store: store, List: list, Metrics: e.Metrics, Log: log.With(f.Plan.Log, "instance", e.Name),
+	}
+	f.Platform.Register(lister.Instance{Name: e.Name, Kind: lister.KindEntry, Address: e.IP + ":7100", Zone: e.Zone, State: lister.StateLive})
+	ctx, cancel := context.WithCancel(f.ctx)
+	e.cancel, e.ended = cancel, make(chan error, 1)
+	go func() {
+		err := i.Run(ctx)
+		store.Close()
+		list.Close()
+		e.ended <- err
+	}()
+}
+
+// StopInstance ends an instance's process at once.
+func (f *Fleet) StopInstance(e *Entry) {
+	if e.cancel == nil {
+		return
+	}
+	e.cancel()
+	<-e.ended
+	e.cancel = nil
+}
+
+// KillInstance ends an instance as a crash does.
+func (f *Fleet) KillInstance(e *Entry) {
+	f.Net.Kill(e.IP)
+	f.StopInstance(e)
+}
+
+// Connect opens a caller's connection to an instance, with pgx. Parameters are
+// those of the start-up message.
+func (f *Fleet) Connect(ctx context.Context, e *Entry, service string, parameters map[string]string) (*pgx.Conn, error) {
+	c, err := pgx.ParseConfig("postgres://crew@" + e.IP + ":5432/" + service + "?sslmode=disable")
+	if err != nil {
+		return nil, errors.Wrap(err, "caller's address")
+	}
+	h := f.Net.Host(callerIP, "callers")
+	c.DialFunc = func(ctx context.Context, _, address string) (net.Conn, error) { return h.Dial(ctx, address) }
+	c.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
+	for k, v := range parameters {
+		c.RuntimeParams[k] = v
+	}
+	return pgx.ConnectConfig(ctx, c)
+}
+
+// Ready waits until every instance takes callers of every service.
+func (f *Fleet) Ready(ctx context.Context) error {
+	for _, e := range f.Instances {
+		for _, s := range f.Document.Services {
+			if err := f.ready(ctx, e, s.Name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) ready(ctx context.Context, e *Entry, service string) error {
+	for {
+		c, err := f.Connect(ctx, e, service, nil)
+		if err == nil {
+			return c.Close(ctx)
+		}
+		if ctx.Err() != nil {
+			return errors.Wrapf(err, "%s never became ready", e.Name)
+		}
+		time.Sleep(readyPause)
+	}
+}
+
+const readyPause = 20 * time.Millisecond
+
+// Target returns the member with the name, which may lack the service's prefix.
+func (f *Fleet) Target(name string) *Target {
+	for _, t := range f.Members {
+		if t.Name == name || strings.TrimPrefix(t.Name, t.Service+"-") == name {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/storer/gateway.go
@@ -0,0 +1,199 @@
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/networker"
+)
+
+const (
+	callTimeout    = 2 * time.Second
+	maxAnswerBytes = 4 << 20
+)
+
+// Gateway reaches the platform's store over HTTP. Set the exported fields, then
+// call its methods; it keeps its connections open.
+type Gateway struct {
+	// Address is "ip:port".
+	Address string
+	Network networker.Network
+
+	client *http.Client
+}
+
+// Open prepares the client; it makes no call.
+func (g *Gateway) Open() *Gateway {
+	g.client = &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return g.Network.Dial(ctx, g.Address)
+		},
+		MaxIdleConnsPerHost: 2,
+	}}
+	return g
+}
+
+// Close drops the open connections.
+func (g *Gateway) Close() { g.client.CloseIdleConnections() }
+
+func (g *Gateway) send(ctx context.Context, path string, ask any) (*http.Response, error) {
+	body, err := json.Marshal(ask)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode call")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make call")
+	}
+	a, err := g.client.Do(r)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	if a.StatusCode != http.StatusOK {
+		defer a.Body.Close()
+		var e WireError
+		_ = json.NewDecoder(io.LimitReader(a.Body, maxAnswerBytes)).Decode(&e)
+		if e.Code == codeNotFound {
+			return nil, ErrLeaseLost
+		}
+		return nil, errors.Wrapf(ErrUnavailable, "status %d: %s", a.StatusCode, e.Message)
+	}
+	return a, nil
+}
+
+func (g *Gateway) call(ctx context.Context, path string, ask, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := g.send(ctx, path, ask)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(a.Body, maxAnswerBytes)).Decode(answer); err != nil {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return nil
+}
+
+// Get implements Store.
+func (g *Gateway) Get(ctx context.Context, key string) (Pair, error) {
+	var a WireRangeAnswer
+	if err := g.call(ctx, PathRange, WireRange{Key: []byte(key)}, &a); err != nil {
+		return Pair{}, err
+	}
+	return one(key, a.KVs), nil
+}
+
+func one(key string, kvs []WireKV) Pair {
+	if len(kvs) == 0 {
+		return Pair{Key: key}
+	}
+	return Pair{Key: key, Value: kvs[0].Value, Revision: kvs[0].ModRevision}
+}
+
+// List implements Store.
+func (g *Gateway) List(ctx context.Context, prefix string) ([]Pair, error) {
+	var a WireRangeAnswer
+	if err := g.call(ctx, PathRange, WireRange{Key: []byte(prefix), RangeEnd: rangeEnd(prefix)}, &a); err != nil {
+		return nil, err
+	}
+	var out []Pair
+	for _, kv := range a.KVs {
+		out = append(out, Pair{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision})
+	}
+	return out, nil
+}
+
+func compare(p Pair) []WireCompare {
+	return []WireCompare{{Key: []byte(p.Key), Target: TargetMod, Result: ResultEqual, ModRevision: p.Revision}}
+}
+
+// Swap implements Store.
+func (g *Gateway) Swap(ctx context.Context, p Pair, lease Lease) (Pair, bool, error) {
+	key := []byte(p.Key)
+	var a WireTxnAnswer
+	err := g.call(ctx, PathTxn, WireTxn{
+		Compare: compare(p),
+		Success: []WireOp{{Put: &WireKV{Key: key, Value: p.Value, Lease: int64(lease)}}},
+		Failure: []WireOp{{Range: &WireRange{Key: key}}},
+	}, &a)
+	if err != nil {
+		return Pair{}, false, err
+	}
+	if a.Succeeded {
+		return Pair{Key: p.Key, Value: p.Value, Revision: a.Header.Revision}, true, nil
+	}
+	if len(a.Responses) == 0 || a.Responses[0].Range == nil {
+		return Pair{Key: p.Key}, false, nil
+	}
+	return one(p.Key, a.Responses[0].Range.KVs), false, nil
+}
+
+// Delete implements Store.
+func (g *Gateway) Delete(ctx context.Context, p Pair) (bool, error) {
+	var a WireTxnAnswer
+	err := g.call(ctx, PathTxn, WireTxn{
+		Compare: compare(p),
+		Success: []WireOp{{Delete: &WireRange{Key: []byte(p.Key)}}},
+	}, &a)
+	return a.Succeeded && p.Revision != 0, err
+}
+
+// Grant implements Store. The protocol counts in whole seconds.
+func (g *Gateway) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	var a WireLease
+	err := g.call(ctx, PathGrant, WireLease{TTL: int64((ttl + time.Second - 1) / time.Second)}, &a)
+	return Lease(a.ID), err
+}
+
+// KeepAlive implements Store.
+func (g *Gateway) KeepAlive(ctx context.Context, lease Lease) error {
+	var a WireKeepAliveAnswer
+	if err := g.call(ctx, PathKeepAlive, WireLease{ID: int64(lease)}, &a); err != nil {
+		return err
+	}
+	if a.Result.TTL <= 0 {
+		return ErrLeaseLost
+	}
+	return nil
+}
+
+// Revoke implements Store.
+func (g *Gateway) Revoke(ctx context.Context, lease Lease) error {
+	var a struct{}
+	return g.call(ctx, PathRevoke, WireLease{ID: int64(lease)}, &a)
+}
+
+// Watch implements Store.
+func (g *Gateway) Watch(ctx context.Context, prefix string, since int64, changed func(Pair)) error {
+	a, err := g.send(ctx, PathWatch, WireWatch{Create: WireWatchCreate{
+		Key: []byte(prefix), RangeEnd: rangeEnd(prefix), StartRevision: since + 1,
+	}})
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	in := json.NewDecoder(a.Body)
+	for {
+		var m WireWatchAnswer
+		if err := in.Decode(&m); err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return errors.Wrap(ErrUnavailable, err.Error())
+		}
+		for _, e := range m.Result.Events {
+			p := Pair{Key: string(e.KV.Key)}
+			if e.Type != TypeDelete {
+				p.Value, p.Revision = e.KV.Value, e.KV.ModRevision
+			}
+			changed(p)
+		}
+	}
+}
--- /dev/null
+++ b/internal/storer/wire.go
@@ -0,0 +1,141 @@
+package storer
+
+// The messages of the store's published protocol: the JSON form of the etcd v3
+// API, of which only these calls are used. Keys and values travel in base64 and
+// 64-bit numbers as strings, which encoding/json does for []byte and ",string".
+type (
+	// WireKV is one key.
+	WireKV struct {
+		Key         []byte `json:"key"`
+		Value       []byte `json:"value,omitempty"`
+		ModRevision int64  `json:"mod_revision,string,omitempty"`
+		Lease       int64  `json:"lease,string,omitempty"`
+	}
+
+	// WireRange reads a key, or the keys from Key up to RangeEnd.
+	WireRange struct {
+		Key      []byte `json:"key"`
+		RangeEnd []byte `json:"range_end,omitempty"`
+	}
+
+	// WireRangeAnswer answers it.
+	WireRangeAnswer struct {
+		KVs []WireKV `json:"kvs,omitempty"`
+	}
+
+	// WireCompare holds for a key whose last change has this revision.
+	WireCompare struct {
+		Key         []byte `json:"key"`
+		Target      string `json:"target"` // MOD
+		Result      string `json:"result"` // EQUAL
+		ModRevision int64  `json:"mod_revision,string"`
+	}
+
+	// WireOp is one operation of a transaction.
+	WireOp struct {
+		Put    *WireKV    `json:"requestPut,omitempty"`
+		Delete *WireRange `json:"requestDeleteRange,omitempty"`
+		Range  *WireRange `json:"requestRange,omitempty"`
+	}
+
+	// WireTxn runs Success if Compare holds, else Failure.
+	WireTxn struct {
+		Compare []WireCompare `json:"compare"`
+		Success []WireOp      `json:"success"`
+		Failure []WireOp      `json:"failure,omitempty"`
+	}
+
+	// WireHeader carries the revision of the store.
+	WireHeader struct {
+		Revision int64 `json:"revision,string"`
+	}
+
+	// WireOpAnswer answers one operation.
+	WireOpAnswer struct {
+		Range *WireRangeAnswer `json:"response_range,omitempty"`
+	}
+
+	// WireTxnAnswer answers a transaction.
+	WireTxnAnswer struct {
+		Header    WireHeader     `json:"header"`
+		Succeeded bool           `json:"succeeded,omitempty"`
+		Responses []WireOpAnswer `json:"responses,omitempty"`
+	}
+
+	// WireLease grants, prolongs and revokes a lease; TTL is in seconds.
+	WireLease struct {
+		ID  int64 `json:"ID,string,omitempty"`
+		TTL int64 `json:"TTL,string,omitempty"`
+	}
+
+	// WireKeepAliveAnswer is one message of the keep-alive stream.
+	WireKeepAliveAnswer struct {
+		Result WireLease `json:"result"`
+	}
+
+	// WireWatch opens a watch.
+	WireWatch struct {
+		Create WireWatchCreate `json:"create_request"`
+	}
+
+	// WireWatchCreate names the keys of a watch.
+	WireWatchCreate struct {
+		Key           []byte `json:"key"`
+		RangeEnd      []byte `json:"range_end,omitempty"`
+		StartRevision int64  `json:"start_revision,string,omitempty"`
+	}
+
+	// WireWatchAnswer is one message of the watch stream.
+	WireWatchAnswer struct {
+		Result WireWatchResult `json:"result"`
+	}
+
+	// WireWatchResult holds the changes of a message.
+	WireWatchResult struct {
+		Events []WireEvent `json:"events,omitempty"`
+	}
+
+	// WireEvent is one change; Type is "DELETE", or empty for a put.
+	WireEvent struct {
+		Type string `json:"type,omitempty"`
+		KV   WireKV `json:"kv"`
+	}
+
+	// WireError is the body of an answer other than 200.
+	WireError struct {
+		Code    int    `json:"code"`
+		Message string `json:"message"`
+	}
+)
+
+// The paths of the calls.
+const (
+	PathRange     = "/v3/kv/range"
+	PathTxn       = "/v3/kv/txn"
+	PathGrant     = "/v3/lease/grant"
+	PathKeepAlive = "/v3/lease/keepalive"
+	PathRevoke    = "/v3/lease/revoke"
+	PathWatch     = "/v3/watch"
+)
+
+const (
+	codeNotFound = 5 // the gRPC code that the protocol gives for a lost lease
+
+	// TargetMod and ResultEqual are the only comparison used.
+	TargetMod   = "MOD"
+	ResultEqual = "EQUAL"
+	// TypeDelete marks the event of a deleted key.
+	TypeDelete = "DELETE"
+)
+
+// rangeEnd returns the first key behind all keys with the prefix.
+func rangeEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/pkg/refuser/reasons.go
@@ -0,0 +1,73 @@
+package refuser
+
+import "time"
+
+// The reasons. A code that goes out of use stays listed in Retired.
+var (
+	NoService = &Reason{
+		Code: "OR101", Name: "no-service", Since: "0.1", SQLState: "3D000", Outcome: NotRun, Fatal: true,
+		Title: "no such service",
+		Text:  "The caller's database name is not a service of the configuration in force. Check the name; a service that was just published is known everywhere within 5 s.",
+	}
+	NoConfiguration = &Reason{
+		Code: "OR102", Name: "no-configuration", Since: "0.1", SQLState: "57P03", Outcome: NotRun, Fatal: true, RetryAfter: time.Second,
+		Title: "no configuration yet",
+		Text:  "The instance has just started and knows no configuration yet, from the store or from a peer.",
+	}
+	NoPrimary = &Reason{
+		Code: "OR201", Name: "no-primary", Since: "0.1", SQLState: "57P03", Outcome: NotRun, RetryAfter: 500 * time.Millisecond,
+		Title: "no primary to send the request to",
+		Text:  "The group has no primary that this instance can reach, and none appeared within the time that requests are held for one.",
+	}
+	NoTarget = &Reason{
+		Code: "OR202", Name: "no-target", Since: "0.1", SQLState: "57P03", Outcome: NotRun, RetryAfter: 200 * time.Millisecond,
+		Title: "no target may serve the read",
+		Text:  "No member is reachable that is known to hold the caller's own work and to be as fresh as the kind of request demands.",
+	}
+	NoConnection = &Reason{
+		Code: "OR203", Name: "no-connection", Since: "0.1", SQLState: "53300", Outcome: NotRun, RetryAfter: 100 * time.Millisecond,
+		Title: "no target connection became free",
+		Text:  "All of this instance's connections to the group were busy for as long as the request may wait.",
+	}
+	ConnectionLost = &Reason{
+		Code: "OR301", Name: "connection-lost", Since: "0.1", SQLState: "08007", Outcome: Unknown,
+		Title: "connection to the primary lost after the request was sent",
+		Text:  "The request may or may not have run. It is not repeated, since it may not be idempotent. Look before sending it again.",
+	}
+	NotConfirmed = &Reason{
+		Code: "OR302", Name: "not-confirmed", Since: "0.1", SQLState: "08007", Outcome: Unknown,
+		Title: "the write reached no majority in time",
+		Text:  "The primary ran the write, but a majority of the group did not confirm it in time. A change of primary may lose it or keep it. Look before sending it again.",
+	}
+	TransactionLost = &Reason{
+		Code: "OR303", Name: "transaction-lost", Since: "0.1", SQLState: "40001", Outcome: NotRun, RetryAfter: 100 * time.Millisecond,
+		Title: "the transaction was rolled back",
+		Text:  "The connection of an open transaction was lost before COMMIT was sent, so the target rolled it back. Repeat it from its BEGIN.",
+	}
+	ReadLost = &Reason{
+		Code: "OR304", Name: "read-lost", Since: "0.1", SQLState: "08006", Outcome: NotRun, RetryAfter: 100 * time.Millisecond,
+		Title: "the answer to a read broke off",
+		Text:  "A target was lost after part of the answer had been forwarded, or every try failed. Reads change nothing, so the request can be sent again.",
+	}
+	BadToken = &Reason{
+		Code: "OR401", Name: "bad-token", Since: "0.1", SQLState: "28000", Outcome: NotRun, Fatal: true,
+		Title: "session token refused",
+		Text:  "The token is forged, of another fleet or service, or of a version that this instance does not know. Connect without it for a new session.",
+	}
+	Unsupported = &Reason{
+		Code: "OR402", Name: "unsupported", Since: "0.1", SQLState: "0A000", Outcome: NotRun,
+		Title: "not supported through the proxy",
+		Text:  "The message or statement can't work over shared connections. docs/CALLERS.md lists what is not supported.",
+	}
+)
+
+// Reasons lists them all, in the order of their codes.
+var Reasons = []*Reason{
+	NoService, NoConfiguration,
+	NoPrimary, NoTarget, NoConnection,
+	ConnectionLost, NotConfirmed, TransactionLost, ReadLost,
+	BadToken, Unsupported,
+}
+
+// Retired lists codes that must not be used again.
+var Retired = []string{}
