--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,10 @@
 
 clean:
 	rm -rf $(BUILD)
+
+# make soak SEEDS=N FROM=K runs paired faults over N seeds from seed K.
+SEEDS ?= 100
+FROM ?= 1
+.PHONY: soak
+soak:
+	go test ./internal/standin/soaker -run 'TestSoak$$' -count=1 -timeout 60m -v -seeds=$(SEEDS) -from=$(FROM) | grep -vE '^(=== RUN|    --- PASS)'
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -201,6 +201,12 @@
 	go func() { t.ended <- t.Run(ctx) }()
 }
 
+// Running reports whether the target's process runs.
+func (t *Target) Running() bool { return t.cancel != nil }
+
+// Running reports whether the instance's process runs.
+func (e *Entry) Running() bool { return e.cancel != nil }
+
 // StopTarget ends a target's process.
 func (f *Fleet) StopTarget(t *Target) {
 	if t.cancel == nil {
