Settings and document checked, all mistakes at once with their places

Cause: a typing mistake in settings or document was reported one at a time, without place, and a document with wrong values (no members, a host name, a budget of 0) was accepted.

Ruled out: encoding/json's strict mode (one error, no line, duplicate keys pass) and a schema library (another transport of rules beside the code). The syntax tree of hujson has offsets, so package inspector reads values from it; the codecs map by hand.

Now: inspector reports file, line, column, what was found and what is allowed.

Conclusion: instances, and soon the operators' programs, call the same check.

--- /dev/null
+++ b/internal/configurer/check.go
@@ -0,0 +1,146 @@
+package configurer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/inspector"
+	"github.com/oriolegw/oriolegw/pkg/verifier"
+)
+
+// The limits of a document. They are wide: they catch a wrong unit or a slip of
+// the hand, and bound what an instance keeps in memory.
+const (
+	maxServices    = 10000
+	maxUsers       = 10000
+	maxMembers     = 15
+	maxConnections = 10000
+	maxSlots       = 10000
+	maxHold        = time.Minute
+	maxRules       = 100
+	maxAge         = 24 * time.Hour
+	maxCustomers   = 1000
+	maxShare       = 1000
+)
+
+// Check reads a document and reports all its mistakes. The document is only
+// good when there are none. The operators' program, the console and the
+// instances all call it, so that what was accepted can also be applied.
+func Check(file string, text []byte) (*Document, inspector.Problems) {
+	d := &Document{}
+	problems := inspector.Read(file, text, func(n inspector.Node) {
+		c := checker{
+			address: inspector.Unique("address"),
+			service: inspector.Unique("service"),
+			user:    inspector.Unique("user"),
+		}
+		n.Object(
+			inspector.Need("services", func(n inspector.Node) {
+				n.Each(0, maxServices, func(n inspector.Node) { d.Services = append(d.Services, c.readService(n)) })
+			}),
+			inspector.May("users", func(n inspector.Node) {
+				n.Each(0, maxUsers, func(n inspector.Node) { d.Users = append(d.Users, c.readUser(n)) })
+			}),
+		)
+	})
+	return d, problems
+}
+
+// checker knows what must be unique in the whole document.
+type checker struct {
+	address, service, user func(inspector.Node, string)
+}
+
+func (c *checker) readService(n inspector.Node) Service {
+	var s Service
+	var members inspector.Node
+	n.Object(
+		inspector.Need("name", func(n inspector.Node) { s.Name = n.Name(); c.service(n, s.Name) }),
+		inspector.Need("members", func(n inspector.Node) { members = n; s.Members = c.readMembers(n) }),
+		inspector.Need("connections", func(n inspector.Node) { s.Connections = n.Int(1, maxConnections) }),
+		inspector.Need("slots", func(n inspector.Node) { s.Slots = n.Int(0, maxSlots) }),
+		inspector.May("hold-ms", func(n inspector.Node) { s.Hold = n.Milliseconds(0, maxHold) }),
+		inspector.May("reader-rules", func(n inspector.Node) { s.Rules = readRules(n) }),
+		inspector.May("customers", func(n inspector.Node) { s.Customers = readCustomers(n) }),
+	)
+	checkLeaving(members, s.Members)
+	return s
+}
+
+func (c *checker) readMembers(n inspector.Node) []Member {
+	var out []Member
+	unique := inspector.Unique("member")
+	n.Each(1, maxMembers, func(n inspector.Node) {
+		var m Member
+		n.Object(
+			inspector.Need("name", func(n inspector.Node) { m.Name = n.Name(); unique(n, m.Name) }),
+			inspector.Need("address", func(n inspector.Node) { m.Address = n.Address(); c.address(n, m.Address) }),
+			inspector.Need("availability-zone", func(n inspector.Node) { m.Zone = n.Name() }),
+			inspector.May("leaving", func(n inspector.Node) { m.Leaving = n.Bool() }),
+		)
+		out = append(out, m)
+	})
+	return out
+}
+
+// checkLeaving refuses a group whose members all leave: no member would be left
+// to take over as primary, and every request would be refused.
+func checkLeaving(n inspector.Node, members []Member) {
+	for _, m := range members {
+		if !m.Leaving {
+			return
+		}
+	}
+	if len(members) > 0 {
+		n.Problem(fmt.Sprintf("all %d members leaving", len(members)), "at least one member that stays")
+	}
+}
+
+func readRules(n inspector.Node) []ReaderRule {
+	var out []ReaderRule
+	unique := inspector.Unique("kind")
+	n.Each(0, maxRules, func(n inspector.Node) {
+		var r ReaderRule
+		n.Object(
+			inspector.Need("kind", func(n inspector.Node) { r.Kind = n.Name(); unique(n, r.Kind) }),
+			inspector.Need("max-age-ms", func(n inspector.Node) { r.MaxAge = n.Milliseconds(0, maxAge) }),
+		)
+		out = append(out, r)
+	})
+	return out
+}
+
+func readCustomers(n inspector.Node) []Customer {
+	var out []Customer
+	uniqueName, uniqueUser := inspector.Unique("customer"), inspector.Unique("user")
+	n.Each(0, maxCustomers, func(n inspector.Node) {
+		var c Customer
+		n.Object(
+			inspector.Need("name", func(n inspector.Node) { c.Name = n.Name(); uniqueName(n, c.Name) }),
+			inspector.Need("share", func(n inspector.Node) { c.Share = n.Int(1, maxShare) }),
+			inspector.Need("users", func(n inspector.Node) {
+				n.Each(0, maxUsers, func(n inspector.Node) {
+					u := n.Text()
+					uniqueUser(n, u)
+					c.Users = append(c.Users, u)
+				})
+			}),
+		)
+		out = append(out, c)
+	})
+	return out
+}
+
+func (c *checker) readUser(n inspector.Node) User {
+	var u User
+	n.Object(
+		inspector.Need("name", func(n inspector.Node) { u.Name = n.Text(); c.user(n, u.Name) }),
+		inspector.Need("password-verifier", func(n inspector.Node) {
+			u.Verifier = n.Text()
+			if _, err := verifier.Parse(u.Verifier); err != nil && u.Verifier != "" {
+				n.Problem(err.Error(), "SCRAM-SHA-256$ITERATIONS:SALT$STORED-KEY:SERVER-KEY, as oriolegwctl verifier writes it")
+			}
+		}),
+	)
+	return u
+}
--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -11,6 +11,17 @@
 	// Document is the whole configuration of a fleet.
 	Document struct {
 		Services []Service
+		// Users are the callers that may connect where the settings ask for a
+		// password.
+		Users []User
+	}
+
+	// User is a caller's name with what its password is checked against.
+	User struct {
+		Name string
+		// Verifier is made from the password by the verifier package; the
+		// password itself is stored nowhere.
+		Verifier string
 	}
 
 	// Service is a database group with its members, rules and budget. Callers
@@ -36,6 +47,9 @@
 		Name    string
 		Address string
 		Zone    string
+		// Leaving members get no new work; a primary that leaves is replaced
+		// first.
+		Leaving bool
 	}
 
 	// ReaderRule bounds the age of what a kind of request may be shown. Callers
--- a/internal/configurer/wire.go
+++ b/internal/configurer/wire.go
@@ -1,17 +1,18 @@
 package configurer
 
 import (
-	"bytes"
 	"encoding/json"
-	"time"
-
-	"github.com/go-faster/errors"
-	"github.com/tailscale/hujson"
 )
 
 type (
 	wireDocument struct {
 		Services []wireService `json:"services"`
+		Users    []wireUser    `json:"users,omitempty"`
+	}
+
+	wireUser struct {
+		Name     string `json:"name"`
+		Verifier string `json:"password-verifier"`
 	}
 
 	wireService struct {
@@ -19,7 +20,7 @@
 		Members     []wireMember   `json:"members"`
 		Connections int            `json:"connections"`
 		Slots       int            `json:"slots"`
-		HoldMS      int            `json:"hold-ms"`
+		HoldMS      int            `json:"hold-ms,omitempty"`
 		Rules       []wireRule     `json:"reader-rules"`
 		Customers   []wireCustomer `json:"customers"`
 	}
@@ -28,6 +29,7 @@
 		Name    string `json:"name"`
 		Address string `json:"address"`
 		Zone    string `json:"availability-zone"`
+		Leaving bool   `json:"leaving,omitempty"`
 	}
 
 	wireRule struct {
@@ -42,48 +44,24 @@
 	}
 )
 
-// Decode reads a document: JSON with comments.
+// Decode reads a document that was published: JSON with comments.
 func Decode(text []byte) (*Document, error) {
-	plain, err := hujson.Standardize(bytes.Clone(text))
-	if err != nil {
-		return nil, errors.Wrap(err, "document")
-	}
-	in := json.NewDecoder(bytes.NewReader(plain))
-	in.DisallowUnknownFields()
-	var w wireDocument
-	if err := in.Decode(&w); err != nil {
-		return nil, errors.Wrap(err, "document")
-	}
-	d := &Document{}
-	for _, s := range w.Services {
-		d.Services = append(d.Services, fromWire(s))
+	d, problems := Check("document", text)
+	if err := problems.Err(); err != nil {
+		return nil, err
 	}
 	return d, nil
 }
 
-func fromWire(w wireService) Service {
-	s := Service{
-		Name: w.Name, Connections: w.Connections, Slots: w.Slots,
-		Hold: time.Duration(w.HoldMS) * time.Millisecond,
-	}
-	for _, m := range w.Members {
-		s.Members = append(s.Members, Member{Name: m.Name, Address: m.Address, Zone: m.Zone})
-	}
-	for _, r := range w.Rules {
-		s.Rules = append(s.Rules, ReaderRule{Kind: r.Kind, MaxAge: time.Duration(r.MaxAgeMS) * time.Millisecond})
-	}
-	for _, c := range w.Customers {
-		s.Customers = append(s.Customers, Customer{Name: c.Name, Share: c.Share, Users: c.Users})
-	}
-	return s
-}
-
 // Encode writes a document in its canonical form.
 func Encode(d *Document) []byte {
 	w := wireDocument{Services: []wireService{}}
 	for _, s := range d.Services {
 		w.Services = append(w.Services, toWire(s))
 	}
+	for _, u := range d.Users {
+		w.Users = append(w.Users, wireUser{Name: u.Name, Verifier: u.Verifier})
+	}
 	text, err := json.MarshalIndent(w, "", "  ")
 	if err != nil {
 		panic(err) // plain data always encodes
@@ -97,13 +75,17 @@
 		Members: []wireMember{}, Rules: []wireRule{}, Customers: []wireCustomer{},
 	}
 	for _, m := range s.Members {
-		w.Members = append(w.Members, wireMember{Name: m.Name, Address: m.Address, Zone: m.Zone})
+		w.Members = append(w.Members, wireMember{Name: m.Name, Address: m.Address, Zone: m.Zone, Leaving: m.Leaving})
 	}
 	for _, r := range s.Rules {
 		w.Rules = append(w.Rules, wireRule{Kind: r.Kind, MaxAgeMS: int(r.MaxAge.Milliseconds())})
 	}
 	for _, c := range s.Customers {
-		w.Customers = append(w.Customers, wireCustomer{Name: c.Name, Share: c.Share, Users: c.Users})
+		users := c.Users
+		if users == nil {
+			users = []string{}
+		}
+		w.Customers = append(w.Customers, wireCustomer{Name: c.Name, Share: c.Share, Users: users})
 	}
 	return w
 }
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -233,7 +233,7 @@
 	list := (&lister.Page{Address: f.Platform.Address, Network: h}).Open()
 	i := &runner.Instance{
 		Settings: &loader.Settings{
-			Name: e.Name, Zone: e.Zone, Callers: e.IP + ":5432", Peers: e.IP + ":7100", Platform: f.Platform.Address,
+			Name: e.Name, Zone: e.Zone, Callers: e.IP + ":5432", Peers: e.IP + ":7100", Platform: f.Platform.Address, Authentication: loader.Trust,
 			TokenKeys: []loader.TokenKey{{Number: 1, Secret: tokenKey}},
 		},
 		Network: h, Store: store, List: list, Metrics: e.Metrics, Log: log.With(f.Plan.Log, "instance", e.Name),
--- a/internal/starter/starter.go
+++ b/internal/starter/starter.go
@@ -115,6 +115,7 @@
   "peers-address": %q,
   "status-address": %q,
   "platform-address": %q,
+  "authentication": "trust", // believes any caller: for a demonstration only
   "token-keys": [{"number": 1, "secret": "a secret of this demonstration only"}],
 }
 `, p.Name, zone, p.Address, address(50+i), p.Pages, f.Platform)
