Operators' program oriolegwctl, HTTP pages with metrics, publish by compare-and-swap

Cause: operators had no way to put a document into force, see what is in force or drain; refusals were counted into a scope that nobody could read.

Ruled out: repeating a swap whose answer was lost (the repeat finds the version raised by the first and tells of a race with nobody); tally's own prometheus reporter (its module is not in the caches here), so a small tally reporter writes the text format; re-encoding a document to mark a member as leaving (operators' comments were lost), so the mark is a patch of the syntax tree.

Before: inspector recursed through a megabyte of brackets until the stack overflowed when they were balanced by brackets in strings; TestBadText ended the process. After: brackets in strings and comments are skipped when counting.

With publisher.go's read-back replaced by a second Publish, TestAnswerLost fails.

Conclusion: check, get, diff, publish, status, drain, switch, verifier work on the store's fake; drain of instances and switch wait for the parts that act on InstanceLeaving and members' leaving.

--- a/cmd/oriolegw/main.go
+++ b/cmd/oriolegw/main.go
@@ -13,6 +13,7 @@
 	"github.com/oriolegw/oriolegw/internal/lister"
 	"github.com/oriolegw/oriolegw/internal/loader"
 	"github.com/oriolegw/oriolegw/internal/networker"
+	"github.com/oriolegw/oriolegw/internal/reporter"
 	"github.com/oriolegw/oriolegw/internal/runner"
 	"github.com/oriolegw/oriolegw/internal/storer"
 )
@@ -36,8 +37,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	n := networker.TCP{}
+	register := &reporter.Register{}
+	metrics, closer := register.Open(map[string]string{"instance": s.Name})
+	defer closer.Close()
 	i := &runner.Instance{
-		Settings: s, Network: n,
+		Settings: s, Network: n, Metrics: metrics, Register: register,
 		Log:   log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC),
 		Store: (&storer.Gateway{Address: s.Platform, Network: n}).Open(),
 		List:  (&lister.Page{Address: s.Platform, Network: n}).Open(),
--- /dev/null
+++ b/cmd/oriolegwctl/document.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/configurer"
+	"github.com/oriolegw/oriolegw/internal/inspector"
+	"github.com/oriolegw/oriolegw/internal/loader"
+	"github.com/oriolegw/oriolegw/internal/publisher"
+	"github.com/oriolegw/oriolegw/pkg/verifier"
+)
+
+const platformFlag = "the `address` of the platform's service, ip:port"
+
+func prepareCheck(f *flag.FlagSet, t *terminal) func(context.Context, []string) error {
+	settings := f.String("settings", "", "the settings `file` of an instance")
+	document := f.String("document", "", "the `file` of a configuration document")
+	return func(_ context.Context, arguments []string) error {
+		if err := only(arguments, 0, "none: name files by flags"); err != nil {
+			return err
+		}
+		if *settings == "" && *document == "" {
+			return usageError{"flag -settings or -document is needed"}
+		}
+		var all inspector.Problems
+		for _, c := range []struct {
+			file  string
+			check func(string, []byte) inspector.Problems
+		}{{*settings, checkSettings}, {*document, checkDocument}} {
+			if c.file == "" {
+				continue
+			}
+			text, err := os.ReadFile(c.file)
+			if err != nil {
+				return err
+			}
+			problems := c.check(c.file, text)
+			if len(problems) == 0 {
+				fmt.Fprintln(t.out, c.file+": no mistakes")
+			}
+			all = append(all, problems...)
+		}
+		return report(t, all)
+	}
+}
+
+func checkSettings(file string, text []byte) inspector.Problems {
+	_, problems := loader.Check(file, text)
+	return problems
+}
+
+func checkDocument(file string, text []byte) inspector.Problems {
+	_, problems := configurer.Check(file, text)
+	return problems
+}
+
+// report prints problems one a line, so that editors can jump to them.
+func report(t *terminal, problems inspector.Problems) error {
+	for _, p := range problems {
+		fmt.Fprintln(t.err, p)
+	}
+	if len(problems) > 0 {
+		return errors.Errorf("%d mistakes", len(problems))
+	}
+	return nil
+}
+
+func prepareGet(f *flag.FlagSet, t *terminal) func(context.Context, []string) error {
+	platform := f.String("platform", "", platformFlag)
+	return func(ctx context.Context, arguments []string) error {
+		if err := errors.Join(need("platform", *platform), only(arguments, 0, "none")); err != nil {
+			return usageError{err.Error()}
+		}
+		now, err := t.current(ctx, *platform)
+		if err != nil {
+			return err
+		}
+		_, _ = t.out.Write(now.Text)
+		fmt.Fprintf(t.err, "version %d\n", now.Version)
+		return nil
+	}
+}
+
+func (t *terminal) current(ctx context.Context, platform string) (publisher.Published, error) {
+	store, closeStore := t.store(platform)
+	defer closeStore()
+	return (&publisher.Publisher{Store: store}).Current(ctx)
+}
+
+func prepareDiff(f *flag.FlagSet, t *terminal) func(context.Context, []string) error {
+	platform := f.String("platform", "", platformFlag)
+	return func(ctx context.Context, arguments []string) error {
+		if err := errors.Join(need("platform", *platform), only(arguments, 1, "one document")); err != nil {
+			return usageError{err.Error()}
+		}
+		text, err := os.ReadFile(arguments[0])
+		if err != nil {
+			return err
+		}
+		d, problems := configurer.Check(arguments[0], text)
+		if len(problems) > 0 {
+			return report(t, problems)
+		}
+		now, err := t.current(ctx, *platform)
+		if err != nil {
+			return err
+		}
+		t.printChanges(configurer.Diff(now.Document, d))
+		fmt.Fprintf(t.out, "against version %d: publish with -seen %d\n", now.Version, now.Version)
+		return nil
+	}
+}
+
+func (t *terminal) printChanges(changes []configurer.Change) {
+	if len(changes) == 0 {
+		fmt.Fprintln(t.out, "no difference")
+	}
+	for _, c := range changes {
+		fmt.Fprintln(t.out, c)
+	}
+}
+
+func preparePublish(f *flag.FlagSet, t *terminal) func(context.Context, []string) error {
+	platform := f.String("platform", "", platformFlag)
+	seen := f.Int64("seen", -1, "the `version` that your change builds on, as diff and get print it; 0 for the first document")
+	return func(ctx context.Context, arguments []string) error {
+		if err := errors.Join(need("platform", *platform), only(arguments, 1, "one document")); err != nil {
+			return usageError{err.Error()}
+		}
+		if *seen < 0 {
+			return usageError{"flag -seen is needed"}
+		}
+		text, err := os.ReadFile(arguments[0])
+		if err != nil {
+			return err
+		}
+		return t.publish(ctx, *platform, publisher.Published{Version: *seen}, arguments[0], text)
+	}
+}
+
+// publish publishes a text and prints what became of it.
+func (t *terminal) publish(ctx context.Context, platform string, seen publisher.Published, file string, text []byte) error {
+	store, closeStore := t.store(platform)
+	defer closeStore()
+	r, err := (&publisher.Publisher{Store: store}).Publish(ctx, seen, file, text)
+	var problems inspector.Problems
+	if errors.As(err, &problems) {
+		return report(t, problems)
+	}
+	switch r.Outcome {
+	case publisher.Accepted:
+		fmt.Fprintf(t.out, "accepted as version %d\n", r.Now.Version)
+		return nil
+	case publisher.Raced:
+		return t.lost(seen, r, file, text)
+	case publisher.Unknown:
+		return errors.Wrap(err, "outcome unknown, the document may be in force: look with get before you publish again")
+	}
+	return err
+}
+
+// lost tells the loser of a race what was published in between.
+func (t *terminal) lost(seen publisher.Published, r publisher.Result, file string, text []byte) error {
+	changes := r.Changes
+	what := "since then it changed:"
+	if seen.Document == nil { // only the version was given
+		mine, _ := configurer.Check(file, text)
+		changes, what = configurer.Diff(mine, r.Now.Document), "it differs from your document by:"
+	}
+	fmt.Fprintln(t.out, what)
+	t.printChanges(changes)
+	return errors.Errorf("nothing was changed: version %d is in force, not version %d", r.Now.Version, seen.Version)
+}
+
+func prepareVerifier(_ *flag.FlagSet, t *terminal) func(context.Context, []string) error {
+	return func(context.Context, []string) error {
+		password, err := bufio.NewReader(t.in).ReadString('\n')
+		password = strings.TrimRight(password, "\r\n")
+		if password == "" {
+			return errors.Errorf("no password on standard input: %v", err)
+		}
+		v, err := verifier.New(password)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(t.out, v)
+		return nil
+	}
+}
--- /dev/null
+++ b/cmd/oriolegwctl/fleet.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/publisher"
+	"github.com/oriolegw/oriolegw/internal/reporter"
+)
+
+const (
+	// markTries bounds how often a mark is put on a document that other
+	// operators change at the same time.
+	markTries = 5
+	// switchPause spaces the looks at an instance's status during a switch.
+	switchPause = 100 * time.Millisecond
+	maxPage     = 16 << 20
+)
+
+var errRaced = errors.New("other operators kept changing the document")
+
+// call asks one page of an instance.
+func (t *terminal) call(ctx context.Context, method, address, path string) ([]byte, error) {
+	client := &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return t.network.Dial(ctx, address)
+		},
+	}}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	if err != nil {
+		return nil, usageError{"not an address: " + address}
+	}
+	a, err := client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxPage))
+	if err != nil {
+		return nil, err
+	}
+	if a.StatusCode >= http.StatusBadRequest {
+		return nil, errors.Errorf("%s: %s", a.Status, strings.TrimSpace(string(body)))
+	}
+	return body, nil
+}
+
+func (t *terminal) state(ctx context.Context, address string) (reporter.State, error) {
+	body, err := t.call(ctx, http.MethodGet, address, reporter.PathStatus)
+	if err != nil {
+		return reporter.State{}, err
+	}
+	return reporter.Decode(body)
+}
+
+func prepareStatus(f *flag.FlagSet, t *terminal) func(context.Context, []string) error {
+	instances := f.String("instances", "", "the status `addresses` of the instances, separated by commas")
+	whole := f.Bool("whole", false, "print the groups and members as well")
+	return func(ctx context.Context, arguments []string) error {
+		if err := errors.Join(need("instances", *instances), only(arguments, 0, "none")); err != nil {
+			return usageError{err.Error()}
+		}
+		failed := 0
+		for _, a := range strings.Split(*instances, ",") {
+			s, err := t.state(ctx, a)
+			switch {
+			case err != nil:
+				failed++
+				fmt.Fprintf(t.out, "%s: no answer: %v\n", a, err)
+			case *whole:
+				fmt.Fprintln(t.out, s.Text())
+			default:
+				first, _, _ := strings.Cut(s.Text(), "\n")
+				fmt.Fprintf(t.out, "%s: %s\n", a, first)
+			}
+		}
+		if failed > 0 {
+			return errors.Errorf("%d instances gave no answer", failed)
+		}
+		return nil
+	}
+}
+
+func prepareDrain(f *flag.FlagSet, t *terminal) func(context.Context, []string) error {
+	platform := f.String("platform", "", platformFlag)
+	service := f.String("service", "", "the `name` of the target's service")
+	member := f.String("member", "", "the `name` of the target to drain")
+	undo := f.Bool("undo", false, "take a drained target back into service")
+	instance := f.String("instance", "", "the status `address` of the instance to drain")
+	return func(ctx context.Context, arguments []string) error {
+		if err := only(arguments, 0, "none"); err != nil {
+			return err
+		}
+		if *instance != "" {
+			return t.drainInstance(ctx, *instance)
+		}
+		if err := need("platform", *platform, "service", *service, "member", *member); err != nil {
+			return err
+		}
+		return t.mark(ctx, *platform, *service, *member, !*undo)
+	}
+}
+
+func (t *terminal) drainInstance(ctx context.Context, address string) error {
+	body, err := t.call(ctx, http.MethodPost, address, reporter.PathDrain)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "%s: %s", address, body)
+	return nil
+}
+
+// mark sets a member's leaving field. The change names one member, so unlike a
+// whole document it can be made again on top of what another operator published.
+func (t *terminal) mark(ctx context.Context, platform, service, member string, leaving bool) error {
+	store, closeStore := t.store(platform)
+	defer closeStore()
+	p := &publisher.Publisher{Store: store}
+	for range markTries {
+		seen, err := p.Current(ctx)
+		if err != nil {
+			return err
+		}
+		text, err := publisher.MarkLeaving(seen, service, member, leaving)
+		if err != nil {
+			return err
+		}
+		r, err := p.Publish(ctx, seen, "the changed document", text)
+		if err != nil {
+			return err
+		}
+		if r.Outcome == publisher.Accepted {
+			fmt.Fprintf(t.out, "service %s member %s: leaving %t, version %d\n", service, member, leaving, r.Now.Version)
+			return nil
+		}
+	}
+	return errRaced
+}
+
+func prepareSwitch(f *flag.FlagSet, t *terminal) func(context.Context, []string) error {
+	platform := f.String("platform", "", platformFlag)
+	service := f.String("service", "", "the `name` of the service")
+	instance := f.String("instance", "", "the status `address` of any instance, to watch the change")
+	return func(ctx context.Context, arguments []string) error {
+		if err := only(arguments, 0, "none"); err != nil {
+			return err
+		}
+		if err := need("platform", *platform, "service", *service, "instance", *instance); err != nil {
+			return err
+		}
+		return t.change(ctx, *platform, *service, *instance)
+	}
+}
+
+// change marks the primary as leaving, waits for another one, and takes the
+// mark off again, also when the change did not come about: a mark left behind
+// would keep the member out of service.
+func (t *terminal) change(ctx context.Context, platform, service, instance string) error {
+	old, err := t.primary(ctx, service, instance)
+	if err != nil {
+		return err
+	}
+	if old == "" {
+		return errors.Errorf("service %s has no primary that could leave", service)
+	}
+	if err := t.mark(ctx, platform, service, old, true); err != nil {
+		return err
+	}
+	now, waited := t.awaitChange(ctx, service, instance, old)
+	after, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.timeout)
+	defer cancel()
+	if err := t.mark(after, platform, service, old, false); err != nil {
+		return errors.Wrapf(err, "member %s is still marked as leaving: drain -undo takes the mark off", old)
+	}
+	if waited != nil {
+		return errors.Wrapf(waited, "member %s is still the primary", old)
+	}
+	fmt.Fprintf(t.out, "service %s: primary %s, was %s\n", service, now, old)
+	return nil
+}
+
+func (t *terminal) awaitChange(ctx context.Context, service, instance, old string) (string, error) {
+	for {
+		now, err := t.primary(ctx, service, instance)
+		if err == nil && now != "" && now != old {
+			return now, nil
+		}
+		select {
+		case <-time.After(switchPause):
+		case <-ctx.Done():
+			return "", ctx.Err()
+		}
+	}
+}
+
+func (t *terminal) primary(ctx context.Context, service, instance string) (string, error) {
+	s, err := t.state(ctx, instance)
+	if err != nil {
+		return "", err
+	}
+	for _, g := range s.Groups {
+		if g.Service == service {
+			return g.Primary, nil
+		}
+	}
+	return "", errors.Errorf("instance %s knows no service %q", instance, service)
+}
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -17,6 +17,7 @@
 import (
 	"bytes"
 	"fmt"
+	"regexp"
 	"strings"
 	"unicode/utf8"
 
@@ -55,6 +56,9 @@
 	quoted   = 40
 )
 
+// tokens are strings, comments and brackets.
+var tokens = regexp.MustCompile(`(?s)"(?:[^"\\]|\\.)*"|//[^\n]*|/\*.*?\*/|[\[\]{}]`)
+
 // String is "file:line:column: path: found …; allowed: …".
 func (p Problem) String() string {
 	out := fmt.Sprintf("%s:%d:%d: ", p.File, p.Line, p.Column)
@@ -119,19 +123,20 @@
 	return p
 }
 
-// tooDeep finds the place where too many brackets are open. Brackets in strings
-// and comments count as well, which no text of ours comes near to.
+// tooDeep finds the place where too many brackets are open. Brackets inside of
+// strings and comments are skipped: counted, a closing one there would hide an
+// open one from the bound.
 func tooDeep(text []byte) (at int, deep bool) {
 	depth := 0
-	for i, c := range text {
-		switch c {
+	for _, place := range tokens.FindAllIndex(text, -1) {
+		switch text[place[0]] {
 		case '[', '{':
 			depth++
 		case ']', '}':
-			depth = max(0, depth-1)
+			depth--
 		}
 		if depth > maxDepth {
-			return i, true
+			return place[0], true
 		}
 	}
 	return 0, false
--- a/internal/inspector/inspector_test.go
+++ b/internal/inspector/inspector_test.go
@@ -26,13 +26,14 @@
 // What breaks the syntax, or would exhaust the parser, is one clear problem.
 func TestBadText(t *testing.T) {
 	for name, text := range map[string]string{
-		"empty":       "",
-		"cut off":     `{"a": [`,
-		"deep":        strings.Repeat("[", inspector.MaxBytes),
-		"too long":    strings.Repeat(" ", inspector.MaxBytes+1),
-		"two values":  `{} {}`,
-		"control":     "{\"a\": \"\x00\"}",
-		"not unicode": "{\"a\": \"\xff\"}",
+		"empty":        "",
+		"cut off":      `{"a": [`,
+		"deep":         strings.Repeat("[", inspector.MaxBytes),
+		"deep, hidden": strings.Repeat(`["]",`, inspector.MaxBytes/5),
+		"too long":     strings.Repeat(" ", inspector.MaxBytes+1),
+		"two values":   `{} {}`,
+		"control":      "{\"a\": \"\x00\"}",
+		"not unicode":  "{\"a\": \"\xff\"}",
 	} {
 		t.Run(name, func(t *testing.T) {
 			problems := inspector.Read("a.json", []byte(text), func(n inspector.Node) { n.Object() })
--- /dev/null
+++ b/internal/reporter/reporter_test.go
@@ -0,0 +1,107 @@
+package reporter_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/reporter"
+	"github.com/oriolegw/oriolegw/pkg/refuser"
+	"github.com/shoenig/test/must"
+)
+
+var state = reporter.State{
+	Instance: "entry-a", Zone: "a", Version: 7,
+	Groups: []reporter.GroupState{{
+		Service: "lockers", Term: 3, Primary: "m2", Connections: 2, Share: 4,
+		Members: []reporter.MemberState{{Name: "m1", Address: "10.0.0.1:5432", Zone: "a", Role: "replica", Term: 3, Received: "3/9", Replayed: "3/8", Age: 20 * time.Millisecond}},
+	}},
+}
+
+func get(t *testing.T, p *reporter.Pages, method, path string) (int, string) {
+	t.Helper()
+	w := httptest.NewRecorder()
+	p.Handler().ServeHTTP(w, httptest.NewRequest(method, path, nil))
+	return w.Code, w.Body.String()
+}
+
+func TestState(t *testing.T) {
+	got, err := reporter.Decode(state.Encode())
+	must.NoError(t, err)
+	must.Eq(t, state, got)
+	must.StrContains(t, state.Text(), "service lockers: term 3, primary m2, 2 of 4 connections")
+}
+
+// A balancer sends callers to ready instances only: one without configuration,
+// without a primary, or about to leave says so.
+func TestReady(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*reporter.State)
+		code   int
+		body   string
+	}{
+		"ready":            {func(*reporter.State) {}, http.StatusOK, "ready\n"},
+		"no configuration": {func(s *reporter.State) { s.Version = 0 }, http.StatusServiceUnavailable, "no configuration yet\n"},
+		"no primary":       {func(s *reporter.State) { s.Groups = []reporter.GroupState{{Service: "x"}} }, http.StatusServiceUnavailable, "no primary for x\n"},
+		"leaving":          {func(s *reporter.State) { s.Leaving = true }, http.StatusServiceUnavailable, "leaving\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := state
+			c.change(&s)
+			code, body := get(t, &reporter.Pages{State: func() reporter.State { return s }}, http.MethodGet, reporter.PathReady)
+			must.Eq(t, c.code, code)
+			must.Eq(t, c.body, body)
+		})
+	}
+}
+
+func TestDrain(t *testing.T) {
+	drained := 0
+	p := &reporter.Pages{Drain: func() { drained++ }}
+	code, _ := get(t, p, http.MethodGet, reporter.PathDrain)
+	must.Eq(t, http.StatusMethodNotAllowed, code)
+	must.Eq(t, 0, drained)
+	code, _ = get(t, p, http.MethodPost, reporter.PathDrain)
+	must.Eq(t, http.StatusAccepted, code)
+	must.Eq(t, 1, drained)
+}
+
+// Every refusal and retry counter shows from the start, at 0, and counts.
+func TestMetrics(t *testing.T) {
+	r := &reporter.Register{}
+	s, closer := r.Open(map[string]string{"instance": "entry-a"})
+	reporter.Declare(s)
+	for _, reason := range refuser.Reasons {
+		must.StrContains(t, string(r.Page()), reporter.PageName(reporter.RefusalMetric(reason))+`{instance="entry-a"} 0`+"\n")
+	}
+	s.Counter("retry.read").Inc(3)
+	s.Gauge("callers.open").Update(2)
+	must.NoError(t, closer.Close())
+	must.StrContains(t, string(r.Page()), `oriolegw_retry_read{instance="entry-a"} 3`+"\n")
+	must.StrContains(t, string(r.Page()), `oriolegw_callers_open{instance="entry-a"} 2`+"\n")
+}
+
+// A retry counter in the code that Metrics does not list has no description and
+// does not show at 0.
+func TestRetryCountersAreListed(t *testing.T) {
+	listed := map[string]bool{}
+	for _, m := range reporter.Metrics {
+		listed[m.Name] = true
+	}
+	used := regexp.MustCompile(`"(retry\.[a-z-]+)"`)
+	must.NoError(t, filepath.WalkDir("..", func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range used.FindAllStringSubmatch(string(text), -1) {
+			must.True(t, listed[m[1]], must.Sprintf("%s counts %q: list it in internal/reporter/metrics.go", path, m[1]))
+		}
+		return err
+	}))
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -19,6 +18,7 @@
 	"github.com/oriolegw/oriolegw/internal/observer"
 	"github.com/oriolegw/oriolegw/internal/pooler"
 	"github.com/oriolegw/oriolegw/internal/relayer"
+	"github.com/oriolegw/oriolegw/internal/reporter"
 	"github.com/oriolegw/oriolegw/internal/router"
 	"github.com/oriolegw/oriolegw/internal/storer"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
@@ -36,6 +36,8 @@
 	Network  networker.Network
 	Log      log.Logger
 	Metrics  tally.Scope
+	// Register has what Metrics reports, for the page; nil shows none.
+	Register *reporter.Register
 	// Store and List reach the platform.
 	Store storer.Store
 	List  lister.List
@@ -75,7 +77,7 @@
 	ended := make(chan error, 3)
 	go func() { ended <- errors.Wrap(control.Run(ctx), "control") }()
 	go func() { ended <- errors.Wrap(callers.Run(ctx), "callers") }()
-	go func() { ended <- errors.Wrap(i.serveStatus(ctx), "status") }()
+	go func() { ended <- errors.Wrap(i.pages(ctx, control).Run(ctx), "pages") }()
 	_ = i.Log.Log("part", "instance", "msg", "Instance is serving.", "name", i.Settings.Name, "availability-zone", i.Settings.Zone, "callers", i.Settings.Callers)
 	first := <-ended
 	cancel()
@@ -93,6 +95,7 @@
 	if i.Metrics == nil {
 		i.Metrics = tally.NoopScope
 	}
+	reporter.Declare(i.Metrics)
 	i.pools = map[string]*pooler.Pool{}
 	return i.sealer.Check()
 }
@@ -142,42 +145,3 @@
 		p.Close()
 	}
 }
-
-// serveStatus serves the HTTP pages.
-func (i *Instance) serveStatus(ctx context.Context) error {
-	if i.Settings.Status == "" {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	l, err := i.Network.Listen(i.Settings.Status)
-	if err != nil {
-		return err
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	mux.HandleFunc("GET /ready", i.handleReady)
-	s := &http.Server{Handler: mux}
-	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(l) }()
-	<-ctx.Done()
-	_ = s.Close()
-	<-ended
-	return ctx.Err()
-}
-
-// handleReady answers 200 once a configuration is in force and every group has
-// a primary.
-func (i *Instance) handleReady(w http.ResponseWriter, _ *http.Request) {
-	t := i.table.Load()
-	if t == nil {
-		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
-		return
-	}
-	for n, g := range t.Groups {
-		if g.Primary < 0 {
-			http.Error(w, "no primary for "+n, http.StatusServiceUnavailable)
-			return
-		}
-	}
-	_, _ = w.Write([]byte("ready\n"))
-}
