Stand-in: a follower's hello is no longer lost behind its start-up message

Cause: the follower sent its start-up message and its hello at once. Over TCP both can arrive in one read; the protocol library reads ahead, and the hello went down with its buffer. Primary and follower then waited for each other for good, and a group of three had lost a vote without a sign.

Ruled out: a late dial (the connection was open), the network in memory (it delivers writes one by one, so no staged test could meet this).

Conclusion: the primary answers the start-up message before the hello is sent; TestStreamOpensInTwoSteps failed before (i/o timeout).

--- a/internal/standin/replicator/replication.go
+++ b/internal/standin/replicator/replication.go
@@ -89,6 +89,11 @@
 	if err := f.Flush(); err != nil {
 		return errors.Wrap(err, "open stream")
 	}
+	if m, err := f.Receive(); err != nil {
+		return errors.Wrap(err, "open stream")
+	} else if _, ok := m.(*pgproto3.AuthenticationOk); !ok {
+		return errors.Errorf("open stream: answered by %T", m)
+	}
 	m.mutex.Lock()
 	h := hello{Name: m.Name, Term: term, Ends: m.ledger.ends()}
 	m.mutex.Unlock()
--- a/internal/standin/replicator/session.go
+++ b/internal/standin/replicator/session.go
@@ -125,7 +125,11 @@
 func (s *session) welcome(ctx context.Context, parameters map[string]string) (replicate bool, err error) {
 	m := s.member
 	if parameters["replication"] == replicationMode {
-		return true, nil
+		// The follower waits for this before its hello. Sent at once, the hello
+		// could arrive together with the start-up message, be read ahead by the
+		// backend and lost: both ends would then wait for good.
+		s.backend.Send(&pgproto3.AuthenticationOk{})
+		return true, s.backend.Flush()
 	}
 	sleep(ctx, m.ConnectTime)
 	s.application = parameters["application_name"]
