make run and make fleet: ports checked first, addresses and faults in fleet.json

Cause: a taken port made a process end early, and the fleet only seemed slow to become ready; nothing told how to reach the fleet or throw a fault.

Now every address in use is named before anything is started, a process that ends while the fleet waits is named with its log, make fleet keeps the fleet up, and make run sends 40 sessions that write on one instance and read on another, 20 with and 20 without a token.

--- /dev/null
+++ b/cmd/oriolegw-fleet/demonstrate.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/oriolegw/oriolegw/internal/relayer"
+	"github.com/oriolegw/oriolegw/internal/starter"
+	"github.com/oriolegw/oriolegw/pkg/refuser"
+)
+
+const (
+	demonstrationTimeout = time.Minute
+	sessions             = 20
+)
+
+// demonstration sends sessions through a fleet and prints what they saw.
+type demonstration struct {
+	fleet *starter.Fleet
+	kill  bool
+}
+
+func (d *demonstration) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, demonstrationTimeout)
+	defer cancel()
+	for _, withToken := range []bool{true, false} {
+		if err := d.roam(ctx, withToken); err != nil {
+			return err
+		}
+	}
+	if !d.kill {
+		fmt.Println("The primary was not killed in this run.")
+		return nil
+	}
+	return d.failover(ctx)
+}
+
+// connect opens a session on an instance, with a token unless it is empty.
+func (d *demonstration) connect(ctx context.Context, entry int, token string) (*pgx.Conn, error) {
+	e := d.fleet.Entries[entry%len(d.fleet.Entries)]
+	c, err := pgx.ParseConfig("postgres://crew@" + e.Address + "/" + starter.ServiceName + "?sslmode=disable")
+	if err != nil {
+		return nil, errors.Wrap(err, "caller's address")
+	}
+	if token != "" {
+		c.RuntimeParams[relayer.ParameterToken] = token
+	}
+	return pgx.ConnectConfig(ctx, c)
+}
+
+// roam writes on one instance and reads on the next, as a caller does that
+// moves: each read must show the write before it.
+func (d *demonstration) roam(ctx context.Context, withToken bool) error {
+	kind := "with its token"
+	if !withToken {
+		kind = "without a token"
+	}
+	for n := range sessions {
+		key := fmt.Sprintf("sheet-%t-%d", withToken, n)
+		token, err := d.write(ctx, n, key)
+		if err != nil {
+			return err
+		}
+		if !withToken {
+			token = ""
+		}
+		if err := d.read(ctx, n+1, key, token); err != nil {
+			return errors.Wrapf(err, "session %d %s", n, kind)
+		}
+	}
+	fmt.Printf("%d sessions wrote on one instance and read on another %s: each saw its own write.\n", sessions, kind)
+	return nil
+}
+
+func (d *demonstration) write(ctx context.Context, entry int, key string) (token string, err error) {
+	c, err := d.connect(ctx, entry, "")
+	if err != nil {
+		return "", err
+	}
+	defer c.Close(ctx)
+	if _, err := c.Exec(ctx, "INSERT INTO ledger (key, value) VALUES ($1, $2)", key, "lodged"); err != nil {
+		return "", err
+	}
+	return c.PgConn().ParameterStatus(relayer.ParameterToken), nil
+}
+
+func (d *demonstration) read(ctx context.Context, entry int, key, token string) error {
+	c, err := d.connect(ctx, entry, token)
+	if err != nil {
+		return err
+	}
+	defer c.Close(ctx)
+	var v string
+	return c.QueryRow(ctx, "SELECT value FROM ledger WHERE key = $1", key).Scan(&v)
+}
+
+// failover kills the primary, then writes until a write is acknowledged, and
+// looks for every write that was acknowledged before.
+func (d *demonstration) failover(ctx context.Context) error {
+	primary := &d.fleet.Members[0]
+	if err := d.fleet.Kill(primary); err != nil {
+		return err
+	}
+	killed := time.Now()
+	fmt.Printf("Killed %s, the primary.\n", primary.Name)
+	refusals := map[string]int{}
+	for n := 0; ; n++ {
+		_, err := d.write(ctx, n, fmt.Sprintf("after-%d", n))
+		if err == nil {
+			break
+		}
+		if ctx.Err() != nil {
+			return errors.Wrap(err, "no write was acknowledged after the kill")
+		}
+		refusals[refusal(err)]++
+	}
+	fmt.Printf("The next write was acknowledged %v after the kill; refused until then: %v.\n", time.Since(killed).Round(time.Millisecond), refusals)
+	for n := range sessions {
+		if err := d.read(ctx, n, fmt.Sprintf("sheet-%t-%d", true, n), ""); err != nil {
+			return errors.Wrap(err, "a write that was acknowledged before the kill")
+		}
+	}
+	fmt.Printf("%d writes acknowledged before the kill were looked for, and found.\n", sessions)
+	return nil
+}
+
+// refusal names the reason in an error.
+func refusal(err error) string {
+	var e *pgconn.PgError
+	if !errors.As(err, &e) {
+		return "connection"
+	}
+	if code, outcome, _ := refuser.Parse(e.Hint); code != "" {
+		return code + " " + string(outcome)
+	}
+	return e.Code
+}
--- a/cmd/oriolegw-fleet/main.go
+++ b/cmd/oriolegw-fleet/main.go
@@ -1,5 +1,5 @@
-// Command oriolegw-fleet starts a small fleet on loopback and, with -run, sends
-// sessions through it and prints what they saw.
+// Command oriolegw-fleet starts a small fleet on loopback. It sends sessions
+// through it and prints what they saw, or keeps it up until interrupted.
 package main
 
 import (
@@ -10,51 +10,63 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/jackc/pgx/v5"
 	"github.com/oriolegw/oriolegw/internal/starter"
 )
 
+type options struct {
+	fleet starter.Fleet
+	// keep keeps the fleet up; describe is the file that lists its addresses.
+	keep     bool
+	describe string
+	// kill ends the primary once during the sessions.
+	kill bool
+}
+
 func main() {
-	f := &starter.Fleet{}
-	flag.StringVar(&f.Programs, "programs", "build", "the `directory` of the built programs")
-	flag.StringVar(&f.Work, "work", "build/fleet", "the `directory` for settings and logs")
+	var o options
+	flag.StringVar(&o.fleet.Programs, "programs", "build", "the `directory` of the built programs")
+	flag.StringVar(&o.fleet.Work, "work", "build/fleet", "the `directory` for settings and logs")
+	flag.IntVar(&o.fleet.FirstPort, "first-port", starter.DefaultFirstPort, "the first of about 60 loopback `ports`")
+	flag.BoolVar(&o.keep, "keep", false, "keep the fleet up until interrupted, and run no sessions")
+	flag.StringVar(&o.describe, "describe", "build/fleet.json", "the `file` for addresses and faults, with -keep")
+	flag.BoolVar(&o.kill, "kill", false, "kill the primary once and wait for the next one")
+	flag.Usage = func() {
+		fmt.Fprint(flag.CommandLine.Output(), "oriolegw-fleet starts a small fleet on loopback and runs sessions through it.\n\nUsage: oriolegw-fleet [FLAGS]\n\n")
+		flag.PrintDefaults()
+	}
 	flag.Parse()
+	if flag.NArg() > 0 {
+		flag.Usage()
+		os.Exit(2)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, f); err != nil {
+	if err := run(ctx, &o); err != nil {
 		fmt.Fprintln(os.Stderr, "oriolegw-fleet:", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, f *starter.Fleet) error {
-	defer f.Stop()
-	if err := f.Start(ctx); err != nil {
-		return err
-	}
-	a, err := pgx.Connect(ctx, "postgres://crew@"+f.Entries[0].Address+"/"+starter.ServiceName+"?sslmode=disable")
-	if err != nil {
+func run(ctx context.Context, o *options) error {
+	defer o.fleet.Stop()
+	if err := o.fleet.Start(ctx); err != nil {
 		return err
 	}
-	defer a.Close(ctx)
-	if _, err := a.Exec(ctx, "INSERT INTO ledger (key, value) VALUES ($1, $2)", "sheet-1", "lodged"); err != nil {
-		return err
-	}
-	fmt.Printf("wrote sheet-1 through %s\n", f.Entries[0].Name)
-	c, err := pgx.ParseConfig("postgres://crew@" + f.Entries[1].Address + "/" + starter.ServiceName + "?sslmode=disable")
-	if err != nil {
-		return err
+	if o.keep {
+		return keep(ctx, o)
 	}
-	c.RuntimeParams["oriole.token"] = a.PgConn().ParameterStatus("oriole.token")
-	b, err := pgx.ConnectConfig(ctx, c)
-	if err != nil {
+	d := &demonstration{fleet: &o.fleet, kill: o.kill}
+	return d.run(ctx)
+}
+
+func keep(ctx context.Context, o *options) error {
+	if err := o.fleet.Describe(o.describe); err != nil {
 		return err
 	}
-	defer b.Close(ctx)
-	var v string
-	if err := b.QueryRow(ctx, "SELECT value FROM ledger WHERE key = $1", "sheet-1").Scan(&v); err != nil {
-		return err
+	for _, e := range o.fleet.Entries {
+		fmt.Printf("%s: postgres://crew@%s/%s?sslmode=disable  pages http://%s/status?format=text\n", e.Name, e.Address, starter.ServiceName, e.Pages)
 	}
-	fmt.Printf("read sheet-1 = %q through %s\n", v, f.Entries[1].Name)
+	fmt.Printf("Every address, and how to throw each fault: %s\nInterrupt to end the fleet.\n", o.describe)
+	<-ctx.Done()
 	return nil
 }
--- /dev/null
+++ b/internal/starter/starter_test.go
@@ -0,0 +1,22 @@
+package starter
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// A port that another program has is named before anything is started.
+func TestPortTaken(t *testing.T) {
+	l, err := net.Listen("tcp", host+":0")
+	must.NoError(t, err)
+	defer l.Close()
+	port := l.Addr().(*net.TCPAddr).Port
+	f := &Fleet{Programs: t.TempDir(), Work: t.TempDir(), FirstPort: port - memberPort}
+	err = f.Start(context.Background())
+	must.ErrorContains(t, err, fmt.Sprintf("%s:%d (%s-1)", host, port, ServiceName))
+	must.Len(t, 0, f.processes)
+}
