Callers' start-up: TLS, passwords, limits, and one clear answer to whatever comes

Cause: TLS was always refused, any user name was believed, a start-up that broke the protocol ended without an answer, callers were not counted, and one failed accept (too many open files) stopped accepting for good.

Conclusion: six refusals, OR501 to OR506. Direct TLS without the request first, and protocol versions other than 3.0 and 3.2, are refused.

--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -86,6 +86,17 @@
 	return &d.Services[i]
 }
 
+// Verifier returns what a user's password is checked against; an empty text when
+// there is no such user.
+func (d *Document) Verifier(user string) string {
+	for _, u := range d.Users {
+		if u.Name == user {
+			return u.Verifier
+		}
+	}
+	return ""
+}
+
 // MaxAge returns the stated age of a kind of request; known is false when the
 // service has no rule for it and none for the default kind.
 func (s *Service) MaxAge(kind string) (age time.Duration, known bool) {
--- a/internal/greeter/greeter.go
+++ b/internal/greeter/greeter.go
@@ -1,23 +1,38 @@
 // Package greeter accepts callers: it carries out the start-up of the PostgreSQL
-// protocol and hands each caller to a session.
+// protocol, with encryption and authentication, and hands each caller to a
+// session.
 package greeter
 
 import (
 	"context"
-	"encoding/binary"
-	"math/rand/v2"
+	"crypto/tls"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
-	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/oriolegw/oriolegw/internal/loader"
 	"github.com/oriolegw/oriolegw/internal/networker"
 	"github.com/oriolegw/oriolegw/internal/relayer"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
 )
 
-const startTimeout = 10 * time.Second
+// The counters of this package; reporter.Metrics describes them.
+const (
+	CountAccepted = "callers.accepted"
+	CountCancels  = "callers.cancels"
+	CountFailed   = "callers.failed"
+	countRefused  = "refused."
+)
+
+// spareCallers is how many callers above the limit are read far enough to be
+// told why they are refused; more are closed at once, so that a flood of callers
+// can't cost more memory than the limit plus this.
+const spareCallers = 64
+
+// acceptPause spaces the tries after a failed accept.
+const acceptPause = 50 * time.Millisecond
 
 type (
 	// Greeter accepts callers. Set the exported fields, then call Run.
@@ -28,6 +43,23 @@
 		// Open makes the session of a caller from its start-up parameters, or
 		// refuses it.
 		Open func(parameters map[string]string) (*relayer.Session, *refuser.Refusal)
+		// Authentication is how callers prove who they are; empty refuses all.
+		Authentication loader.Authentication
+		// Mode says whether TLS may or must be used; TLS has the certificate.
+		Mode loader.EncryptionMode
+		TLS  *tls.Config
+		// Verifier returns what a user's password is checked against; an empty
+		// text when there is no such user.
+		Verifier func(user string) string
+		// Limits bound what callers can cost; zero values are the defaults.
+		Limits loader.Limits
+		// Count counts an event by name, for the metrics; nil counts nothing.
+		Count func(name string)
+
+		mutex    sync.Mutex
+		listener net.Listener
+		stopped  bool
+		open     int
 	}
 
 	ended struct{ err error }
@@ -35,31 +67,24 @@
 
 // Run accepts callers until the context ends, and waits for their sessions.
 func (g *Greeter) Run(ctx context.Context) error {
-	l, err := g.Network.Listen(g.Address)
+	g.defaults()
+	l, err := g.listen()
 	if err != nil {
-		return errors.Wrap(err, "listen for callers")
+		return err
 	}
 	accepted, failed, done := make(chan net.Conn), make(chan error, 1), make(chan ended)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				failed <- err
-				return
-			}
-			select {
-			case accepted <- c:
-			case <-ctx.Done():
-				_ = c.Close()
-			}
-		}
-	}()
+	go func() { failed <- accept(ctx, l, accepted) }()
 	running := 0
 	for {
 		select {
 		case c := <-accepted:
 			running++
-			go func() { done <- ended{g.serve(ctx, c)} }()
+			g.count(CountAccepted)
+			place := g.enter()
+			go func() {
+				defer g.leave()
+				done <- ended{g.serve(ctx, c, place)}
+			}()
 		case <-done:
 			running--
 		case <-ctx.Done():
@@ -73,69 +98,107 @@
 	}
 }
 
-func (g *Greeter) serve(ctx context.Context, conn net.Conn) error {
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	_ = conn.SetDeadline(time.Now().Add(startTimeout))
-	b := pgproto3.NewBackend(conn, conn)
-	parameters, err := start(conn, b)
-	if err != nil || parameters == nil {
-		return err
+func (g *Greeter) defaults() {
+	if g.Limits.Callers == 0 {
+		g.Limits.Callers = loader.DefaultCallers
 	}
-	s, refusal := g.Open(parameters)
-	if refusal != nil {
-		b.Send(&pgproto3.ErrorResponse{
-			Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: refusal.Reason.SQLState,
-			Message: refusal.Reason.Code + " " + refusal.Reason.Title, Detail: refusal.Detail, Hint: refusal.Hint(),
-		})
-		return b.Flush()
+	if g.Limits.StartUp == 0 {
+		g.Limits.StartUp = loader.DefaultStartUp
 	}
-	if err := welcome(b, s); err != nil {
-		return err
+	if g.Verifier == nil {
+		g.Verifier = func(string) string { return "" }
 	}
-	_ = conn.SetDeadline(time.Time{})
-	s.Conn, s.Backend = conn, b
-	return s.Run(ctx)
 }
 
-// start returns the caller's parameters; nil for a connection that only brought
-// a cancel request.
-func start(conn net.Conn, b *pgproto3.Backend) (map[string]string, error) {
+func (g *Greeter) count(name string) {
+	if g.Count != nil {
+		g.Count(name)
+	}
+}
+
+func (g *Greeter) listen() (net.Listener, error) {
+	l, err := g.Network.Listen(g.Address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.listener = l
+	if g.stopped {
+		_ = l.Close()
+	}
+	return l, nil
+}
+
+// StopAccepting refuses new callers from now on, as a process does that is gone:
+// the balancer and the drivers then turn to another instance. Sessions go on.
+func (g *Greeter) StopAccepting() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.stopped = true
+	if g.listener != nil {
+		_ = g.listener.Close()
+	}
+}
+
+// Callers returns how many callers are connected.
+func (g *Greeter) Callers() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.open
+}
+
+// enter counts a caller in and returns its place, from 1.
+func (g *Greeter) enter() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.open++
+	return g.open
+}
+
+func (g *Greeter) leave() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.open--
+}
+
+// accept hands on connections until the listener is closed. Any other error
+// passes, such as too many open files: an instance that stopped accepting on it
+// would look alive for good and serve nobody new.
+func accept(ctx context.Context, l net.Listener, accepted chan<- net.Conn) error {
 	for {
-		m, err := b.ReceiveStartupMessage()
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
 		if err != nil {
-			return nil, errors.Wrap(err, "caller's start-up")
+			time.Sleep(acceptPause)
+			continue
 		}
-		switch m := m.(type) {
-		case *pgproto3.StartupMessage:
-			return m.Parameters, nil
-		case *pgproto3.CancelRequest:
-			return nil, nil
-		default: // encryption is asked for
-			if _, err := conn.Write([]byte("N")); err != nil {
-				return nil, errors.Wrap(err, "refuse encryption")
-			}
+		select {
+		case accepted <- c:
+		case <-ctx.Done():
+			_ = c.Close()
 		}
 	}
 }
 
-func welcome(b *pgproto3.Backend, s *relayer.Session) error {
-	b.Send(&pgproto3.AuthenticationOk{})
-	for _, p := range [][2]string{
-		{"server_version", "16.0 (oriolegw)"},
-		{"server_encoding", "UTF8"},
-		{"client_encoding", "UTF8"},
-		{"standard_conforming_strings", "on"},
-		{"integer_datetimes", "on"},
-		{"DateStyle", "ISO, MDY"},
-		{"TimeZone", "UTC"},
-		{relayer.ParameterToken, s.Sealer.Seal(s.Service, s.Floor)},
-	} {
-		b.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+func (g *Greeter) serve(ctx context.Context, conn net.Conn, place int) error {
+	defer conn.Close()
+	if place > g.Limits.Callers+spareCallers {
+		g.count(countRefused + refuser.TooManyCallers.Name)
+		return errors.New("far too many callers")
 	}
-	secret := binary.BigEndian.AppendUint32(nil, rand.Uint32())
-	b.Send(&pgproto3.BackendKeyData{ProcessID: rand.Uint32() >> 1, SecretKey: secret})
-	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
-	return b.Flush()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	// The deadline covers the whole start-up: a caller that sends a byte now
+	// and then must not hold its place for longer.
+	_ = conn.SetDeadline(time.Now().Add(g.Limits.StartUp))
+	s := &start{greeter: g, conn: conn, full: place > g.Limits.Callers}
+	session, err := s.run(ctx)
+	if err != nil || session == nil {
+		return err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return session.Run(ctx)
 }
--- /dev/null
+++ b/internal/greeter/start.go
@@ -0,0 +1,267 @@
+package greeter
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/oriolegw/oriolegw/internal/loader"
+	"github.com/oriolegw/oriolegw/internal/relayer"
+	"github.com/oriolegw/oriolegw/pkg/refuser"
+)
+
+const (
+	// protocolOption begins the names of start-up parameters that ask for
+	// extensions of the protocol.
+	protocolOption = "_pq_."
+
+	// maxStartMessage bounds a message of a caller that is not authenticated;
+	// passwords are shorter. maxMessage bounds any other: the session refuses
+	// what is too large, with a reason, long before that.
+	maxStartMessage = 4 << 10
+	maxMessage      = 64 << 20
+
+	parameterUser        = "user"
+	parameterOptions     = "options"
+	parameterReplication = "replication"
+)
+
+// start is the start-up of one caller.
+type start struct {
+	greeter *Greeter
+	conn    net.Conn
+	backend *pgproto3.Backend
+	// full is set for a caller above the limit, which is only told so.
+	full bool
+	// encrypted and asked tell what has been negotiated.
+	encrypted bool
+	asked     int
+}
+
+// run carries out the start-up; a nil session without error is a connection
+// that only brought a cancel request.
+func (s *start) run(ctx context.Context) (*relayer.Session, error) {
+	s.backend = newBackend(s.conn)
+	m, refusal := s.receive(ctx)
+	if refusal != nil {
+		return nil, s.refuse(refusal)
+	}
+	if m == nil {
+		s.greeter.count(CountCancels)
+		return nil, nil
+	}
+	parameters, refusal := s.check(m)
+	if refusal != nil {
+		return nil, s.refuse(refusal)
+	}
+	if refusal := s.authenticate(ctx, parameters[parameterUser]); refusal != nil {
+		return nil, s.refuse(refusal)
+	}
+	session, refusal := s.greeter.Open(parameters)
+	if refusal != nil {
+		return nil, s.refuse(refusal)
+	}
+	s.backend.SetMaxBodyLen(maxMessage)
+	session.Conn, session.Backend = s.conn, s.backend
+	return session, welcome(s.backend, session)
+}
+
+func newBackend(conn net.Conn) *pgproto3.Backend {
+	b := pgproto3.NewBackend(conn, conn)
+	b.SetMaxBodyLen(maxStartMessage)
+	return b
+}
+
+// receive returns the start-up message, after encryption was negotiated; nil
+// for a cancel request.
+func (s *start) receive(ctx context.Context) (*pgproto3.StartupMessage, *refuser.Refusal) {
+	for {
+		m, err := s.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, broken(err)
+		}
+		switch m := m.(type) {
+		case *pgproto3.StartupMessage:
+			return m, nil
+		case *pgproto3.CancelRequest:
+			return nil, nil
+		case *pgproto3.SSLRequest:
+			if refusal := s.encrypt(ctx); refusal != nil {
+				return nil, refusal
+			}
+		default: // encryption by GSSAPI
+			if refusal := s.decline(); refusal != nil {
+				return nil, refusal
+			}
+		}
+	}
+}
+
+// broken tells a caller that was too slow from one that broke the protocol.
+func broken(err error) *refuser.Refusal {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refuser.New(refuser.StartUpTimeout, "nothing complete arrived in time")
+	}
+	return refuser.New(refuser.BadStartUp, "%v", err)
+}
+
+// decline answers a request for encryption with no; the caller may go on in
+// clear. A driver asks at most once for each way, so that more is an endless
+// loop or an attack.
+func (s *start) decline() *refuser.Refusal {
+	const ways = 2
+	if s.asked++; s.asked > ways || s.encrypted {
+		return refuser.New(refuser.BadStartUp, "encryption was asked for again")
+	}
+	if _, err := s.conn.Write([]byte("N")); err != nil {
+		return broken(err)
+	}
+	return nil
+}
+
+// encrypt starts TLS. The backend is replaced: whatever the old one has read
+// ahead arrived in clear, perhaps from somebody between the two ends, and must
+// not count as if it had come through TLS.
+func (s *start) encrypt(ctx context.Context) *refuser.Refusal {
+	if s.greeter.TLS == nil || s.greeter.Mode == loader.EncryptionOff {
+		return s.decline()
+	}
+	if s.encrypted {
+		return refuser.New(refuser.BadStartUp, "encryption was asked for again")
+	}
+	if _, err := s.conn.Write([]byte("S")); err != nil {
+		return broken(err)
+	}
+	c := tls.Server(s.conn, s.greeter.TLS)
+	if err := c.HandshakeContext(ctx); err != nil {
+		return broken(errors.Wrap(err, "TLS"))
+	}
+	s.conn, s.backend, s.encrypted = c, newBackend(c), true
+	return nil
+}
+
+// check returns the parameters of an acceptable start-up message.
+func (s *start) check(m *pgproto3.StartupMessage) (map[string]string, *refuser.Refusal) {
+	parameters := map[string]string{}
+	var unknown []string
+	for k, v := range m.Parameters {
+		if strings.HasPrefix(k, protocolOption) {
+			unknown = append(unknown, k)
+			continue
+		}
+		parameters[k] = v
+	}
+	if err := spread(parameters); err != nil {
+		return nil, refuser.New(refuser.BadStartUp, "%v", err)
+	}
+	switch r := strings.ToLower(parameters[parameterReplication]); {
+	case s.full:
+		return nil, refuser.New(refuser.TooManyCallers, "limit %d", s.greeter.Limits.Callers)
+	case s.greeter.Mode == loader.EncryptionRequire && !s.encrypted:
+		return nil, refuser.New(refuser.EncryptionRequired, "sslmode=require or better, please")
+	case parameters[parameterUser] == "":
+		return nil, refuser.New(refuser.BadStartUp, "no user named")
+	case r != "" && r != "false" && r != "off" && r != "no" && r != "0":
+		return nil, refuser.New(refuser.NoReplication, "replication=%s", r)
+	}
+	delete(parameters, parameterReplication)
+	if len(unknown) > 0 {
+		s.backend.Send(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: m.ProtocolVersion, UnrecognizedOptions: unknown})
+	}
+	return parameters, nil
+}
+
+// spread takes the parameter "options" apart: "-c name=value" or "--name=value",
+// with spaces and backslashes escaped by a backslash. It is how callers pass
+// oriole.token and oriole.kind where the driver knows only libpq's parameters.
+func spread(parameters map[string]string) error {
+	words := split(parameters[parameterOptions])
+	delete(parameters, parameterOptions)
+	for i := 0; i < len(words); i++ {
+		word, ok := strings.CutPrefix(words[i], "--")
+		if !ok {
+			if word, ok = strings.CutPrefix(words[i], "-c"); !ok {
+				return errors.Errorf("options: %q is not supported, only -c name=value", words[i])
+			}
+			if word == "" && i+1 < len(words) {
+				i++
+				word = words[i]
+			}
+		}
+		name, value, ok := strings.Cut(word, "=")
+		if !ok || name == "" {
+			return errors.Errorf("options: %q is not name=value", word)
+		}
+		parameters[name] = value
+	}
+	return nil
+}
+
+func split(options string) []string {
+	var words []string
+	var word strings.Builder
+	escaped, open := false, false
+	for _, r := range options {
+		switch {
+		case escaped:
+			word.WriteRune(r)
+			escaped = false
+		case r == '\\':
+			escaped, open = true, true
+		case r == ' ' || r == '\t' || r == '\n':
+			if open {
+				words = append(words, word.String())
+			}
+			word.Reset()
+			open = false
+		default:
+			word.WriteRune(r)
+			open = true
+		}
+	}
+	if open {
+		words = append(words, word.String())
+	}
+	return words
+}
+
+// refuse tells the caller why, and returns the refusal as the start-up's error.
+func (s *start) refuse(r *refuser.Refusal) error {
+	s.greeter.count(countRefused + r.Reason.Name)
+	s.greeter.count(CountFailed)
+	s.backend.Send(&pgproto3.ErrorResponse{
+		Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: r.Reason.SQLState,
+		Message: r.Reason.Code + " " + r.Reason.Title, Detail: r.Detail, Hint: r.Hint(),
+	})
+	if err := s.backend.Flush(); err != nil && !errors.Is(err, io.ErrClosedPipe) {
+		return errors.Wrap(err, r.Error())
+	}
+	return r
+}
+
+func welcome(b *pgproto3.Backend, s *relayer.Session) error {
+	b.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", "16.0 (oriolegw)"},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"standard_conforming_strings", "on"},
+		{"integer_datetimes", "on"},
+		{"DateStyle", "ISO, MDY"},
+		{"TimeZone", "UTC"},
+		{relayer.ParameterToken, s.Sealer.Seal(s.Service, s.Floor)},
+	} {
+		b.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	secret := binary.BigEndian.AppendUint32(nil, rand.Uint32())
+	b.Send(&pgproto3.BackendKeyData{ProcessID: rand.Uint32() >> 1, SecretKey: secret})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	return b.Flush()
+}
--- a/internal/runner/callers.go
+++ b/internal/runner/callers.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/controller"
 	"github.com/oriolegw/oriolegw/internal/drainer"
+	"github.com/oriolegw/oriolegw/internal/greeter"
+	"github.com/oriolegw/oriolegw/internal/loader"
 	"github.com/oriolegw/oriolegw/internal/reporter"
 )
 
@@ -25,3 +29,31 @@
 	}
 	return s
 }
+
+// greeter makes what accepts callers.
+func (i *Instance) greeter() (*greeter.Greeter, error) {
+	g := &greeter.Greeter{
+		Address: i.Settings.Callers, Network: i.Network, Log: i.Log, Open: i.open,
+		Authentication: i.Settings.Authentication, Mode: i.Settings.Encryption.Mode,
+		Verifier: i.verifier, Limits: i.Settings.Limits,
+		Count: func(n string) { i.Metrics.Counter(n).Inc(1) },
+	}
+	if g.Mode == loader.EncryptionOff || g.Mode == "" {
+		return g, nil
+	}
+	pair, err := tls.LoadX509KeyPair(i.Settings.Encryption.Certificate, i.Settings.Encryption.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "load the certificate for callers")
+	}
+	g.TLS = &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}
+	return g, nil
+}
+
+// verifier returns what a user's password is checked against.
+func (i *Instance) verifier(user string) string {
+	t := i.table.Load()
+	if t == nil {
+		return ""
+	}
+	return t.Document.Verifier(user)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -11,7 +11,6 @@
 	"github.com/oriolegw/oriolegw/internal/commander"
 	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/controller"
-	"github.com/oriolegw/oriolegw/internal/greeter"
 	"github.com/oriolegw/oriolegw/internal/lister"
 	"github.com/oriolegw/oriolegw/internal/loader"
 	"github.com/oriolegw/oriolegw/internal/networker"
@@ -73,7 +72,10 @@
 		},
 	}
 	control.Open()
-	callers := &greeter.Greeter{Address: i.Settings.Callers, Network: i.Network, Log: i.Log, Open: i.open}
+	callers, err := i.greeter()
+	if err != nil {
+		return err
+	}
 	ended := make(chan error, 3)
 	go func() { ended <- errors.Wrap(control.Run(ctx), "control") }()
 	go func() { ended <- errors.Wrap(callers.Run(ctx), "callers") }()
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -44,6 +44,9 @@
 		ConnectTime, Work time.Duration
 		Slots             int
 		Log               log.Logger
+		// Users go into the document; Settings changes those of each instance.
+		Users    []configurer.User
+		Settings func(*loader.Settings)
 	}
 
 	// Fleet is what has been staged.
@@ -114,7 +117,7 @@
 // Start stages a plan. Close ends what it started.
 func Start(ctx context.Context, p Plan) (*Fleet, error) {
 	p.defaults()
-	f := &Fleet{Plan: p, Net: wirer.New(p.Seed), Store: storer.NewMemory(), Document: &configurer.Document{}, ended: make(chan error)}
+	f := &Fleet{Plan: p, Net: wirer.New(p.Seed), Store: storer.NewMemory(), Document: &configurer.Document{Users: p.Users}, ended: make(chan error)}
 	f.ctx, f.cancel = context.WithCancel(ctx)
 	f.Net.Latency = f.latency
 	f.Platform = &keeper.Keeper{Address: platformIP + ":7000", Network: f.Net.Host(platformIP, "platform"), Store: f.Store, Log: p.Log}
@@ -238,6 +241,9 @@
 		},
 		Network: h, Store: store, List: list, Metrics: e.Metrics, Log: log.With(f.Plan.Log, "instance", e.Name),
 	}
+	if f.Plan.Settings != nil {
+		f.Plan.Settings(i.Settings)
+	}
 	f.Platform.Register(lister.Instance{Name: e.Name, Kind: lister.KindEntry, Address: e.IP + ":7100", Zone: e.Zone, State: lister.StateLive})
 	ctx, cancel := context.WithCancel(f.ctx)
 	e.cancel, e.ended = cancel, make(chan error, 1)
--- a/pkg/refuser/reasons.go
+++ b/pkg/refuser/reasons.go
@@ -54,6 +54,36 @@
 		Title: "session token refused",
 		Text:  "The token is forged, of another fleet or service, or of a version that this instance does not know. Connect without it for a new session.",
 	}
+	BadPassword = &Reason{
+		Code: "OR501", Name: "bad-password", Since: "0.1", SQLState: "28P01", Outcome: NotRun, Fatal: true,
+		Title: "password or user refused",
+		Text:  "The configuration in force has no such user, or the password is not the user's. The answer and its timing don't tell which.",
+	}
+	TooManyCallers = &Reason{
+		Code: "OR502", Name: "too-many-callers", Since: "0.1", SQLState: "53300", Outcome: NotRun, Fatal: true, RetryAfter: time.Second,
+		Title: "the instance has too many callers",
+		Text:  "As many callers are connected as the settings allow. Connect again; the balancer may choose another instance.",
+	}
+	EncryptionRequired = &Reason{
+		Code: "OR503", Name: "encryption-required", Since: "0.1", SQLState: "28000", Outcome: NotRun, Fatal: true,
+		Title: "TLS is required",
+		Text:  "The settings take only callers that use TLS. Set sslmode=require, or verify-full with the operators' certificate.",
+	}
+	BadStartUp = &Reason{
+		Code: "OR504", Name: "bad-start-up", Since: "0.1", SQLState: "08P01", Outcome: NotRun, Fatal: true,
+		Title: "start-up not understood",
+		Text:  "The first messages of the connection break the protocol, or are of a version other than 3.0 and 3.2. The detail says what was found.",
+	}
+	StartUpTimeout = &Reason{
+		Code: "OR505", Name: "start-up-timeout", Since: "0.1", SQLState: "08006", Outcome: NotRun, Fatal: true, RetryAfter: time.Second,
+		Title: "start-up took too long",
+		Text:  "The caller was not authenticated within the time that the settings allow, so its place was given up.",
+	}
+	NoReplication = &Reason{
+		Code: "OR506", Name: "no-replication", Since: "0.1", SQLState: "0A000", Outcome: NotRun, Fatal: true,
+		Title: "replication is not supported",
+		Text:  "A replication stream belongs to one target for good and can't pass through shared connections. Connect to the target.",
+	}
 	Unsupported = &Reason{
 		Code: "OR402", Name: "unsupported", Since: "0.1", SQLState: "0A000", Outcome: NotRun,
 		Title: "not supported through the proxy",
@@ -67,6 +97,7 @@
 	NoPrimary, NoTarget, NoConnection,
 	ConnectionLost, NotConfirmed, TransactionLost, ReadLost,
 	BadToken, Unsupported,
+	BadPassword, TooManyCallers, EncryptionRequired, BadStartUp, StartUpTimeout, NoReplication,
 }
 
 // Retired lists codes that must not be used again.
