Console of forms: one working copy, the same check, the same compare-and-swap

Ruled out: editing typed values and encoding them again (comments are lost, and words in number fields need a second set of messages); one form per row with the whole text in each (the page grows with rows times size of the document, 1 MB at most, so that ten thousand rows would be gigabytes); state on the server (its instances are replaced at any time).

So an edit is a patch of the document's text, the working copy stands on the page once, one service is shown at a time, and publishing is package publisher's. The loser of a race is shown what differs. Requests of other sites are refused.

--- /dev/null
+++ b/internal/editor/pages.go
@@ -0,0 +1,188 @@
+package editor
+
+import (
+	"bytes"
+	"context"
+	_ "embed"
+	"html/template"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/oriolegw/oriolegw/internal/configurer"
+	"github.com/oriolegw/oriolegw/internal/inspector"
+	"github.com/oriolegw/oriolegw/internal/publisher"
+)
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
+
+type (
+	// Pages serves the forms. Set the exported fields, then use Handler.
+	Pages struct {
+		Publisher *publisher.Publisher
+		Log       log.Logger
+	}
+
+	// view is what one page shows.
+	view struct {
+		Copy     Copy
+		Document *configurer.Document
+		Problems inspector.Problems
+		// Changes are what publishing the copy would change.
+		Changes []configurer.Change
+		// Open is the service that is shown.
+		Open string
+		// Notice and Theirs tell what became of a try to publish.
+		Notice string
+		Theirs []configurer.Change
+	}
+)
+
+const maxForm = 4 << 20
+
+// Handler returns the pages. Requests that a page of another site sends with an
+// operator's browser are refused.
+func (p *Pages) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /{$}", p.handleStart)
+	mux.HandleFunc("POST /open", p.handleOpen)
+	mux.HandleFunc("POST /put", p.handlePut)
+	mux.HandleFunc("POST /remove", p.handleRemove)
+	mux.HandleFunc("POST /publish", p.handlePublish)
+	return http.MaxBytesHandler(http.NewCrossOriginProtection().Handler(mux), maxForm)
+}
+
+func (p *Pages) handleStart(w http.ResponseWriter, r *http.Request) {
+	now, err := p.Publisher.Current(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	p.show(w, r, http.StatusOK, view{Copy: Copy{Version: now.Version, Text: string(now.Text)}})
+}
+
+func read(r *http.Request) (Copy, error) {
+	version, err := strconv.ParseInt(r.FormValue("version"), 10, 64)
+	if err != nil {
+		return Copy{}, errors.Wrap(err, "version")
+	}
+	return Copy{Version: version, Text: r.FormValue("text")}, nil
+}
+
+func (p *Pages) handleOpen(w http.ResponseWriter, r *http.Request) {
+	c, err := read(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.show(w, r, http.StatusOK, view{Copy: c, Open: r.FormValue("show")})
+}
+
+func (p *Pages) handlePut(w http.ResponseWriter, r *http.Request) {
+	name, path, _ := strings.Cut(r.FormValue("put"), " ")
+	value := func(key string) string { return r.FormValue(inputName(path, key)) }
+	open := r.FormValue("open")
+	if name == formService { // it may get another name, or be new
+		open = value("name")
+	}
+	p.edit(w, r, open, func(c Copy) (Copy, error) {
+		form, ok := Forms[name]
+		if !ok {
+			return c, errors.Errorf("no form %q", name)
+		}
+		return c.Put(form, path, value)
+	})
+}
+
+func (p *Pages) handleRemove(w http.ResponseWriter, r *http.Request) {
+	p.edit(w, r, r.FormValue("open"), func(c Copy) (Copy, error) { return c.Remove(r.FormValue("remove")) })
+}
+
+func (p *Pages) edit(w http.ResponseWriter, r *http.Request, open string, change func(Copy) (Copy, error)) {
+	c, err := read(r)
+	if err == nil {
+		c, err = change(c)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.show(w, r, http.StatusOK, view{Copy: c, Open: open})
+}
+
+func (p *Pages) handlePublish(w http.ResponseWriter, r *http.Request) {
+	c, err := read(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	result, err := p.Publisher.Publish(r.Context(), publisher.Published{Version: c.Version}, fileName, []byte(c.Text))
+	var problems inspector.Problems
+	switch {
+	case errors.As(err, &problems):
+		p.show(w, r, http.StatusUnprocessableEntity, view{Copy: c, Open: r.FormValue("open")})
+	case result.Outcome == publisher.Accepted:
+		p.log("Document was published.", result.Now.Version)
+		p.show(w, r, http.StatusOK, view{
+			Copy:   Copy{Version: result.Now.Version, Text: string(result.Now.Text)},
+			Open:   r.FormValue("open"),
+			Notice: "Accepted as version " + strconv.FormatInt(result.Now.Version, 10) + ".",
+		})
+	case result.Outcome == publisher.Raced:
+		p.showRace(w, r, c, result)
+	default:
+		http.Error(w, "outcome unknown, the document may be in force; look at the start page before you publish again: "+err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+// showRace shows the operator who lost a race how the version in force differs
+// from the copy; the copy keeps its version, so it can't be published.
+func (p *Pages) showRace(w http.ResponseWriter, r *http.Request, c Copy, result publisher.Result) {
+	mine, _ := c.Check()
+	p.show(w, r, http.StatusConflict, view{
+		Copy:   c,
+		Open:   r.FormValue("open"),
+		Notice: "Nothing was changed: another operator published version " + strconv.FormatInt(result.Now.Version, 10) + " first.",
+		Theirs: configurer.Diff(mine, result.Now.Document),
+	})
+}
+
+func (p *Pages) show(w http.ResponseWriter, r *http.Request, status int, v view) {
+	v.Document, v.Problems = v.Copy.Check()
+	if v.Copy.Text == "" {
+		v.Document, v.Problems = &configurer.Document{}, nil
+	}
+	if v.Open == "" && len(v.Document.Services) > 0 {
+		v.Open = v.Document.Services[0].Name
+	}
+	v.Changes = p.changes(r.Context(), v)
+	var out bytes.Buffer
+	if err := pageTemplate.Execute(&out, v); err != nil {
+		p.log("Page could not be made: "+err.Error(), v.Copy.Version)
+		http.Error(w, "the page could not be made", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_, _ = w.Write(out.Bytes())
+}
+
+// changes compares the copy with the published document, while that still has
+// the copy's version.
+func (p *Pages) changes(ctx context.Context, v view) []configurer.Change {
+	now, err := p.Publisher.Current(ctx)
+	if err != nil || now.Version != v.Copy.Version {
+		return nil
+	}
+	return configurer.Diff(now.Document, v.Document)
+}
+
+func (p *Pages) log(text string, version int64) {
+	_ = p.Log.Log("part", "console", "msg", text, "version", version)
+}
