--- /dev/null
+++ b/internal/experimenter/experimenter_test.go
@@ -0,0 +1,90 @@
+package experimenter_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/oriolegw/oriolegw/internal/experimenter"
+	"github.com/oriolegw/oriolegw/internal/standin/stager"
+	"github.com/shoenig/test/must"
+)
+
+// on runs an experiment on a staged fleet.
+func on(t *testing.T, e experimenter.Experiment, check func(*testing.T, *experimenter.Report)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f, err := stager.Start(ctx, stager.Plan{ZoneLatency: time.Millisecond, CallerLatency: 3 * time.Millisecond})
+		must.NoError(t, err)
+		defer func() {
+			f.Close()
+			time.Sleep(20 * time.Second) // pgx ends given up connections by itself
+		}()
+		must.NoError(t, f.Ready(ctx))
+		entries := map[string]*stager.Entry{}
+		for _, i := range f.Instances {
+			e.Addresses = append(e.Addresses, i.Name)
+			entries[i.Name] = i
+		}
+		e.Connect = func(ctx context.Context, address, token string) (*pgx.Conn, error) {
+			parameters := map[string]string{}
+			if token != "" {
+				parameters["oriole.token"] = token
+			}
+			return f.Connect(ctx, entries[address], stager.DefaultService, parameters)
+		}
+		r, err := e.Run(ctx)
+		must.NoError(t, err)
+		check(t, r)
+	})
+}
+
+// Sessions that move after every other request, with their tokens, see their
+// own work; every request is counted once.
+func TestRoamingSessions(t *testing.T) {
+	e := experimenter.Experiment{Workers: 4, Count: 400, Writes: 0.3, Own: 1, Keys: 10, Roam: 0.5, Token: true, Seed: 7}
+	on(t, e, func(t *testing.T, r *experimenter.Report) {
+		must.Eq(t, 400, r.Total("ok"))
+		must.Eq(t, 0, r.Stale)
+		must.Greater(t, 50, r.Classes["connect"].Outcomes["ok"])
+	})
+}
+
+// With a rate the load takes the time it should, and kinds are counted apart.
+func TestRate(t *testing.T) {
+	e := experimenter.Experiment{
+		Workers: 8, Count: 500, Rate: 100, Keys: 10, Skew: 1.2, Seed: 3,
+		Kinds: []experimenter.Kind{{Name: "past-sheets", Weight: 3}, {Name: "sign-off", Weight: 1}},
+	}
+	on(t, e, func(t *testing.T, r *experimenter.Report) {
+		must.Eq(t, 500, r.Total("ok"))
+		must.Between(t, 4*time.Second, r.Elapsed, 6*time.Second)
+		must.Greater(t, r.Classes["read-sign-off"].Outcomes["ok"], r.Classes["read-past-sheets"].Outcomes["ok"])
+		var out strings.Builder
+		r.Write(&out)
+		must.StrContains(t, out.String(), "stale-reads 0 reads\n")
+	})
+}
+
+func TestCheck(t *testing.T) {
+	good := experimenter.Experiment{Addresses: []string{"a"}, Workers: 1, Count: 1, Keys: 1}
+	must.NoError(t, good.Check())
+	for want, change := range map[string]func(*experimenter.Experiment){
+		"no addresses":      func(e *experimenter.Experiment) { e.Addresses = nil },
+		"workers":           func(e *experimenter.Experiment) { e.Workers = 0 },
+		"count or duration": func(e *experimenter.Experiment) { e.Count = 0 },
+		"from 0 to 1":       func(e *experimenter.Experiment) { e.Writes = 2 },
+		"skew":              func(e *experimenter.Experiment) { e.Skew = 0.5 },
+		`kind "a"`:          func(e *experimenter.Experiment) { e.Kinds = []experimenter.Kind{{Name: "a"}} },
+	} {
+		t.Run(want, func(t *testing.T) {
+			e := good
+			change(&e)
+			must.ErrorContains(t, e.Check(), want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/experimenter/report.go
@@ -0,0 +1,103 @@
+package experimenter
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+type (
+	// Report is what an experiment saw.
+	Report struct {
+		// Classes are the requests by class: connect, write, read or
+		// read-KIND.
+		Classes map[string]*Class
+		// Stale counts reads that missed the session's own acknowledged work.
+		Stale int
+		// Missed counts requests that no caller was free for.
+		Missed  int
+		Elapsed time.Duration
+	}
+
+	// Class is what was seen of one class of requests.
+	Class struct {
+		// Times are those of the requests that went well, in microseconds.
+		Times *hdrhistogram.Histogram
+		// Outcomes counts by outcome; see the package's constants.
+		Outcomes map[string]int
+	}
+)
+
+const (
+	outcomeOK = "ok"
+
+	minTime = 1
+	maxTime = 10 * 60 * 1000 * 1000 // microseconds
+	digits  = 3
+)
+
+func newReport() *Report { return &Report{Classes: map[string]*Class{}} }
+
+func (r *Report) class(name string) *Class {
+	c := r.Classes[name]
+	if c == nil {
+		c = &Class{Times: hdrhistogram.New(minTime, maxTime, digits), Outcomes: map[string]int{}}
+		r.Classes[name] = c
+	}
+	return c
+}
+
+func (c *Class) note(took time.Duration, outcome string) {
+	c.Outcomes[outcome]++
+	if outcome == outcomeOK {
+		_ = c.Times.RecordValue(min(max(took.Microseconds(), minTime), maxTime))
+	}
+}
+
+func (r *Report) merge(o *Report) {
+	for name, c := range o.Classes {
+		into := r.class(name)
+		into.Times.Merge(c.Times)
+		for k, n := range c.Outcomes {
+			into.Outcomes[k] += n
+		}
+	}
+	r.Stale += o.Stale
+	r.Missed += o.Missed
+}
+
+// Total returns how many requests ended with the outcome, connects left out.
+func (r *Report) Total(outcome string) int {
+	n := 0
+	for name, c := range r.Classes {
+		if name != classConnect {
+			n += c.Outcomes[outcome]
+		}
+	}
+	return n
+}
+
+// Write prints one line a figure: "name value unit".
+func (r *Report) Write(w io.Writer) {
+	fmt.Fprintf(w, "elapsed %.3f s\n", r.Elapsed.Seconds())
+	fmt.Fprintf(w, "rate %.1f requests/s\n", float64(r.Total(outcomeOK))/max(r.Elapsed.Seconds(), 1e-9))
+	fmt.Fprintf(w, "stale-reads %d reads\n", r.Stale)
+	fmt.Fprintf(w, "not-begun %d requests\n", r.Missed)
+	for _, name := range slices.Sorted(maps.Keys(r.Classes)) {
+		c := r.Classes[name]
+		for _, o := range slices.Sorted(maps.Keys(c.Outcomes)) {
+			fmt.Fprintf(w, "%s-%s %d requests\n", name, o, c.Outcomes[o])
+		}
+		if c.Times.TotalCount() == 0 {
+			continue
+		}
+		for _, q := range []float64{50, 90, 99, 99.9} {
+			fmt.Fprintf(w, "%s-p%v %d µs\n", name, q, c.Times.ValueAtQuantile(q))
+		}
+		fmt.Fprintf(w, "%s-max %d µs\n", name, c.Times.Max())
+	}
+}
