--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,8 @@
 
 clean:
 	rm -rf $(BUILD)
+
+# docs writes the pages that are made from the code.
+.PHONY: docs
+docs:
+	go run ./internal/documenter/write
--- a/cmd/oriolegw/main.go
+++ b/cmd/oriolegw/main.go
@@ -38,7 +38,7 @@
 	defer stop()
 	n := networker.TCP{}
 	register := &reporter.Register{}
-	metrics, closer := register.Open(map[string]string{"instance": s.Name})
+	metrics, closer := register.Open(map[string]string{reporter.TagInstance: s.Name})
 	defer closer.Close()
 	i := &runner.Instance{
 		Settings: s, Network: n, Metrics: metrics, Register: register,
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -37,6 +37,8 @@
 		labels   string
 		kind     string
 		value    float64
+		// read, when set, gives the value at the moment of looking.
+		read func() float64
 	}
 
 	// timer is a series of times: how many, and their sum in seconds.
@@ -55,6 +57,12 @@
 	KindCounter = "counter"
 	KindGauge   = "gauge"
 
+	// GaugeCallers and GaugeVersion are the gauges; TagInstance is the label of
+	// all that an instance shows.
+	GaugeCallers = "callers.open"
+	GaugeVersion = "configuration.version"
+	TagInstance  = "instance"
+
 	// ReportInterval is how often a scope hands its values over; a page is late
 	// by at most that.
 	ReportInterval = time.Second
@@ -69,8 +77,8 @@
 	{"callers.accepted", KindCounter, "Callers that connected."},
 	{"callers.cancels", KindCounter, "Connections that only brought a cancel request."},
 	{"callers.failed", KindCounter, "Callers that broke the protocol, or left, before they were authenticated."},
-	{"callers.open", KindGauge, "Callers that are connected now."},
-	{"configuration.version", KindGauge, "Version of the configuration in force; 0 is none."},
+	{GaugeCallers, KindGauge, "Callers that are connected now."},
+	{GaugeVersion, KindGauge, "Version of the configuration in force; 0 is none."},
 	{"retry.connect", KindCounter, "Requests tried again because no connection to the target could be opened; nothing had been sent."},
 	{"retry.not-run", KindCounter, "Requests tried again because the target said that it ran nothing of them: it was fenced, or a replica met a write."},
 	{"retry.read", KindCounter, "Reads tried again because their target was lost before any part of the answer had gone to the caller."},
@@ -98,6 +106,15 @@
 	return tally.NewRootScope(tally.ScopeOptions{CachedReporter: r, Tags: tags, OmitCardinalityMetrics: true}, ReportInterval)
 }
 
+// Watch adds a gauge that is read when the page is asked for. The function must
+// not use the register.
+func (r *Register) Watch(name string, tags map[string]string, read func() float64) {
+	s := r.add(name, KindGauge, tags)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s.read = read
+}
+
 func (r *Register) add(name, kind string, tags map[string]string) *series {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -145,6 +162,9 @@
 			fmt.Fprintf(&out, "# TYPE %s %s\n", s.name, s.kind)
 			last = s.name
 		}
+		if s.read != nil {
+			s.value = s.read()
+		}
 		fmt.Fprintf(&out, "%s%s %v\n", s.name, s.labels, s.value)
 	}
 	return out.Bytes()
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -80,7 +80,7 @@
 		must.StrContains(t, string(r.Page()), reporter.PageName(reporter.RefusalMetric(reason))+`{instance="entry-a"} 0`+"\n")
 	}
 	s.Counter("retry.read").Inc(3)
-	s.Gauge("callers.open").Update(2)
+	r.Watch("callers.open", map[string]string{"instance": "entry-a"}, func() float64 { return 2 })
 	must.NoError(t, closer.Close())
 	must.StrContains(t, string(r.Page()), `oriolegw_retry_read{instance="entry-a"} 3`+"\n")
 	must.StrContains(t, string(r.Page()), `oriolegw_callers_open{instance="entry-a"} 2`+"\n")
--- a/internal/runner/callers.go
+++ b/internal/runner/callers.go
@@ -14,7 +14,12 @@
 )
 
 // pages makes the HTTP pages of the instance.
-func (i *Instance) pages(ctx context.Context, control *controller.Controller) *reporter.Pages {
+func (i *Instance) pages(ctx context.Context, control *controller.Controller, callers *greeter.Greeter) *reporter.Pages {
+	if i.Register != nil {
+		tags := map[string]string{reporter.TagInstance: i.Settings.Name}
+		i.Register.Watch(reporter.GaugeCallers, tags, func() float64 { return float64(callers.Callers()) })
+		i.Register.Watch(reporter.GaugeVersion, tags, func() float64 { return float64(i.state().Version) })
+	}
 	return &reporter.Pages{
 		Address: i.Settings.Status, Network: i.Network, State: i.state, Register: i.Register,
 		Drain: func() { control.Post(ctx, drainer.InstanceLeaving{}) },
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -79,7 +79,7 @@
 	ended := make(chan error, 3)
 	go func() { ended <- errors.Wrap(control.Run(ctx), "control") }()
 	go func() { ended <- errors.Wrap(callers.Run(ctx), "callers") }()
-	go func() { ended <- errors.Wrap(i.pages(ctx, control).Run(ctx), "pages") }()
+	go func() { ended <- errors.Wrap(i.pages(ctx, control, callers).Run(ctx), "pages") }()
 	_ = i.Log.Log("part", "instance", "msg", "Instance is serving.", "name", i.Settings.Name, "availability-zone", i.Settings.Zone, "callers", i.Settings.Callers)
 	first := <-ended
 	cancel()
