--- a/internal/configurer/document.go
+++ b/internal/configurer/document.go
@@ -11,6 +11,17 @@
 	// Document is the whole configuration of a fleet.
 	Document struct {
 		Services []Service
+		// Users are the callers that may connect where the settings ask for a
+		// password.
+		Users []User
+	}
+
+	// User is a caller's name with what its password is checked against.
+	User struct {
+		Name string
+		// Verifier is made from the password by the verifier package; the
+		// password itself is stored nowhere.
+		Verifier string
 	}
 
 	// Service is a database group with its members, rules and budget. Callers
@@ -36,6 +47,9 @@
 		Name    string
 		Address string
 		Zone    string
+		// Leaving members get no new work; a primary that leaves is replaced
+		// first.
+		Leaving bool
 	}
 
 	// ReaderRule bounds the age of what a kind of request may be shown. Callers
@@ -72,6 +86,17 @@
 	return &d.Services[i]
 }
 
+// Verifier returns what a user's password is checked against; an empty text when
+// there is no such user.
+func (d *Document) Verifier(user string) string {
+	for _, u := range d.Users {
+		if u.Name == user {
+			return u.Verifier
+		}
+	}
+	return ""
+}
+
 // MaxAge returns the stated age of a kind of request; known is false when the
 // service has no rule for it and none for the default kind.
 func (s *Service) MaxAge(kind string) (age time.Duration, known bool) {
