Suspicion, promotion and repair: a killed, frozen or cut primary is replaced

Cause: nothing replaced a failed primary; with a killed one, writes stopped for good. Now internal/detector weighs evidence (refused, silent on a kept and on a fresh connection, stalled at the primary, a term without primary) and asks for another availability zone's word; internal/promoter probes, records its intent by compare-and-swap within 150 ms, fences a majority, promotes, has the others follow and publishes. The store may be down, slow or lose answers throughout.

Target: oriole_drain; a fenced primary still sends its followers what it had committed and still answers oriole_await for its old term; status tells whom a replica follows; the same follow twice does not break the stream. Commander: an order goes to a fresh connection as well after 240 ms; errors tell unreachable from silent; connections are taken over from pgconn, which kept closing failed ones for 15 s in the background. Waiting for a busy connection ends with the context.

internal/standin/failer plays one failure under load and judges its history.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
@@ -27,6 +28,8 @@
 		Received, Replayed orderer.Position
 		// Followers tells, on a primary, what each follower holds.
 		Followers map[string]orderer.Position
+		// Following is, on a replica, the address of the primary it follows.
+		Following string
 	}
 
 	// Commander gives orders to targets. An error other than ErrRefused means
@@ -38,6 +41,9 @@
 		// owner: from then on it runs no work of older terms and receives no
 		// entries of them.
 		Fence(ctx context.Context, address string, term uint64, owner string) (Status, error)
+		// Drain fences a primary like Fence, once its open transactions have
+		// ended or the bound has passed. Until then it begins no other work.
+		Drain(ctx context.Context, address string, term uint64, owner string, bound time.Duration) (Status, error)
 		// Promote makes a target that was fenced for the term its primary.
 		Promote(ctx context.Context, address string, term uint64, owner string) (Status, error)
 		// Follow makes a target a replica of the term's primary.
--- a/internal/commander/postgres.go
+++ b/internal/commander/postgres.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -11,15 +12,35 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/oriolegw/oriolegw/internal/networker"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
-// ErrRefused means that the target answered and did not obey: it obeys a newer
-// term, or granted this one to another owner.
-var ErrRefused = errors.New("target refused the order")
+// The ways in which an order fails. Any other error is an answer that makes no
+// sense.
+var (
+	// ErrRefused means that the target answered and did not obey: it obeys a
+	// newer term, or granted this one to another owner.
+	ErrRefused = errors.New("target refused the order")
+	// ErrUnreachable means that a fresh connection was refused or reset: nothing
+	// serves at the address.
+	ErrUnreachable = errors.New("target unreachable")
+	// ErrSilent means that no answer came in time, on a fresh connection either.
+	ErrSilent = errors.New("target silent")
+)
 
-const defaultTimeout = time.Second
+const (
+	defaultTimeout = time.Second
+	// statusTimeout is shorter than that of orders: it is how long a frozen
+	// target hides from detection.
+	statusTimeout = 600 * time.Millisecond
+	// hedgeAfter is when an order goes to a fresh connection as well. A kept
+	// connection can go silent for good while new ones work; without the fresh
+	// one, a live target would look dead. All orders are idempotent. It is ten
+	// times the longest round trip between regions that the brief states.
+	hedgeAfter = 240 * time.Millisecond
+)
 
 type (
 	// Postgres reaches targets over the PostgreSQL protocol. It keeps one
@@ -35,10 +56,26 @@
 		links map[string]*link
 	}
 
-	// link is the connection to one target; its mutex is held during an order.
+	// link is the connection to one target. An order holds free, which is a
+	// channel so that waiting for it ends with the context.
 	link struct {
-		mutex sync.Mutex
-		conn  *pgconn.PgConn
+		free chan struct{}
+		conn *conn
+	}
+
+	// conn is a connection taken over from pgconn once it is open. pgconn closes
+	// a connection that failed in the background, for up to 15 s, and dials the
+	// target again to cancel; a target that hangs would gather those.
+	conn struct {
+		net.Conn
+		frontend *pgproto3.Frontend
+	}
+
+	// reply is how one try of an order ended.
+	reply struct {
+		conn   *conn
+		status Status
+		err    error
 	}
 )
 
@@ -49,34 +86,47 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, l := range p.links {
-		l.mutex.Lock()
-		l.drop()
-		l.mutex.Unlock()
+		l.free <- struct{}{}
+		l.keep(nil)
+		<-l.free
 	}
 }
 
 // Status implements Commander.
 func (p *Postgres) Status(ctx context.Context, address string) (Status, error) {
-	return p.order(ctx, address, "SELECT * FROM oriole_status()")
+	return p.order(ctx, address, "SELECT * FROM oriole_status()", statusTimeout)
 }
 
 // Fence implements Commander.
 func (p *Postgres) Fence(ctx context.Context, address string, term uint64, owner string) (Status, error) {
-	return p.order(ctx, address, "SELECT * FROM oriole_fence("+strconv.FormatUint(term, 10)+", "+quote(owner)+")")
+	return p.order(ctx, address, "SELECT * FROM oriole_fence("+strconv.FormatUint(term, 10)+", "+quote(owner)+")", p.timeout())
+}
+
+// Drain implements Commander.
+func (p *Postgres) Drain(ctx context.Context, address string, term uint64, owner string, bound time.Duration) (Status, error) {
+	sql := "SELECT * FROM oriole_drain(" + strconv.FormatUint(term, 10) + ", " + quote(owner) + ", " + strconv.FormatInt(bound.Milliseconds(), 10) + ")"
+	return p.order(ctx, address, sql, p.timeout()+bound)
 }
 
 // Promote implements Commander.
 func (p *Postgres) Promote(ctx context.Context, address string, term uint64, owner string) (Status, error) {
-	return p.order(ctx, address, "SELECT * FROM oriole_promote("+strconv.FormatUint(term, 10)+", "+quote(owner)+")")
+	return p.order(ctx, address, "SELECT * FROM oriole_promote("+strconv.FormatUint(term, 10)+", "+quote(owner)+")", p.timeout())
 }
 
 // Follow implements Commander.
 func (p *Postgres) Follow(ctx context.Context, address string, term uint64, primary string) (Status, error) {
-	return p.order(ctx, address, "SELECT * FROM oriole_follow("+strconv.FormatUint(term, 10)+", "+quote(primary)+")")
+	return p.order(ctx, address, "SELECT * FROM oriole_follow("+strconv.FormatUint(term, 10)+", "+quote(primary)+")", p.timeout())
 }
 
 func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
 
+func (p *Postgres) timeout() time.Duration {
+	if p.Timeout == 0 {
+		return defaultTimeout
+	}
+	return p.Timeout
+}
+
 func (p *Postgres) link(address string) *link {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -85,59 +135,149 @@
 	}
 	l := p.links[address]
 	if l == nil {
-		l = &link{}
+		l = &link{free: make(chan struct{}, 1)}
 		p.links[address] = l
 	}
 	return l
 }
 
-func (p *Postgres) order(ctx context.Context, address, sql string) (Status, error) {
-	timeout := p.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
+// order runs a control statement on the kept connection, and on a fresh one when
+// that fails or does not answer soon. The first answer wins.
+func (p *Postgres) order(ctx context.Context, address, sql string, timeout time.Duration) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	l := p.link(address)
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if err := l.open(ctx, p, address); err != nil {
-		return Status{}, err
+	select {
+	case l.free <- struct{}{}:
+		defer func() { <-l.free }()
+	case <-ctx.Done():
+		return Status{}, errors.Wrapf(ErrSilent, "order to %s", address)
 	}
-	rows, err := l.conn.Exec(ctx, sql).ReadAll()
-	if err != nil {
-		var e *pgconn.PgError
-		if errors.As(err, &e) {
-			return Status{}, errors.Wrapf(ErrRefused, "%s: %s", e.Code, e.Message)
+	replies := make(chan reply, 2)
+	open := 0
+	start := func(kept *conn) {
+		open++
+		go func() { replies <- p.try(ctx, kept, address, sql) }()
+	}
+	start(l.conn)
+	r := l.race(replies, start, &open)
+	cancel()
+	for ; open > 0; open-- {
+		if late := <-replies; late.conn != nil && late.conn != l.conn {
+			_ = late.conn.Close()
 		}
-		l.drop()
-		return Status{}, errors.Wrapf(err, "order to %s", address)
 	}
-	if len(rows) != 1 || len(rows[0].Rows) != 1 || len(rows[0].Rows[0]) != statusFields {
-		return Status{}, errors.Errorf("order to %s: unexpected answer", address)
+	return r.status, r.err
+}
+
+// race waits for the first answer, and starts the fresh try when it is due.
+func (l *link) race(replies chan reply, start func(*conn), open *int) reply {
+	hedged := l.conn == nil
+	hedge := time.NewTimer(hedgeAfter)
+	defer hedge.Stop()
+	for {
+		select {
+		case r := <-replies:
+			*open--
+			if r.err == nil || errors.Is(r.err, ErrRefused) {
+				l.keep(r.conn)
+				return r
+			}
+			if r.conn == l.conn {
+				l.keep(nil)
+			}
+			if *open == 0 && hedged {
+				return r
+			}
+			if hedged {
+				continue
+			}
+		case <-hedge.C:
+			if hedged {
+				continue
+			}
+		}
+		hedged = true
+		start(nil)
 	}
-	return decode(rows[0].Rows[0])
 }
 
-func (l *link) open(ctx context.Context, p *Postgres, address string) error {
-	if l.conn != nil && !l.conn.IsClosed() {
-		return nil
+// keep replaces the kept connection.
+func (l *link) keep(c *conn) {
+	if l.conn != nil && l.conn != c {
+		_ = l.conn.Close()
 	}
-	c, err := Dial(ctx, p.Network, address, map[string]string{"application_name": p.Application + " control"})
+	l.conn = c
+}
+
+// try runs a control statement on one connection, a fresh one for nil.
+func (p *Postgres) try(ctx context.Context, c *conn, address, sql string) reply {
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, address); err != nil {
+			return reply{err: unanswered(ctx, err)}
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	row, err := c.query(sql)
+	switch {
+	case errors.Is(err, ErrRefused):
+		return reply{conn: c, err: err}
+	case err != nil:
+		_ = c.Close()
+		return reply{conn: c, err: unanswered(ctx, err)}
+	}
+	s, err := decode(row)
+	return reply{conn: c, status: s, err: err}
+}
+
+func (p *Postgres) dial(ctx context.Context, address string) (*conn, error) {
+	pc, err := Dial(ctx, p.Network, address, map[string]string{"application_name": p.Application + " control"})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	l.conn = c
-	return nil
+	h, err := pc.Hijack()
+	if err != nil {
+		return nil, errors.Wrap(err, "take over connection")
+	}
+	return &conn{Conn: h.Conn, frontend: h.Frontend}, nil
 }
 
-func (l *link) drop() {
-	if l.conn != nil {
-		_ = l.conn.Conn().Close()
-		l.conn = nil
+// query runs a statement that returns one row.
+func (c *conn) query(sql string) ([][]byte, error) {
+	c.frontend.Send(&pgproto3.Query{String: sql})
+	if err := c.frontend.Flush(); err != nil {
+		return nil, errors.Wrap(err, "send order")
+	}
+	var row [][]byte
+	var refusal error
+	for {
+		m, err := c.frontend.Receive()
+		if err != nil {
+			return nil, errors.Wrap(err, "receive answer")
+		}
+		switch m := m.(type) {
+		case *pgproto3.DataRow:
+			row = row[:0]
+			for _, v := range m.Values {
+				row = append(row, bytes.Clone(v))
+			}
+		case *pgproto3.ErrorResponse:
+			refusal = errors.Wrapf(ErrRefused, "%s: %s", m.Code, m.Message)
+		case *pgproto3.ReadyForQuery:
+			return row, refusal
+		}
 	}
 }
 
+func unanswered(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return errors.Wrap(ErrSilent, err.Error())
+	}
+	return errors.Wrap(ErrUnreachable, err.Error())
+}
+
 // Dial opens a connection to a target with the given start-up parameters.
 func Dial(ctx context.Context, n networker.Network, address string, parameters map[string]string) (*pgconn.PgConn, error) {
 	c, err := pgconn.ParseConfig("postgres://oriolegw@" + address + "/oriolegw?sslmode=disable")
@@ -156,10 +296,13 @@
 	return conn, nil
 }
 
-const statusFields = 6
+const statusFields = 7
 
 func decode(row [][]byte) (Status, error) {
-	s := Status{Role: string(row[0]), Owner: string(row[2])}
+	if len(row) != statusFields {
+		return Status{}, errors.Errorf("status has %d fields, not %d", len(row), statusFields)
+	}
+	s := Status{Role: string(row[0]), Owner: string(row[2]), Following: string(row[6])}
 	var err error
 	if s.Term, err = strconv.ParseUint(string(row[1]), 10, 64); err != nil {
 		return Status{}, errors.Wrap(err, "term")
--- /dev/null
+++ b/internal/promoter/performer.go
@@ -0,0 +1,144 @@
+package promoter
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/commander"
+	"github.com/oriolegw/oriolegw/internal/controller"
+	"github.com/oriolegw/oriolegw/internal/storer"
+)
+
+const (
+	// intentBound is how long a promotion waits for the store. A store that
+	// answers at all answers in milliseconds; one that is down must not lengthen
+	// the gap, since safety doesn't need it.
+	intentBound  = 150 * time.Millisecond
+	publishBound = 2 * time.Second
+	swapTries    = 3
+	keyPrefix    = "oriolegw/groups/"
+)
+
+type (
+	// Performer carries out the actions of the slice.
+	Performer struct {
+		Commander commander.Commander
+		Store     storer.Store
+	}
+
+	wireRecord struct {
+		Term    uint64 `json:"term"`
+		Owner   string `json:"owner"`
+		Primary string `json:"primary,omitempty"`
+	}
+)
+
+// Key returns where the store holds a group's record.
+func Key(service string) string { return keyPrefix + service }
+
+// Perform implements controller.Performer.
+func (p *Performer) Perform(ctx context.Context, a controller.Action) (controller.Event, bool) {
+	switch a := a.(type) {
+	case Order:
+		return p.order(ctx, a), true
+	case Intend:
+		return p.intend(ctx, a), true
+	case Publish:
+		return p.publish(ctx, a), true
+	}
+	return nil, false
+}
+
+func (p *Performer) order(ctx context.Context, a Order) Ordered {
+	if a.After > 0 {
+		t := time.NewTimer(a.After)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+	}
+	o := Ordered{Order: a, Started: time.Now()}
+	switch a.Kind {
+	case OrderStatus:
+		o.Status, o.Err = p.Commander.Status(ctx, a.Address)
+	case OrderFence:
+		o.Status, o.Err = p.Commander.Fence(ctx, a.Address, a.Term, a.Owner)
+	case OrderDrain:
+		o.Status, o.Err = p.Commander.Drain(ctx, a.Address, a.Term, a.Owner, a.Bound)
+	case OrderPromote:
+		o.Status, o.Err = p.Commander.Promote(ctx, a.Address, a.Term, a.Owner)
+	case OrderFollow:
+		o.Status, o.Err = p.Commander.Follow(ctx, a.Address, a.Term, a.Primary)
+	}
+	return o
+}
+
+// intend records an intent by compare-and-swap. An answer that was lost is read
+// back: the loop starts with a read, and a record of this owner is its own.
+func (p *Performer) intend(ctx context.Context, a Intend) Intended {
+	ctx, cancel := context.WithTimeout(ctx, intentBound)
+	defer cancel()
+	out := Intended{Service: a.Service, Attempt: a.Attempt}
+	for range swapTries {
+		now, err := p.Store.Get(ctx, Key(a.Service))
+		if err != nil {
+			continue
+		}
+		found, err := decode(now.Value)
+		switch {
+		case err == nil && found.Owner == a.Record.Owner && found.Term == a.Record.Term:
+			out.Outcome = IntentHeld
+			return out
+		case err == nil && found.Term >= a.Record.Term:
+			out.Outcome, out.Found = IntentTaken, found
+			return out
+		}
+		_, ok, err := p.Store.Swap(ctx, storer.Pair{Key: now.Key, Value: encode(a.Record), Revision: now.Revision}, 0)
+		if err == nil && ok {
+			out.Outcome = IntentHeld
+			return out
+		}
+	}
+	return out
+}
+
+// publish records a promotion that took effect, unless the store holds a newer.
+func (p *Performer) publish(ctx context.Context, a Publish) Published {
+	ctx, cancel := context.WithTimeout(ctx, publishBound)
+	defer cancel()
+	out := Published{Service: a.Service, Record: a.Record}
+	now, err := p.Store.Get(ctx, Key(a.Service))
+	if err != nil {
+		return out
+	}
+	found, err := decode(now.Value)
+	if err == nil && (found.Term > a.Record.Term || found == a.Record) {
+		out.Done = true
+		return out
+	}
+	_, out.Done, _ = p.Store.Swap(ctx, storer.Pair{Key: now.Key, Value: encode(a.Record), Revision: now.Revision}, 0)
+	return out
+}
+
+func encode(r Record) []byte {
+	text, err := json.Marshal(wireRecord{Term: r.Term, Owner: r.Owner, Primary: r.Primary})
+	if err != nil {
+		panic(err) // plain data always encodes
+	}
+	return text
+}
+
+// decode reads a record; an absent one is the zero Record.
+func decode(text []byte) (Record, error) {
+	if len(text) == 0 {
+		return Record{}, nil
+	}
+	var w wireRecord
+	if err := json.Unmarshal(text, &w); err != nil {
+		return Record{}, errors.Wrap(err, "promotion record")
+	}
+	return Record{Term: w.Term, Owner: w.Owner, Primary: w.Primary}, nil
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -39,6 +39,8 @@
 	// Store and List reach the platform.
 	Store storer.Store
 	List  lister.List
+	// Seed drives the instance's random numbers; 0 takes one from the system.
+	Seed uint64
 
 	table  atomic.Pointer[router.Table]
 	sealer *sealer.Sealer
@@ -70,6 +72,9 @@
 			_ = i.Log.Log("part", "control", "msg", "No performer for an action.", "action", a.ActionName())
 		},
 	}
+	terms, promotions := i.terms(orders)
+	control.Slices = append(control.Slices, terms...)
+	control.Performers = append(control.Performers, promotions)
 	control.Open()
 	callers := &greeter.Greeter{Address: i.Settings.Callers, Network: i.Network, Log: i.Log, Open: i.open}
 	ended := make(chan error, 3)
--- /dev/null
+++ b/internal/runner/terms.go
@@ -0,0 +1,65 @@
+package runner
+
+import (
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/commander"
+	"github.com/oriolegw/oriolegw/internal/controller"
+	"github.com/oriolegw/oriolegw/internal/detector"
+	"github.com/oriolegw/oriolegw/internal/promoter"
+)
+
+// announcer logs and counts what the slices of terms decide.
+type announcer struct{ instance *Instance }
+
+// random returns the instance's source of random numbers.
+func (i *Instance) random() *rand.Rand {
+	seed := i.Seed
+	if seed == 0 {
+		var b [8]byte
+		_, _ = crand.Read(b[:]) // never fails
+		seed = binary.LittleEndian.Uint64(b[:])
+	}
+	return rand.New(rand.NewPCG(seed, seed))
+}
+
+// terms returns the slices that watch over primaries and replace them.
+func (i *Instance) terms(orders commander.Commander) ([]controller.Slice, controller.Performer) {
+	random := i.random()
+	owner := i.Settings.Name + "/" + strconv.FormatUint(random.Uint64(), 36)
+	return []controller.Slice{
+		&detector.Slice{Zone: i.Settings.Zone},
+		&promoter.Slice{Name: i.Settings.Name, Owner: owner, Random: random},
+		&announcer{instance: i},
+	}, &promoter.Performer{Commander: orders, Store: i.Store}
+}
+
+// Step implements controller.Slice.
+func (a *announcer) Step(_ time.Time, e controller.Event) []controller.Action {
+	switch e := e.(type) {
+	case detector.Suspected:
+		if e.On {
+			a.count("suspected")
+			a.log("Member is suspected.", "service", e.Service, "member", e.Member, "term", e.Term, "evidence", e.Evidence)
+		} else {
+			a.log("Suspicion has ended.", "service", e.Service, "member", e.Member, "term", e.Term)
+		}
+	case promoter.Promoted:
+		a.count("promoted")
+		a.log("Member was promoted.", "service", e.Service, "member", e.Member, "term", e.Term, "planned", e.Planned, "took", e.Took)
+	case promoter.Abandoned:
+		a.count("promotion-abandoned." + string(e.Reason))
+		a.log("Promotion was abandoned.", "service", e.Service, "term", e.Term, "reason", string(e.Reason))
+	}
+	return nil
+}
+
+func (a *announcer) count(name string) { a.instance.Metrics.Counter(name).Inc(1) }
+
+func (a *announcer) log(text string, pairs ...any) {
+	_ = a.instance.Log.Log(append([]any{"part", "terms", "msg", text}, pairs...)...)
+}
--- /dev/null
+++ b/internal/standin/failer/failer_test.go
@@ -0,0 +1,142 @@
+package failer_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/oriolegw/oriolegw/internal/standin/failer"
+	"github.com/oriolegw/oriolegw/internal/standin/stager"
+	"github.com/oriolegw/oriolegw/internal/storer"
+	"github.com/shoenig/test/must"
+)
+
+func play(t *testing.T, s failer.Scenario) *failer.Report {
+	t.Helper()
+	s.Plan = stager.Plan{
+		Seed: 1, ZoneLatency: 1500 * time.Microsecond, CallerLatency: 3 * time.Millisecond, ConnectTime: 10 * time.Millisecond,
+		Jitter: time.Millisecond, Log: log.NewLogfmtLogger(t.Output()),
+	}
+	var r *failer.Report
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+		defer cancel()
+		var err error
+		r, err = failer.Run(ctx, s)
+		must.NoError(t, err)
+	})
+	t.Logf("gap %v worst %v acknowledged %d not run %d unknown %d refusals %v terms %d primary %s", r.Gap, r.Worst, r.Acknowledged, r.NotRun, r.Unknown, r.Refusals, r.Terms, r.Primary)
+	for _, v := range r.Violations {
+		t.Error(v)
+	}
+	return r
+}
+
+func kill(f *stager.Fleet, p *stager.Target)    { f.KillTarget(p) }
+func restart(f *stager.Fleet, p *stager.Target) { f.RestartTarget(p) }
+func freeze(_ *stager.Fleet, p *stager.Target)  { p.Faults.Freeze() }
+func thaw(_ *stager.Fleet, p *stager.Target)    { p.Faults.Thaw() }
+func heal(f *stager.Fleet, _ *stager.Target)    { f.Net.HealAll() }
+
+// cutReplicas cuts the primary from the other members only.
+func cutReplicas(f *stager.Fleet, p *stager.Target) {
+	for _, m := range f.Members {
+		if m != p {
+			f.Net.Cut(p.IP, m.IP)
+		}
+	}
+}
+
+// cutAll cuts the primary from everything.
+func cutAll(f *stager.Fleet, p *stager.Target) {
+	cutReplicas(f, p)
+	for _, e := range f.Instances {
+		f.Net.Cut(p.IP, e.IP)
+	}
+}
+
+func cutZone(f *stager.Fleet, p *stager.Target) {
+	for _, z := range f.Plan.Zones {
+		if z != p.Zone {
+			f.Net.Cut(p.Zone, z)
+		}
+	}
+	f.Net.Cut(p.Zone, "platform")
+}
+
+// cutStore cuts the platform from everybody.
+func cutStore(f *stager.Fleet, _ *stager.Target) {
+	for _, z := range f.Plan.Zones {
+		f.Net.Cut(z, "platform")
+	}
+}
+
+func store(change func(*storer.Faults)) func(*stager.Fleet) {
+	return func(f *stager.Fleet) { f.Store.SetFaults(change) }
+}
+
+// A primary fails under load and another member takes over. Callers see writes
+// stop for a bounded time, and a few whose outcome is unknown. Whatever was
+// acknowledged is on the new primary, and the old one rejoins as a replica with
+// its divergent tail cut off.
+func TestFailover(t *testing.T) {
+	down := func(s *storer.Faults) { s.Down = true }
+	slow := func(s *storer.Faults) { s.Slow = 5 * time.Second }
+	lose := func(s *storer.Faults) { s.LoseAnswers = 2 }
+	tests := []struct {
+		name   string
+		before func(*stager.Fleet)
+		fault  func(*stager.Fleet, *stager.Target)
+		heal   func(*stager.Fleet, *stager.Target)
+		most   time.Duration
+	}{
+		{"crash", nil, kill, restart, 2 * time.Second},
+		{"freeze", nil, freeze, thaw, 4 * time.Second},
+		{"cut from all", nil, cutAll, heal, 4 * time.Second},
+		{"cut from replicas only", nil, cutReplicas, heal, 4 * time.Second},
+		{"availability zone cut", nil, cutZone, heal, 4 * time.Second},
+		{"crash with the store down", store(down), kill, restart, 2 * time.Second},
+		{"crash with the store slow", store(slow), kill, restart, 2 * time.Second},
+		{"crash with the store's answers lost", store(lose), kill, restart, 2 * time.Second},
+		{"freeze with the store down", store(down), freeze, thaw, 4 * time.Second},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			r := play(t, failer.Scenario{Before: c.before, Fault: c.fault, Heal: c.heal})
+			must.Eq(t, 1, r.Terms)
+			must.LessEq(t, c.most, r.Gap)
+		})
+	}
+}
+
+// Nothing is wrong with the primary; the network or the store is merely slow, or
+// gone for a moment. Callers keep writing and no promotion takes place.
+func TestNoFalsePromotion(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(*stager.Fleet, *stager.Target)
+	}{
+		{"store cut off", cutStore},
+		{"pause of 700 ms", func(f *stager.Fleet, p *stager.Target) {
+			p.Faults.Freeze()
+			time.Sleep(700 * time.Millisecond)
+			p.Faults.Thaw()
+		}},
+		{"open connections silent", func(_ *stager.Fleet, p *stager.Target) { p.SilenceOpen() }},
+		{"replicas lag", func(f *stager.Fleet, p *stager.Target) {
+			for _, m := range f.Members {
+				m.Faults.SetStreamLag(100 * time.Millisecond)
+			}
+		}},
+		{"one zone can't reach the primary", func(f *stager.Fleet, p *stager.Target) { f.Net.Cut(f.Instances[1].IP, p.IP) }},
+		{"one replica dead", func(f *stager.Fleet, p *stager.Target) { f.KillTarget(f.Members[1]) }},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			r := play(t, failer.Scenario{Fault: c.fault, Heal: heal})
+			must.Eq(t, 0, r.Terms)
+		})
+	}
+}
--- a/internal/standin/replicator/control.go
+++ b/internal/standin/replicator/control.go
@@ -26,6 +26,7 @@
 	{"received", oidText},
 	{"replayed", oidText},
 	{"followers", oidText},
+	{"following", oidText},
 }
 
 func statusResult(s Status) result {
@@ -37,7 +38,7 @@
 	return result{
 		Columns: statusColumns,
 		Rows: [][]string{{
-			s.Role, strconv.FormatUint(s.Term, 10), s.Owner, s.Received.String(), s.Replayed.String(), string(text),
+			s.Role, strconv.FormatUint(s.Term, 10), s.Owner, s.Received.String(), s.Replayed.String(), string(text), s.Following,
 		}},
 		Tag: "SELECT 1",
 	}
@@ -47,10 +48,12 @@
 	return statusResult(s.member.Status())
 }
 
-// runAwait answers whether a majority of the group holds a position of this
-// primary's term. The answer true stays true: a follower that was fenced before
-// it held the entry never acknowledges it, and one fenced later shows it to
-// whoever fenced it.
+// runAwait answers whether a majority of the group holds a position of the term
+// in which this member is, or was last, the primary. The answer true stays true:
+// a follower that was fenced before it held the entry never acknowledges it, and
+// one fenced later shows it to whoever fenced it. A primary that was fenced still
+// counts itself, since its log shows the entry to whoever fenced it; it stops
+// answering when it follows another, which may cut its log.
 func runAwait(ctx context.Context, s *session, a []string) result {
 	m := s.member
 	want := parsePosition(a[0], a[1])
@@ -61,7 +64,7 @@
 	held := false
 	m.await(ctx, func() bool {
 		held = m.majorityHolds(want)
-		return held || m.term != want.Term || m.role != RolePrimary
+		return held || m.streamed != want.Term
 	})
 	m.mutex.Unlock()
 	text := "f"
@@ -72,7 +75,7 @@
 }
 
 func (m *Member) majorityHolds(p orderer.Position) bool {
-	if m.role != RolePrimary || m.term != p.Term {
+	if m.streamed == 0 || m.streamed != p.Term {
 		return false
 	}
 	holders := 1
@@ -101,11 +104,39 @@
 	if term < m.term || (term == m.term && a[1] != m.owner) {
 		return result{Err: &refusal{Code: codeNotFence, Message: "term " + strconv.FormatUint(m.term, 10) + " is already granted to " + m.owner}}
 	}
+	m.fence(term, a[1])
+	return statusResult(m.status())
+}
+
+func (m *Member) fence(term uint64, owner string) {
 	if term > m.term {
-		m.term, m.owner, m.role, m.primary = term, a[1], RoleFenced, ""
-		m.acked = map[string]orderer.Position{}
+		m.term, m.owner, m.role, m.primary = term, owner, RoleFenced, ""
+		m.draining = false
 		m.notify()
 	}
+}
+
+// runDrain fences a primary once the transactions that are open have ended, or
+// at the latest after the given milliseconds. From its start on, no connection
+// gets to begin another one: it is refused as not run, and whoever holds the
+// request sends it to the next primary. Without the wait, a planned change would
+// roll back every open transaction.
+func runDrain(ctx context.Context, s *session, a []string) result {
+	m := s.member
+	term, _ := strconv.ParseUint(a[0], 10, 64)
+	milliseconds, _ := strconv.Atoi(a[2])
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if term > m.term && m.role == RolePrimary {
+		bound, cancel := context.WithTimeout(ctx, time.Duration(milliseconds)*time.Millisecond)
+		defer cancel()
+		m.draining = true
+		m.await(bound, func() bool { return len(m.active) == 0 || m.term >= term })
+	}
+	if term < m.term || (term == m.term && a[1] != m.owner) {
+		return result{Err: &refusal{Code: codeNotFence, Message: "term " + strconv.FormatUint(m.term, 10) + " is already granted to " + m.owner}}
+	}
+	m.fence(term, a[1])
 	return statusResult(m.status())
 }
 
@@ -119,7 +150,8 @@
 		return result{Err: &refusal{Code: codeNotFence, Message: "not fenced for this term and owner"}}
 	}
 	if m.role == RoleFenced {
-		m.role, m.primary = RolePrimary, ""
+		m.role, m.primary, m.streamed = RolePrimary, "", term
+		m.acked = map[string]orderer.Position{}
 		m.ledger.append(term, nil)
 		m.ledger.replay(len(m.ledger.entries))
 		m.arrivals = nil
@@ -137,10 +169,13 @@
 	if term < m.term || (term == m.term && m.role == RolePrimary) {
 		return result{Err: &refusal{Code: codeNotFence, Message: "term " + strconv.FormatUint(m.term, 10) + " is newer, or this is its primary"}}
 	}
+	if term == m.term && m.role == RoleReplica && m.primary == a[1] {
+		return statusResult(m.status()) // an order given twice must not break the stream
+	}
 	if term > m.term {
 		m.owner = ""
 	}
-	m.term, m.role, m.primary = term, RoleReplica, a[1]
+	m.term, m.role, m.primary, m.streamed, m.draining = term, RoleReplica, a[1], 0, false
 	m.acked = map[string]orderer.Position{}
 	m.notify()
 	return statusResult(m.status())
--- a/internal/standin/replicator/member.go
+++ b/internal/standin/replicator/member.go
@@ -48,12 +48,18 @@
 		// Faults can be thrown at any time.
 		Faults Faults
 
-		mutex    sync.Mutex
-		changed  chan struct{} // closed and replaced at each change of state
-		term     uint64
-		owner    string
-		role     string
-		primary  string // the address that this member follows
+		mutex   sync.Mutex
+		changed chan struct{} // closed and replaced at each change of state
+		term    uint64
+		owner   string
+		role    string
+		primary string // the address that this member follows
+		// streamed is the term whose entries this member sends to its followers. It
+		// outlasts the fence of a primary, so that what it committed still gets to
+		// them, and ends when the member follows another.
+		streamed uint64
+		draining bool
+		active   map[*session]bool // sessions with a transaction or statement under way
 		ledger   ledger
 		arrivals []time.Time                 // when the last entries were received
 		acked    map[string]orderer.Position // primary: what followers hold
@@ -86,6 +92,8 @@
 		Received  orderer.Position
 		Replayed  orderer.Position
 		Followers map[string]orderer.Position
+		// Following is the address of the primary that a replica follows.
+		Following string
 		Sessions  int
 		Peak      int
 	}
@@ -98,7 +106,7 @@
 	defer m.mutex.Unlock()
 	m.term, m.owner = 1, "bootstrap"
 	if primary == m.Address {
-		m.role = RolePrimary
+		m.role, m.streamed = RolePrimary, 1
 		m.ledger.append(1, nil)
 		m.ledger.replay(1)
 		return
@@ -136,7 +144,7 @@
 		m.changed = make(chan struct{})
 	}
 	m.acked = map[string]orderer.Position{}
-	m.sessions = map[*session]struct{}{}
+	m.sessions, m.active, m.draining = map[*session]struct{}{}, map[*session]bool{}, false
 	if m.Slots > 0 {
 		m.slots = make(chan struct{}, m.Slots)
 	}
@@ -211,7 +219,7 @@
 	s := Status{
 		Name: m.Name, Role: m.role, Term: m.term, Owner: m.owner,
 		Received: m.ledger.received(), Replayed: m.ledger.replayedPosition(),
-		Sessions: len(m.sessions), Peak: m.peak,
+		Following: m.primary, Sessions: len(m.sessions), Peak: m.peak,
 	}
 	if m.role == RolePrimary {
 		s.Followers = map[string]orderer.Position{}
--- a/internal/standin/replicator/replication.go
+++ b/internal/standin/replicator/replication.go
@@ -198,7 +198,7 @@
 	}
 	m.mutex.Lock()
 	w := welcome{Term: m.term}
-	if m.role != RolePrimary || m.term != h.Term {
+	if m.streamed == 0 || m.streamed != h.Term {
 		w.Error = "not the primary of term"
 	}
 	w.Keep = m.ledger.common(h.Ends)
@@ -229,7 +229,7 @@
 			return err
 		}
 		m.mutex.Lock()
-		if m.term == h.Term {
+		if m.streamed == h.Term {
 			m.acked[h.Name] = a.Position
 			m.notify()
 		}
@@ -240,8 +240,8 @@
 func (m *Member) sendEntries(ctx context.Context, out *json.Encoder, term uint64, next int) error {
 	for {
 		m.mutex.Lock()
-		m.await(ctx, func() bool { return m.term != term || m.role != RolePrimary || next < len(m.ledger.entries) })
-		if ctx.Err() != nil || m.term != term || m.role != RolePrimary {
+		m.await(ctx, func() bool { return m.streamed != term || next < len(m.ledger.entries) })
+		if ctx.Err() != nil || m.streamed != term {
 			m.mutex.Unlock()
 			return errors.New("stream ended")
 		}
--- a/internal/standin/replicator/session.go
+++ b/internal/standin/replicator/session.go
@@ -91,6 +91,7 @@
 	defer func() {
 		m.mutex.Lock()
 		delete(m.sessions, s)
+		m.idle(s)
 		m.mutex.Unlock()
 	}()
 	return s.loop(ctx)
@@ -248,6 +249,9 @@
 	}
 	m.mutex.Lock()
 	p := m.ledger.replayedPosition().String()
+	if !s.open {
+		m.idle(s)
+	}
 	m.mutex.Unlock()
 	if p != s.reported {
 		s.reported = p
@@ -441,7 +445,7 @@
 }
 
 // controls are the shapes that need no slot and are not recorded.
-var controls = map[string]bool{"status": true, "await": true, "fence": true, "promote": true, "follow": true}
+var controls = map[string]bool{"status": true, "await": true, "fence": true, "drain": true, "promote": true, "follow": true}
 
 func (m *Member) record(r Record) {
 	r.At = time.Now()
@@ -465,18 +469,35 @@
 
 // refuse decides, before anything runs, whether the member may run a statement.
 func (s *session) refuse(sh *shape) *refusal {
+	if controls[sh.Name] {
+		return nil
+	}
 	m := s.member
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if s.term != 0 && m.draining && !m.active[s] {
+		return &refusal{Code: CodeFenced, Message: "draining: the primary is about to be replaced", Fatal: true}
+	}
 	if s.term != 0 && (m.role != RolePrimary || m.term != s.term) {
 		return &refusal{Code: CodeFenced, Message: "fenced: the connection belongs to an older term", Fatal: true}
 	}
 	if sh.Write && m.role != RolePrimary {
 		return &refusal{Code: CodeReadOnly, Message: "cannot execute a write in a read-only transaction"}
 	}
+	m.active[s] = true
 	return nil
 }
 
+// idle notes that nothing of a session is under way; the mutex is held.
+func (m *Member) idle(s *session) {
+	if m.active[s] {
+		delete(m.active, s)
+		if m.draining {
+			m.notify()
+		}
+	}
+}
+
 // stage keeps a change until the transaction commits.
 func (s *session) stage(o Op) { s.ops = append(s.ops, o) }
 
--- a/internal/standin/replicator/statements.go
+++ b/internal/standin/replicator/statements.go
@@ -85,6 +85,7 @@
 		{Name: "status", Columns: statusColumns, Pattern: pattern(`SELECT \* FROM oriole_status\(\)`), Run: runStatus},
 		{Name: "await", Columns: []column{{"oriole_await", oidBool}}, Pattern: pattern(`SELECT oriole_await\(\s*{v}\s*,\s*{v}\s*,\s*{v}\s*\)`), Run: runAwait},
 		{Name: "fence", Columns: statusColumns, Pattern: pattern(`SELECT \* FROM oriole_fence\(\s*{v}\s*,\s*{v}\s*\)`), Run: runFence},
+		{Name: "drain", Columns: statusColumns, Pattern: pattern(`SELECT \* FROM oriole_drain\(\s*{v}\s*,\s*{v}\s*,\s*{v}\s*\)`), Run: runDrain},
 		{Name: "promote", Columns: statusColumns, Pattern: pattern(`SELECT \* FROM oriole_promote\(\s*{v}\s*,\s*{v}\s*\)`), Run: runPromote},
 		{Name: "follow", Columns: statusColumns, Pattern: pattern(`SELECT \* FROM oriole_follow\(\s*{v}\s*,\s*{v}\s*\)`), Run: runFollow},
 	}
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -60,6 +60,7 @@
 		cancel context.CancelFunc
 		ended  chan error
 		open   int
+		starts uint64 // instances started so far
 	}
 
 	// Target is one member of a group, as a process.
@@ -228,6 +229,7 @@
 func (f *Fleet) StartInstance(e *Entry) {
 	h := f.Net.Host(e.IP, e.Zone)
 	f.Net.Revive(e.IP)
+	f.starts++
 	e.Metrics = tally.NewTestScope("", nil)
 	store := (&storer.Gateway{Address: f.Platform.Address, Network: h}).Open()
 	list := (&lister.Page{Address: f.Platform.Address, Network: h}).Open()
@@ -236,7 +238,7 @@
 			Name: e.Name, Zone: e.Zone, Callers: e.IP + ":5432", Peers: e.IP + ":7100", Platform: f.Platform.Address,
 			TokenKeys: []loader.TokenKey{{Number: 1, Secret: tokenKey}},
 		},
-		Network: h, Store: store, List: list, Metrics: e.Metrics, Log: log.With(f.Plan.Log, "instance", e.Name),
+		Network: h, Store: store, List: list, Seed: f.Plan.Seed*1000 + f.starts, Metrics: e.Metrics, Log: log.With(f.Plan.Log, "instance", e.Name),
 	}
 	f.Platform.Register(lister.Instance{Name: e.Name, Kind: lister.KindEntry, Address: e.IP + ":7100", Zone: e.Zone, State: lister.StateLive})
 	ctx, cancel := context.WithCancel(f.ctx)
