--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -41,6 +41,9 @@
 	List  lister.List
 	// Seed drives the instance's random numbers; 0 takes one from the system.
 	Seed uint64
+	// Events are taken over by control at its next tick, for a program or a test
+	// around the instance; nil for none.
+	Events <-chan controller.Event
 
 	table  atomic.Pointer[router.Table]
 	sealer *sealer.Sealer
--- a/internal/runner/terms.go
+++ b/internal/runner/terms.go
@@ -13,6 +13,25 @@
 	"github.com/oriolegw/oriolegw/internal/promoter"
 )
 
+// inbox emits events that came from outside of control.
+type inbox struct{ events <-chan controller.Event }
+
+// Step implements controller.Slice.
+func (n *inbox) Step(_ time.Time, e controller.Event) []controller.Action {
+	if _, tick := e.(controller.Tick); !tick {
+		return nil
+	}
+	var out []controller.Action
+	for {
+		select {
+		case e := <-n.events:
+			out = append(out, controller.Emit{Event: e})
+		default:
+			return out
+		}
+	}
+}
+
 // announcer logs and counts what the slices of terms decide.
 type announcer struct{ instance *Instance }
 
@@ -35,6 +54,7 @@
 		&detector.Slice{Zone: i.Settings.Zone},
 		&promoter.Slice{Name: i.Settings.Name, Owner: owner, Random: random},
 		&announcer{instance: i},
+		&inbox{events: i.Events},
 	}, &promoter.Performer{Commander: orders, Store: i.Store}
 }
 
--- a/internal/standin/failer/failer.go
+++ b/internal/standin/failer/failer.go
@@ -110,7 +110,13 @@
 		s.Heal(f, old)
 	}
 	sleep(ctx, settle, settle)
-	return judge(f, h, callers, struck, term)
+	r, err := judge(f, h, callers, struck, term)
+	if err != nil {
+		return nil, err
+	}
+	r.Violations = append(r.Violations, onePrimary(f)...)
+	r.Violations = append(r.Violations, recovered(ctx, f)...)
+	return r, nil
 }
 
 func sleep(ctx context.Context, d, otherwise time.Duration) {
@@ -135,6 +141,65 @@
 	return best
 }
 
+// PromiseRecovers is broken when no instance gets a write through in the end.
+const PromiseRecovers = "the group takes writes again"
+
+// PromiseOnePrimary is broken when two members took writes in the same term.
+const PromiseOnePrimary = "a term has one primary"
+
+// onePrimary reads the record that each member keeps of what it committed.
+func onePrimary(f *stager.Fleet) []checker.Violation {
+	var out []checker.Violation
+	took := map[uint64]string{}
+	for _, m := range f.Members {
+		for _, r := range m.Journal() {
+			term := r.Position.Term
+			if term == 0 {
+				continue
+			}
+			if took[term] == "" {
+				took[term] = m.Name
+			}
+			if took[term] != m.Name {
+				out = append(out, checker.Violation{Promise: PromiseOnePrimary, Detail: fmt.Sprintf("term %d: %s and %s", term, took[term], m.Name)})
+				break
+			}
+		}
+	}
+	return out
+}
+
+// recovered reports whether a write gets through, by any instance, and whether
+// all members follow the one primary.
+func recovered(ctx context.Context, f *stager.Fleet) []checker.Violation {
+	var out []checker.Violation
+	p := Primary(f)
+	for _, m := range f.Members {
+		if s := m.Status(); m != p && (s.Following != p.Address || s.Term != p.Status().Term) {
+			out = append(out, checker.Violation{Promise: PromiseRecovers, Detail: fmt.Sprintf("%s is %s of term %d", m.Name, s.Role, s.Term)})
+		}
+	}
+	var last error
+	for _, e := range f.Instances {
+		if last = once(ctx, f, e); last == nil {
+			return out
+		}
+	}
+	return append(out, checker.Violation{Promise: PromiseRecovers, Detail: last.Error()})
+}
+
+func once(ctx context.Context, f *stager.Fleet, e *stager.Entry) error {
+	ctx, cancel := context.WithTimeout(ctx, settle)
+	defer cancel()
+	c, err := f.Connect(ctx, e, f.Document.Services[0].Name, nil)
+	if err != nil {
+		return err
+	}
+	defer c.Close(ctx)
+	_, err = c.Exec(ctx, "UPDATE ledger SET value = $1 WHERE key = $2", "recovered", "of-no-history")
+	return err
+}
+
 func prepare(ctx context.Context, f *stager.Fleet) error {
 	c, err := f.Connect(ctx, f.Instances[0], f.Document.Services[0].Name, nil)
 	if err != nil {
--- a/internal/standin/failer/failer_test.go
+++ b/internal/standin/failer/failer_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/oriolegw/oriolegw/internal/drainer"
 	"github.com/oriolegw/oriolegw/internal/standin/failer"
 	"github.com/oriolegw/oriolegw/internal/standin/stager"
 	"github.com/oriolegw/oriolegw/internal/storer"
@@ -15,10 +16,12 @@
 
 func play(t *testing.T, s failer.Scenario) *failer.Report {
 	t.Helper()
-	s.Plan = stager.Plan{
-		Seed: 1, ZoneLatency: 1500 * time.Microsecond, CallerLatency: 3 * time.Millisecond, ConnectTime: 10 * time.Millisecond,
-		Jitter: time.Millisecond, Log: log.NewLogfmtLogger(t.Output()),
+	s.Plan.Seed = max(1, s.Plan.Seed)
+	if s.Plan.ZoneLatency == 0 {
+		s.Plan.ZoneLatency = 1500 * time.Microsecond
 	}
+	s.Plan.CallerLatency, s.Plan.ConnectTime, s.Plan.Jitter = 3*time.Millisecond, 10*time.Millisecond, time.Millisecond
+	s.Plan.Log = log.NewLogfmtLogger(t.Output())
 	var r *failer.Report
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
@@ -140,3 +143,31 @@
 		})
 	}
 }
+
+// leave tells every instance that the primary is leaving.
+func leave(f *stager.Fleet, p *stager.Target) {
+	for _, e := range f.Instances {
+		e.Events <- drainer.TargetLeaving{Service: p.Service, Member: p.Name, Leaving: true, Source: "operator"}
+	}
+}
+
+// The primary is to leave while callers write. It lets what is open end, its last
+// entry reaches a replica, and that one goes on. Callers see a short pause and no
+// refusal: what the old primary did not begin is sent to the new one.
+func TestPlannedChange(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before func(*stager.Fleet)
+	}{
+		{"store up", nil},
+		{"store down", store(func(s *storer.Faults) { s.Down = true })},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := play(t, failer.Scenario{Before: c.before, Fault: leave, Callers: 3})
+			must.Eq(t, 1, r.Terms)
+			must.NotEq(t, "lockers-1", r.Primary)
+			must.MapEmpty(t, r.Refusals)
+			must.LessEq(t, 200*time.Millisecond, r.Gap)
+		})
+	}
+}
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/jackc/pgx/v5"
 	"github.com/oriolegw/oriolegw/internal/configurer"
+	"github.com/oriolegw/oriolegw/internal/controller"
 	"github.com/oriolegw/oriolegw/internal/lister"
 	"github.com/oriolegw/oriolegw/internal/loader"
 	"github.com/oriolegw/oriolegw/internal/runner"
@@ -80,6 +81,8 @@
 		IP      string
 		Zone    string
 		Metrics tally.TestScope
+		// Events reach the control loop of the instance.
+		Events chan controller.Event
 
 		cancel context.CancelFunc
 		ended  chan error
@@ -88,6 +91,7 @@
 
 const (
 	platformIP = "10.0.0.1"
+	eventQueue = 16
 	callerIP   = "10.0.9.1"
 	tokenKey   = "0123456789abcdef0123456789abcdef"
 	// DefaultService is the service of an empty plan.
@@ -141,6 +145,9 @@
 	go func() { f.ended <- run(f.ctx) }()
 }
 
+// Context ends when the fleet is closed.
+func (f *Fleet) Context() context.Context { return f.ctx }
+
 // Close stops every process and waits for its end.
 func (f *Fleet) Close() {
 	for _, e := range f.Instances {
@@ -230,6 +237,7 @@
 	h := f.Net.Host(e.IP, e.Zone)
 	f.Net.Revive(e.IP)
 	f.starts++
+	e.Events = make(chan controller.Event, eventQueue)
 	e.Metrics = tally.NewTestScope("", nil)
 	store := (&storer.Gateway{Address: f.Platform.Address, Network: h}).Open()
 	list := (&lister.Page{Address: f.Platform.Address, Network: h}).Open()
@@ -238,7 +246,7 @@
 			Name: e.Name, Zone: e.Zone, Callers: e.IP + ":5432", Peers: e.IP + ":7100", Platform: f.Platform.Address,
 			TokenKeys: []loader.TokenKey{{Number: 1, Secret: tokenKey}},
 		},
-		Network: h, Store: store, List: list, Seed: f.Plan.Seed*1000 + f.starts, Metrics: e.Metrics, Log: log.With(f.Plan.Log, "instance", e.Name),
+		Network: h, Store: store, List: list, Seed: f.Plan.Seed*1000 + f.starts, Events: e.Events, Metrics: e.Metrics, Log: log.With(f.Plan.Log, "instance", e.Name),
 	}
 	f.Platform.Register(lister.Instance{Name: e.Name, Kind: lister.KindEntry, Address: e.IP + ":7100", Zone: e.Zone, State: lister.StateLive})
 	ctx, cancel := context.WithCancel(f.ctx)
