--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -40,6 +40,11 @@
 	// Store and List reach the platform.
 	Store storer.Store
 	List  lister.List
+	// Seed drives the instance's random numbers; 0 takes one from the system.
+	Seed uint64
+	// Events are taken over by control at its next tick, for a program or a test
+	// around the instance; nil for none.
+	Events <-chan controller.Event
 
 	table  atomic.Pointer[router.Table]
 	sealer *sealer.Sealer
@@ -71,6 +76,9 @@
 			_ = i.Log.Log("part", "control", "msg", "No performer for an action.", "action", a.ActionName())
 		},
 	}
+	terms, promotions := i.terms(orders)
+	control.Slices = append(control.Slices, terms...)
+	control.Performers = append(control.Performers, promotions)
 	control.Open()
 	callers, err := i.greeter()
 	if err != nil {
