Relayer: fates from facts, session state, floors without a token

Cause, found by reading the relayer as an enemy would: - 'COMMIT' inside a query of several statements, or after a comment of two dashes, was not seen: a lost answer was called 'not run'. - A SELECT that calls a function was called a read that changes nothing, also on the primary: 'not run' was wrong when its answer was lost. - OG001 after a COMMIT in the same request was called 'not run'. - SET, session locks, temporary objects, PREPARE, LISTEN and COPY reached shared connections. - The rest of a lost transaction ran on its own, outside a transaction. - Callers without a token had no floor; a read on the primary trusted any primary; nothing bounded what was held behind a write, a request, or the statements known to a connection; Flush was never answered.

Now: the outcome is a function of facts (fate.go); statements that leave state are refused, settings are kept per caller and replayed, unexpected tags destroy the connection; a lost transaction stays aborted until its caller ends it; the floor of a caller without a token is a watermark taken after it connected, one question for all that wait; reads that accept no age are witnessed by a majority; a replica proves the needed position before the read, in the same packet; idle connections are looked at before use.

Ruled out: checking the position reported after a read.

--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -47,11 +47,17 @@
 		Place    Place
 		// Statements are the prepared statements that the target knows.
 		Statements map[string]bool
+		// Settings are the statements that set up the session of the caller
+		// that the connection was last lent to; empty for none.
+		Settings string
 		// Position is the newest that the target has reported.
 		Position orderer.Position
 		// PID and Secret are what a cancel request names.
 		PID    uint32
 		Secret []byte
+		// Tainted connections hold state of their borrower that other callers
+		// must not meet; they are destroyed once its transaction is over.
+		Tainted bool
 		// Broken connections are closed when they come back.
 		Broken bool
 	}
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -5,27 +5,40 @@
 	"encoding/hex"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/oriolegw/oriolegw/pkg/refuser"
 )
 
 type (
-	// request is what a caller sends up to one Query or Sync: the unit that is
-	// routed, held, answered or refused as a whole.
+	// request is what a caller sends up to one Query, Sync or Flush. Up to a
+	// Query or a Sync it is routed, held, answered or refused as a whole; what
+	// follows a Flush goes on over the same connection.
 	request struct {
 		steps []step
-		// simple is set for a Query message, which has no Sync of its own.
-		simple bool
-		read   bool
-		begins bool
-		ends   bool
-		kind   string
+		bytes int
+		// flush is set when a Flush ended the request: no ReadyForQuery yet.
+		flush bool
+		// read, pure and mayCommit are those of all its statements together.
+		read, pure, mayCommit bool
+		// begins: it begins a transaction; ends: its last statement ends one.
+		begins, ends bool
+		// local is set when a statement is answered here, remote when one needs
+		// a target.
+		local, remote bool
+		// sets are the statements that change a setting of the session;
+		// expectedSets counts those that end with their transaction, too.
+		sets         []string
+		expectedSets int
+		kind         string
+		refusal      *refuser.Refusal
 	}
 
 	// step is one message of a request.
 	step struct {
 		kind byte // the message's type byte
 		data []byte
-		// statement is the one that a Parse defines, or that a Bind or a
-		// Describe needs.
+		// name is the caller's name of the statement or portal.
+		name string
+		// statement is the one that the step defines, needs or runs.
 		statement *statement
 		bind      *pgproto3.Bind
 	}
@@ -33,13 +46,17 @@
 	// statement is a prepared statement of a caller. Targets know it by a name
 	// made from its text, so that callers share it, and never meet in names.
 	statement struct {
-		name string
-		sql  string
-		oids []uint32
-		kind kindOfStatement
+		name  string
+		sql   string
+		oids  []uint32
+		class class
 	}
 )
 
+// missingPrefix goes before names that the caller never prepared, so that no
+// such name is one that a target knows.
+const missingPrefix = "missing_"
+
 func newStatement(m *pgproto3.Parse) *statement {
 	h := sha256.New()
 	h.Write([]byte(m.Query))
@@ -48,32 +65,73 @@
 	}
 	return &statement{
 		name: "ogw_" + hex.EncodeToString(h.Sum(nil)[:12]), sql: m.Query,
-		oids: append([]uint32(nil), m.ParameterOIDs...), kind: classify(m.Query),
+		oids: append([]uint32(nil), m.ParameterOIDs...), class: classify(m.Query),
 	}
 }
 
 func (t *statement) parse() []byte {
-	b, err := (&pgproto3.Parse{Name: t.name, Query: t.sql, ParameterOIDs: t.oids}).Encode(nil)
-	if err != nil {
-		panic(err) // it was decoded from a message of the same size
+	return encode(&pgproto3.Parse{Name: t.name, Query: t.sql, ParameterOIDs: t.oids})
+}
+
+// add takes a step, with what its statement may do, into the request.
+func (r *request) add(t step) {
+	r.steps = append(r.steps, t)
+	r.bytes += len(t.data)
+	if t.statement == nil {
+		return
+	}
+	r.note(t.statement.sql, t.statement.class)
+	if t.kind == 'E' {
+		r.runs(t.statement.sql, t.statement.class)
+	}
+}
+
+// runs notes what a statement that is run leaves in the session.
+func (r *request) runs(sql string, c class) {
+	r.ends = endsBlock.MatchString(sql)
+	switch {
+	case c.kind == statementSet:
+		r.sets = append(r.sets, withoutNotes(sql))
+		r.expectedSets++
+	case setInBlock.MatchString(withoutNotes(sql)):
+		r.expectedSets++
 	}
-	return b
 }
 
-// note takes a statement's kind into the request's.
-func (r *request) note(sql string, k kindOfStatement) {
+func (r *request) note(sql string, c class) {
 	if n := kindOf(sql); n != "" {
 		r.kind = n
 	}
-	switch k {
-	case statementRead:
+	r.pure = r.pure && c.pure
+	r.mayCommit = r.mayCommit || c.mayCommit
+	switch c.kind {
+	case statementRefused:
+		r.refuse(refuser.New(refuser.SessionState, "%s", c.why))
+	case statementLocal:
+		r.local = true
+	case statementRead, statementSet:
+		r.remote = true
 	case statementBegin:
-		r.begins, r.read = true, false
-	case statementEnd:
-		r.ends, r.read = true, false
+		r.remote, r.read, r.begins = true, false, true
 	default:
-		r.read = false
+		r.remote, r.read = true, false
 	}
+	if r.local && r.remote {
+		r.refuse(refuser.New(refuser.Unsupported, "a statement for the proxy together with others in one request"))
+	}
+}
+
+// refuse keeps the first refusal.
+func (r *request) refuse(f *refuser.Refusal) {
+	if r.refusal == nil {
+		r.refusal = f
+	}
+}
+
+// unknownPortal notes that a portal of an earlier request runs, of which
+// nothing is known any more.
+func (r *request) unknownPortal() {
+	r.remote, r.read, r.pure, r.mayCommit = true, false, false, true
 }
 
 func copyBind(m *pgproto3.Bind) *pgproto3.Bind {
@@ -92,3 +150,11 @@
 	}
 	return c
 }
+
+func encode(m pgproto3.FrontendMessage) []byte {
+	b, err := m.Encode(nil)
+	if err != nil {
+		panic(err) // it was decoded from a message of the same size
+	}
+	return b
+}
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -37,27 +37,54 @@
 		// Kind is the kind of requests that name none.
 		Kind string
 		// Floor is the session's newest acknowledged write.
-		Floor  orderer.Position
-		Table  func() *router.Table
+		Floor orderer.Position
+		// Connected is when the caller came. A session without a token takes
+		// its floor from a watermark taken after it; see floor.
+		Connected time.Time
+		// HasToken is set when Floor came with the caller.
+		HasToken bool
+		Table    func() *router.Table
+		// Want asks control for a fresh watermark of the service; nil: none.
+		Want   func(service string)
 		Pool   *pooler.Pool
 		Sealer *sealer.Sealer
-		Log    log.Logger
+		// Explainer is told where each request went; nil: nobody.
+		Explainer *router.Explainer
+		Log       log.Logger
 		// Count counts an event by name, for the metrics.
 		Count func(name string)
 
 		statements map[string]*statement
+		portals    map[string]*statement
+		settings   settings
+		pending    []string     // settings changed in the open transaction
 		pinned     *pooler.Conn // the connection of an open transaction
+		open       *exchange    // an exchange that a Flush has left open
 		status     byte         // of the caller's transaction: I, T or E
-		out        []byte       // answer not yet sent to the caller
-		sent       bool         // part of the answer has been sent
+		skip       bool         // the caller's messages are passed over up to a Sync
+		floorKnown bool
+		// uncertain: the caller was told of an unknown outcome. Its reads go to
+		// the primary, since it looks for what became of its write.
+		uncertain bool
+		turn      uint64           // spreads reads over equal replicas
+		seen      orderer.Position // the newest position that reads have shown
+		out       []byte           // answer not yet sent to the caller
+		sent      bool             // part of the answer has been sent
 	}
 )
 
-const flushSize = 32 << 10
+const (
+	// flushSize is how much of an answer is gathered before it is sent on.
+	flushSize = 32 << 10
+	// maxHeld bounds what is held back behind a write or a strict read.
+	maxHeld = 1 << 20
+)
 
 // Run serves the caller until it leaves or the context ends.
 func (s *Session) Run(ctx context.Context) error {
-	s.statements, s.status = map[string]*statement{}, 'I'
+	s.statements, s.portals, s.status = map[string]*statement{}, map[string]*statement{}, 'I'
+	s.floorKnown = s.HasToken
+	s.Backend.SetMaxBodyLen(maxRequest)
 	stop := context.AfterFunc(ctx, func() { _ = s.Conn.Close() })
 	defer stop()
 	defer s.drop()
@@ -72,93 +99,79 @@
 	}
 }
 
-// drop destroys the connection of a transaction that its caller left open: the
-// target rolls it back, and no other caller can meet its remains.
+// drop destroys the connection of a transaction or an exchange that its caller
+// left open: the target rolls it back, and no other caller can meet its remains.
 func (s *Session) drop() {
+	if s.open != nil {
+		s.giveBack(s.open.conn, true)
+		s.open = nil
+	}
 	if s.pinned != nil {
-		s.pinned.Broken = true
-		s.Pool.Return(s.pinned)
+		s.giveBack(s.pinned, true)
 		s.pinned = nil
 	}
 }
 
-// collect reads the caller's messages up to a Query or a Sync; nil means that
-// the caller has left.
-func (s *Session) collect() (*request, error) {
-	r := &request{read: true, kind: s.Kind}
-	for {
-		m, err := s.Backend.Receive()
-		if err != nil {
-			return nil, errors.Wrap(err, "receive from caller")
-		}
-		switch m := m.(type) {
-		case *pgproto3.Terminate:
-			return nil, nil
-		case *pgproto3.Query:
-			r.simple = true
-			r.note(m.String, classifyAll(m.String))
-			r.steps = append(r.steps, step{kind: 'Q', data: encode(m)})
-			return r, nil
-		case *pgproto3.Sync:
-			r.steps = append(r.steps, step{kind: 'S', data: encode(m)})
-			return r, nil
-		case *pgproto3.Parse:
-			t := newStatement(m)
-			s.statements[m.Name] = t
-			r.note(t.sql, t.kind)
-			r.steps = append(r.steps, step{kind: 'P', statement: t})
-		case *pgproto3.Bind:
-			t := s.statements[m.PreparedStatement]
-			if t != nil {
-				r.note(t.sql, t.kind)
-			}
-			r.steps = append(r.steps, step{kind: 'B', statement: t, bind: copyBind(m)})
-		case *pgproto3.Describe:
-			st := step{kind: 'D', data: encode(m)}
-			if m.ObjectType == 'S' {
-				if st.statement = s.statements[m.Name]; st.statement != nil {
-					st.data = encode(&pgproto3.Describe{ObjectType: 'S', Name: st.statement.name})
-				}
-			}
-			r.steps = append(r.steps, st)
-		case *pgproto3.Execute:
-			r.steps = append(r.steps, step{kind: 'E', data: encode(m)})
-		case *pgproto3.Close:
-			if m.ObjectType == 'S' {
-				delete(s.statements, m.Name)
-				r.steps = append(r.steps, step{kind: 'c'})
-				continue
-			}
-			r.steps = append(r.steps, step{kind: 'C', data: encode(m)})
-		case *pgproto3.Flush:
-			r.steps = append(r.steps, step{kind: 'H', data: encode(m)})
-		default:
-			return nil, errors.Errorf("message %T is not supported", m)
-		}
-	}
-}
-
-func encode(m pgproto3.FrontendMessage) []byte {
-	b, err := m.Encode(nil)
-	if err != nil {
-		panic(err) // it was decoded from a message of the same size
-	}
-	return b
+func (s *Session) giveBack(c *pooler.Conn, broken bool) {
+	c.Broken = c.Broken || broken
+	s.Pool.Return(c)
 }
 
 // serve answers one request.
 func (s *Session) serve(ctx context.Context, r *request) error {
 	s.out, s.sent = s.out[:0], false
-	refusal := s.attempt(ctx, r)
-	if refusal != nil {
-		s.Count("refused." + refusal.Reason.Name)
-		s.out = s.out[:0]
-		s.refuse(refusal)
+	switch {
+	case s.skip: // an error went out after a Flush; only the Sync counts
+		s.skip = false
+		s.emit(&pgproto3.ReadyForQuery{TxStatus: s.status})
+		return s.flush()
+	case r.refusal != nil:
+		s.abandon()
+		s.refuse(r, r.refusal)
+		return s.flush()
+	case s.aborted():
+		s.serveAborted(r)
+		return s.flush()
+	case !r.remote && s.open == nil:
+		s.serveLocal(r)
+		return s.flush()
+	}
+	if refusal := s.attempt(ctx, r); refusal != nil {
+		s.refuse(r, refusal)
 	}
 	return s.flush()
 }
 
-func (s *Session) refuse(f *refuser.Refusal) {
+// aborted reports whether the caller's transaction has been lost.
+func (s *Session) aborted() bool { return s.status != 'I' && s.pinned == nil && s.open == nil }
+
+// abandon gives up an open transaction because a request in it is refused.
+func (s *Session) abandon() {
+	if s.pinned == nil && s.open == nil {
+		return
+	}
+	s.lose(s.pinned != nil || s.open.facts.inTransaction)
+}
+
+// lose destroys the session's connections. A lost transaction stays aborted
+// until the caller ends it, as in PostgreSQL: a caller that has sent more of it
+// ahead, or doesn't look at errors, must not have the rest run on its own.
+func (s *Session) lose(transaction bool) {
+	s.drop()
+	s.pending = nil
+	s.status = 'I'
+	if transaction {
+		s.status = 'E'
+	}
+}
+
+// refuse ends the request with an error.
+func (s *Session) refuse(r *request, f *refuser.Refusal) {
+	s.Count("refused." + f.Reason.Name)
+	s.out = s.out[:0]
+	if f.Reason.Outcome == refuser.Unknown {
+		s.uncertain = true
+	}
 	severity := "ERROR"
 	if f.Reason.Fatal {
 		severity = "FATAL"
@@ -167,8 +180,9 @@
 		Severity: severity, SeverityUnlocalized: severity, Code: f.Reason.SQLState,
 		Message: f.Reason.Code + " " + f.Reason.Title, Detail: f.Detail, Hint: f.Hint(),
 	})
-	if s.status != 'I' && s.pinned == nil {
-		s.status = 'I'
+	if r.flush {
+		s.skip = true
+		return
 	}
 	s.emit(&pgproto3.ReadyForQuery{TxStatus: s.status})
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,34 +14,106 @@
 		Read bool
 		// Floor is the session's newest acknowledged write.
 		Floor orderer.Position
+		// Seen is the newest position that the session's reads have shown. Among
+		// replicas that may serve, one that holds it is taken, so that reads
+		// rarely go back in time. It is a preference, not a promise: a promise
+		// would send every session that has once read from the primary there
+		// for as long as replicas lag.
+		Seen orderer.Position
 		// MaxAge is the stated age; 0 means that only the primary will do.
 		MaxAge time.Duration
 		// Zone is the instance's own availability zone.
 		Zone string
 		// Avoid lists members, by index, that have just failed this request.
 		Avoid []int
+		// Turn differs between requests and spreads them over equal replicas.
+		Turn uint64
 	}
 
 	// Choice is where a request goes; Member is an index, or -1 for nowhere.
 	Choice struct {
 		Member  int
 		Replica bool
+		// Need is the position that the answer must show.
+		Need orderer.Position
+		// Await is how long the replica may take to reach Need; 0 when it is
+		// known to hold it.
+		Await time.Duration
 		// Why explains the choice, for the status page.
 		Why string
 	}
+
+	// candidate is a replica that may serve a read.
+	candidate struct {
+		member int
+		ready  bool // known to hold what is needed
+		seen   bool // known to hold what the session has seen
+		near   bool // in the instance's own availability zone
+	}
+)
+
+// The reasons of choices, as the status page shows them.
+const (
+	whyReplica    = "replica holds the floor and the stated age"
+	whyAwait      = "replica was up to date at last sight and is given a moment"
+	whyWrite      = "primary: the request may write"
+	whyStrict     = "primary: the kind of request accepts no age"
+	whyBehind     = "primary: no replica is known to be recent enough"
+	whyNoPrimary  = "no primary known"
+	whyAvoided    = "the primary has just failed this request"
+	whyOldPrimary = "the known primary is of an older term than the caller's own work"
+	whyNoWitness  = "no majority has answered within the stated age, so nothing bounds the age of an answer"
+)
+
+const (
+	// awaitLimit is how long a read waits on a replica that was up to date at
+	// last sight, before it goes elsewhere. It answers the pattern in which a
+	// caller reads at once what it wrote: without it each such read goes to the
+	// primary, since what is known of replicas is older than the write. Chosen
+	// by the runs in docs/design/0005-routing.md.
+	awaitLimit = 50 * time.Millisecond
+	// caughtUp is the lag, at last sight, up to which a replica counts as up to
+	// date. It is two rounds of questions: a lag below one can't be told from
+	// none.
+	caughtUp = 250 * time.Millisecond
+	// slowStart is how long a member that came back gets a growing part of the
+	// reads. A replica with cold caches that gets its whole part at once answers
+	// slowly, loses its place, and the load swings between members.
+	slowStart = 10 * time.Second
 )
 
 // Choose decides where a request goes.
 func (g *Group) Choose(now time.Time, r Request) Choice {
-	if r.Read && r.MaxAge > 0 {
-		if i := g.replica(now, r); i >= 0 {
-			return Choice{Member: i, Replica: true, Why: "replica holds the floor and the stated age"}
-		}
+	if !r.Read {
+		return g.primary(Choice{Need: r.Floor, Why: whyWrite}, r)
+	}
+	if r.MaxAge <= 0 {
+		return g.primary(Choice{Need: r.Floor, Why: whyStrict}, r)
 	}
-	if g.Primary >= 0 && !avoided(r, g.Primary) {
-		return Choice{Member: g.Primary, Why: "primary"}
+	fresh, ok := g.freshness(now, r.MaxAge)
+	if !ok {
+		return Choice{Member: -1, Why: whyNoWitness}
 	}
-	return Choice{Member: -1, Why: "no primary known"}
+	need := orderer.Max(r.Floor, fresh)
+	if c, ok := g.replica(now, r, need); ok {
+		return c
+	}
+	return g.primary(Choice{Need: need, Why: whyBehind}, r)
+}
+
+// primary sends a request to the primary, unless it is known to be an old one:
+// a position of a newer term than its own is not in its log.
+func (g *Group) primary(c Choice, r Request) Choice {
+	c.Member = g.Primary
+	switch {
+	case g.Primary < 0:
+		c.Why = whyNoPrimary
+	case avoided(r, g.Primary):
+		c.Member, c.Why = -1, whyAvoided
+	case c.Need.Term > g.Members[g.Primary].Status.Term:
+		c.Member, c.Why = -1, whyOldPrimary
+	}
+	return c
 }
 
 func avoided(r Request, i int) bool {
@@ -53,24 +125,73 @@
 	return false
 }
 
-func (g *Group) replica(now time.Time, r Request) int {
-	fresh, ok := g.freshness(now, r.MaxAge)
-	if !ok {
-		return -1
-	}
-	best := -1
-	for i, m := range g.Members {
-		if i == g.Primary || m.Failures > 0 || m.Seen.IsZero() || avoided(r, i) || m.Status.Role != commander.RoleReplica {
-			continue
+func (g *Group) replica(now time.Time, r Request, need orderer.Position) (Choice, bool) {
+	best, found := candidate{}, false
+	for k := range g.Members {
+		// Each request begins its search at another member, so that equal ones
+		// share the reads.
+		i := (k + int(r.Turn%uint64(len(g.Members)))) % len(g.Members)
+		c, ok := g.candidate(now, r, need, i)
+		if ok && (!found || c.better(best)) {
+			best, found = c, true
 		}
-		if !m.Status.Replayed.AtLeast(r.Floor) || !m.Status.Replayed.AtLeast(fresh) {
-			continue
-		}
-		if best < 0 || (g.Service.Members[i].Zone == r.Zone && g.Service.Members[best].Zone != r.Zone) {
-			best = i
+	}
+	switch {
+	case !found:
+		return Choice{}, false
+	case best.ready:
+		return Choice{Member: best.member, Replica: true, Need: need, Why: whyReplica}, true
+	}
+	return Choice{Member: best.member, Replica: true, Need: need, Await: awaitLimit, Why: whyAwait}, true
+}
+
+func (c candidate) better(d candidate) bool {
+	switch {
+	case c.ready != d.ready:
+		return c.ready
+	case c.seen != d.seen:
+		return c.seen
+	}
+	return c.near && !d.near
+}
+
+// candidate tells what member i is worth to a read; ok is false when nothing.
+func (g *Group) candidate(now time.Time, r Request, need orderer.Position, i int) (candidate, bool) {
+	m := g.Members[i]
+	if i == g.Primary || m.Leaving || m.Failures > 0 || m.Seen.IsZero() || avoided(r, i) || m.Status.Role != commander.RoleReplica {
+		return candidate{}, false
+	}
+	if !m.admits(now, r.Turn) {
+		return candidate{}, false
+	}
+	c := candidate{
+		member: i, near: g.Service.Members[i].Zone == r.Zone,
+		ready: m.Status.Replayed.AtLeast(need), seen: m.Status.Replayed.AtLeast(r.Seen),
+	}
+	return c, c.ready || g.lag(m) <= caughtUp
+}
+
+// admits lets a growing part of the reads through to a member that came back.
+// The rest finds another replica or the primary, which are there anyway: slow
+// start and ejection never leave a read without a target.
+func (m Member) admits(now time.Time, turn uint64) bool {
+	const parts = 10
+	up := now.Sub(m.Since)
+	if m.Since.IsZero() || up >= slowStart {
+		return true
+	}
+	return turn%parts <= uint64(up*parts/slowStart)
+}
+
+// lag bounds how far a member was behind when it was last asked: it held the
+// newest watermark's position that it had replayed, and no older ones.
+func (g *Group) lag(m Member) time.Duration {
+	for i := len(g.Watermarks) - 1; i >= 0; i-- {
+		if w := g.Watermarks[i]; m.Status.Replayed.AtLeast(w.Position) {
+			return max(0, m.Seen.Sub(w.Taken))
 		}
 	}
-	return best
+	return slowStart
 }
 
 // freshness returns the position that a replica must have replayed to show data
@@ -84,3 +205,13 @@
 	}
 	return orderer.Position{}, false
 }
+
+// After returns the first watermark that was taken after a moment.
+func (g *Group) After(t time.Time) (Watermark, bool) {
+	for _, w := range g.Watermarks {
+		if w.Taken.After(t) {
+			return w, true
+		}
+	}
+	return Watermark{}, false
+}
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -3,12 +3,14 @@
 package router
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/commander"
 	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/controller"
+	"github.com/oriolegw/oriolegw/internal/drainer"
 	"github.com/oriolegw/oriolegw/internal/observer"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
@@ -42,6 +44,11 @@
 		Seen time.Time
 		// Failures counts the questions in a row without answer.
 		Failures int
+		// Since is when the member answered again after failures; zero if it
+		// never failed.
+		Since time.Time
+		// Leaving members get no reads.
+		Leaving bool
 	}
 
 	// Watermark says that every write acknowledged before Taken stands at or
@@ -59,28 +66,65 @@
 		version  int64
 		document *configurer.Document
 		groups   map[string]*Group
+		asker    Asker
 	}
 )
 
+// maxWatermarks bounds what is kept of a group. With the spacing of thin it
+// reaches back for hours.
 const maxWatermarks = 64
 
 // Step implements controller.Slice.
-func (s *Slice) Step(_ time.Time, e controller.Event) []controller.Action {
+func (s *Slice) Step(now time.Time, e controller.Event) []controller.Action {
 	switch e := e.(type) {
 	case configurer.InForce:
-		s.apply(e)
+		s.apply(now, e)
+		s.publish()
 	case observer.Observed:
-		if !s.observe(e) {
-			return nil
+		if s.observe(now, e) {
+			s.publish()
 		}
+	case drainer.TargetLeaving:
+		if s.leave(e) {
+			s.publish()
+		}
+	case Wanted:
+		s.asker.want(e.Service)
+	case controller.Tick:
 	default:
 		return nil
 	}
-	s.publish()
-	return nil
+	return s.ask(now)
+}
+
+// ask returns the questions for which callers wait.
+func (s *Slice) ask(now time.Time) []controller.Action {
+	var out []controller.Action
+	for service := range s.asker.groups {
+		if g := s.groups[service]; g != nil {
+			out = append(out, s.asker.due(now, g)...)
+		}
+	}
+	return out
 }
 
-func (s *Slice) apply(e configurer.InForce) {
+func (s *Slice) leave(e drainer.TargetLeaving) bool {
+	g := s.groups[e.Service]
+	if g == nil {
+		return false
+	}
+	for i, m := range g.Service.Members {
+		if m.Name == e.Member && g.Members[i].Leaving != e.Leaving {
+			next := g.clone()
+			next.Members[i].Leaving = e.Leaving
+			s.groups[e.Service] = next
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Slice) apply(now time.Time, e configurer.InForce) {
 	s.version, s.document = e.Version, e.Document
 	old := s.groups
 	s.groups = map[string]*Group{}
@@ -88,7 +132,8 @@
 		v := &e.Document.Services[i]
 		g := &Group{Service: v, Primary: -1, Members: make([]Member, len(v.Members))}
 		if o := old[v.Name]; o != nil {
-			g.Term = o.Term
+			// What a watermark says of the past stays true whoever the members are.
+			g.Term, g.Watermarks = o.Term, o.Watermarks
 			for j, m := range v.Members {
 				for k, n := range o.Service.Members {
 					if m == n {
@@ -97,11 +142,12 @@
 				}
 			}
 		}
+		g.derive(now)
 		s.groups[v.Name] = g
 	}
 }
 
-func (s *Slice) observe(e observer.Observed) bool {
+func (s *Slice) observe(now time.Time, e observer.Observed) bool {
 	g := s.groups[e.Service]
 	if g == nil {
 		return false
@@ -115,9 +161,15 @@
 		if e.Err != nil {
 			n.Failures++
 		} else {
-			n.Status, n.Seen, n.Failures = e.Status, e.Started, 0
+			if n.Failures > 0 {
+				n.Since = now
+			}
+			n.Failures = 0
+			if !e.Started.Before(n.Seen) { // not an answer that was overtaken
+				n.Status, n.Seen = e.Status, e.Started
+			}
 		}
-		next.derive()
+		next.derive(now)
 		s.groups[e.Service] = next
 		return true
 	}
@@ -132,7 +184,7 @@
 }
 
 // derive finds the primary of the newest term, and the newest watermark.
-func (g *Group) derive() {
+func (g *Group) derive(now time.Time) {
 	g.Primary = -1
 	for _, m := range g.Members {
 		g.Term = max(g.Term, m.Status.Term)
@@ -144,12 +196,26 @@
 	}
 	if w, ok := g.watermark(); ok {
 		if n := len(g.Watermarks); n == 0 || g.Watermarks[n-1].Taken.Before(w.Taken) {
-			g.Watermarks = append(g.Watermarks, w)
+			g.Watermarks = append(slices.Clip(g.Watermarks), w)
 		}
-		if n := len(g.Watermarks); n > maxWatermarks {
-			g.Watermarks = append([]Watermark(nil), g.Watermarks[n-maxWatermarks:]...)
+		g.Watermarks = thin(now, g.Watermarks)
+	}
+}
+
+// thin drops watermarks when there are too many: first those whose neighbours
+// are close together for their age. A stated age of an hour then still finds
+// one that is at most an eighth younger, where the newest 64 would reach back
+// for seconds and count every replica that lags more as too old.
+func thin(now time.Time, w []Watermark) []Watermark {
+	if len(w) <= maxWatermarks {
+		return w
+	}
+	for i := 1; i < len(w)-1; i++ {
+		if w[i+1].Taken.Sub(w[i-1].Taken) <= now.Sub(w[i+1].Taken)/8 {
+			return slices.Delete(slices.Clone(w), i, i+1)
 		}
 	}
+	return slices.Clone(w[1:])
 }
 
 // watermark reads the newest answers of a majority. An acknowledged write is
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -43,6 +43,8 @@
 	table  atomic.Pointer[router.Table]
 	sealer *sealer.Sealer
 
+	sessions sessions
+
 	mutex sync.Mutex
 	pools map[string]*pooler.Pool
 }
@@ -71,6 +73,7 @@
 		},
 	}
 	control.Open()
+	i.sessions.post = func(e controller.Event) { control.Post(ctx, e) }
 	callers := &greeter.Greeter{Address: i.Settings.Callers, Network: i.Network, Log: i.Log, Open: i.open}
 	ended := make(chan error, 3)
 	go func() { ended <- errors.Wrap(control.Run(ctx), "control") }()
@@ -117,11 +120,13 @@
 			return nil, refuser.New(refuser.BadToken, "%v", err)
 		}
 	}
-	return &relayer.Session{
+	s := &relayer.Session{
 		Service: service, User: parameters["user"], Zone: i.Settings.Zone, Kind: parameters[relayer.ParameterKind],
 		Floor: floor, Table: i.table.Load, Pool: i.pool(service), Sealer: i.sealer, Log: i.Log,
 		Count: func(n string) { i.Metrics.Counter(n).Inc(1) },
-	}, nil
+	}
+	i.equip(s, parameters)
+	return s, nil
 }
 
 func (i *Instance) pool(service string) *pooler.Pool {
--- a/internal/standin/replicator/control.go
+++ b/internal/standin/replicator/control.go
@@ -71,6 +71,24 @@
 	return result{Columns: []column{{"oriole_await", oidBool}}, Rows: [][]string{{text}}, Tag: "SELECT 1"}
 }
 
+// runReplayed answers whether this member's reads show a position, and waits for
+// it a little.
+func runReplayed(ctx context.Context, s *session, a []string) result {
+	m := s.member
+	want := parsePosition(a[0], a[1])
+	milliseconds, _ := strconv.Atoi(a[2])
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(milliseconds)*time.Millisecond)
+	defer cancel()
+	m.mutex.Lock()
+	shown := m.await(ctx, func() bool { return m.ledger.replayedPosition().AtLeast(want) })
+	m.mutex.Unlock()
+	text := "f"
+	if shown {
+		text = "t"
+	}
+	return result{Columns: []column{{"oriole_replayed", oidBool}}, Rows: [][]string{{text}}, Tag: "SELECT 1"}
+}
+
 func (m *Member) majorityHolds(p orderer.Position) bool {
 	if m.role != RolePrimary || m.term != p.Term {
 		return false
--- a/internal/standin/replicator/session.go
+++ b/internal/standin/replicator/session.go
@@ -276,6 +276,11 @@
 			s.fail(r.Err)
 			return
 		}
+		if r.Copy {
+			s.backend.Send(&pgproto3.CopyInResponse{})
+			_ = s.backend.Flush()
+			return
+		}
 		if r.Columns != nil {
 			s.backend.Send(describeRows(r.Columns))
 		}
@@ -441,7 +446,7 @@
 }
 
 // controls are the shapes that need no slot and are not recorded.
-var controls = map[string]bool{"status": true, "await": true, "fence": true, "promote": true, "follow": true}
+var controls = map[string]bool{"status": true, "await": true, "replayed": true, "fence": true, "promote": true, "follow": true}
 
 func (m *Member) record(r Record) {
 	r.At = time.Now()
--- a/internal/standin/replicator/statements.go
+++ b/internal/standin/replicator/statements.go
@@ -29,6 +29,8 @@
 		Rows    [][]string
 		Tag     string
 		Err     *refusal
+		// Copy is set when the statement goes on to take rows from the caller.
+		Copy bool
 	}
 
 	// refusal is an error that the member reports.
@@ -80,10 +82,16 @@
 		{Name: "rollback", Pattern: pattern(`(?:ROLLBACK|ABORT)(?: TRANSACTION| WORK)?`), Run: runRollback},
 		{Name: "set", Pattern: pattern(`SET(?: SESSION)? ([\w.]+)(?:\s*=\s*| TO )(.+?)`), Run: runSet},
 		{Name: "show", Columns: []column{{"setting", oidText}}, Pattern: pattern(`SHOW ([\w.]+)`), Run: runShow},
-		{Name: "discard", Pattern: pattern(`(?:DISCARD ALL|RESET ALL|DEALLOCATE ALL|UNLISTEN \*|CLOSE ALL)`), Run: runDiscard},
+		{Name: "discard", Pattern: pattern(`(?:DISCARD ALL|DEALLOCATE ALL|UNLISTEN \*|CLOSE ALL)`), Run: runDiscard},
+		{Name: "reset", Pattern: pattern(`RESET (?:ALL|\w+)`), Run: runReset},
 		{Name: "deallocate", Pattern: pattern(`DEALLOCATE (\S+?)`), Run: runDeallocate},
 		{Name: "status", Columns: statusColumns, Pattern: pattern(`SELECT \* FROM oriole_status\(\)`), Run: runStatus},
 		{Name: "await", Columns: []column{{"oriole_await", oidBool}}, Pattern: pattern(`SELECT oriole_await\(\s*{v}\s*,\s*{v}\s*,\s*{v}\s*\)`), Run: runAwait},
+		{Name: "replayed", Columns: []column{{"oriole_replayed", oidBool}}, Pattern: pattern(`SELECT oriole_replayed\(\s*{v}\s*,\s*{v}\s*,\s*{v}\s*\)`), Run: runReplayed},
+		{Name: "advisory lock", Columns: []column{{"pg_advisory_lock", oidText}}, Pattern: pattern(`SELECT pg_advisory_lock\(\s*{v}\s*\)`), Run: runAdvisoryLock},
+		{Name: "hidden set", Columns: []column{{"value", oidText}}, Pattern: pattern(`SELECT \* FROM remember\(\s*{v}\s*\)`), Run: runRemember},
+		{Name: "release", Columns: []column{{"value", oidText}}, Write: true, Pattern: pattern(`SELECT release_locker\(\s*{v}\s*\)`), Run: runRelease},
+		{Name: "copy", Write: true, Pattern: pattern(`(?:WITH x AS \(SELECT 1\) )?COPY (\w+) FROM STDIN`), Run: runCopy},
 		{Name: "fence", Columns: statusColumns, Pattern: pattern(`SELECT \* FROM oriole_fence\(\s*{v}\s*,\s*{v}\s*\)`), Run: runFence},
 		{Name: "promote", Columns: statusColumns, Pattern: pattern(`SELECT \* FROM oriole_promote\(\s*{v}\s*,\s*{v}\s*\)`), Run: runPromote},
 		{Name: "follow", Columns: statusColumns, Pattern: pattern(`SELECT \* FROM oriole_follow\(\s*{v}\s*,\s*{v}\s*\)`), Run: runFollow},
@@ -256,6 +264,34 @@
 	return result{Tag: "DISCARD ALL"}
 }
 
+func runReset(_ context.Context, s *session, _ []string) result {
+	s.settings = map[string]string{}
+	return result{Tag: "RESET"}
+}
+
+// runAdvisoryLock takes a lock that lasts as long as the session.
+func runAdvisoryLock(_ context.Context, s *session, a []string) result {
+	s.settings["lock"] = a[0]
+	return result{Columns: []column{{"pg_advisory_lock", oidText}}, Rows: [][]string{{""}}, Tag: "SELECT 1"}
+}
+
+// runRemember is a set-returning function that hides a SET from a reader of the
+// statement; the tag still tells.
+func runRemember(_ context.Context, s *session, a []string) result {
+	s.settings["remembered"] = a[0]
+	return result{Columns: []column{{"value", oidText}}, Rows: [][]string{{a[0]}}, Tag: "SET"}
+}
+
+// runRelease is a function with an effect, called in a SELECT.
+func runRelease(_ context.Context, s *session, a []string) result {
+	s.stage(Op{Table: "ledger", Key: a[0], Value: "1", Add: true})
+	return result{Columns: []column{{"value", oidText}}, Rows: [][]string{{a[0]}}, Tag: "SELECT 1"}
+}
+
+func runCopy(_ context.Context, _ *session, _ []string) result {
+	return result{Copy: true}
+}
+
 func runDeallocate(_ context.Context, s *session, a []string) result {
 	delete(s.statements, strings.Trim(a[0], `"`))
 	return result{Tag: "DEALLOCATE"}
--- a/internal/standin/wirer/conn.go
+++ b/internal/standin/wirer/conn.go
@@ -125,6 +125,16 @@
 	return max(0, time.Until(s.chunks[0].at)), s.changed, nil
 }
 
+// Pending reports that data, or the end of the stream, has arrived.
+func (c *conn) Pending() bool {
+	wait, _, err := c.in.look()
+	if err != nil {
+		return true
+	}
+	cut, _ := c.net.stalled(c.remote, c.local)
+	return wait == 0 && !cut
+}
+
 func (s *stream) pop(p []byte) (int, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/pkg/refuser/reasons.go
+++ b/pkg/refuser/reasons.go
@@ -59,14 +59,39 @@
 		Title: "not supported through the proxy",
 		Text:  "The message or statement can't work over shared connections. docs/CALLERS.md lists what is not supported.",
 	}
+	SessionState = &Reason{
+		Code: "OR403", Name: "session-state", Since: "0.1", SQLState: "0A000", Outcome: NotRun,
+		Title: "would leave state on a shared connection",
+		Text:  "The statement leaves something behind on its connection (session lock, temporary object, cursor, COPY), which the next caller would meet. Use the form that ends with its transaction.",
+	}
+	RequestTooLarge = &Reason{
+		Code: "OR404", Name: "request-too-large", Since: "0.1", SQLState: "54000", Outcome: NotRun,
+		Title: "request too large",
+		Text:  "The request, up to its Sync, or the number of the caller's prepared statements is beyond what an instance keeps for one caller. Send less at once, or close statements.",
+	}
+	FloorUnknown = &Reason{
+		Code: "OR205", Name: "floor-unknown", Since: "0.1", SQLState: "57P03", Outcome: NotRun, RetryAfter: 500 * time.Millisecond,
+		Title: "the caller's own work can't be located",
+		Text:  "The caller came without a session token, and no majority of the group answers, so nobody can tell which of its earlier writes a read must show. Callers with a token, and those connected before, are still served.",
+	}
+	TransactionAborted = &Reason{
+		Code: "OR305", Name: "transaction-aborted", Since: "0.1", SQLState: "25P02", Outcome: NotRun,
+		Title: "the transaction has already been lost",
+		Text:  "An earlier request of the transaction failed for good. Everything up to ROLLBACK or COMMIT is refused, as PostgreSQL does, so that the rest of a lost transaction can't run on its own.",
+	}
+	AnswerTooLarge = &Reason{
+		Code: "OR306", Name: "answer-too-large", Since: "0.1", SQLState: "54000", Outcome: Unknown,
+		Title: "answer too large to hold until the commit is confirmed",
+		Text:  "More followed a COMMIT in the same request than an instance holds back. The commit may have taken effect. Send the COMMIT alone.",
+	}
 )
 
 // Reasons lists them all, in the order of their codes.
 var Reasons = []*Reason{
 	NoService, NoConfiguration,
-	NoPrimary, NoTarget, NoConnection,
-	ConnectionLost, NotConfirmed, TransactionLost, ReadLost,
-	BadToken, Unsupported,
+	NoPrimary, NoTarget, NoConnection, FloorUnknown,
+	ConnectionLost, NotConfirmed, TransactionLost, ReadLost, TransactionAborted, AnswerTooLarge,
+	BadToken, Unsupported, SessionState, RequestTooLarge,
 }
 
 // Retired lists codes that must not be used again.
