Silent connections found by probes; at most once and read-your-writes in fleets

Cause: an answer that never came was waited for without end, on frozen targets, on connections that lost their other end, and on primaries that had been replaced. Ruled out: a timeout for each request. It can't tell a long statement from a lost one, and would call both unknown. A fresh connection asks the target what the session does; idle twice in a row is lost, active is waited for.

--- a/internal/commander/postgres.go
+++ b/internal/commander/postgres.go
@@ -35,10 +35,12 @@
 		links map[string]*link
 	}
 
-	// link is the connection to one target; its mutex is held during an order.
+	// link is the connection to one target. Orders take turns on it: turn holds
+	// one value while nobody uses it. A mutex would keep an order waiting past
+	// its own timeout behind one to a frozen target.
 	link struct {
-		mutex sync.Mutex
-		conn  *pgconn.PgConn
+		turn chan struct{}
+		conn *pgconn.PgConn
 	}
 )
 
@@ -49,9 +51,9 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, l := range p.links {
-		l.mutex.Lock()
+		<-l.turn
 		l.drop()
-		l.mutex.Unlock()
+		l.turn <- struct{}{}
 	}
 }
 
@@ -85,7 +87,8 @@
 	}
 	l := p.links[address]
 	if l == nil {
-		l = &link{}
+		l = &link{turn: make(chan struct{}, 1)}
+		l.turn <- struct{}{}
 		p.links[address] = l
 	}
 	return l
@@ -99,8 +102,12 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	l := p.link(address)
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	select {
+	case <-l.turn:
+		defer func() { l.turn <- struct{}{} }()
+	case <-ctx.Done():
+		return Status{}, errors.Wrapf(ctx.Err(), "order to %s", address)
+	}
 	if err := l.open(ctx, p, address); err != nil {
 		return Status{}, err
 	}
--- a/internal/networker/quiet.go
+++ b/internal/networker/quiet.go
@@ -11,12 +11,18 @@
 	Pending() bool
 }
 
+// wrapper is a connection around another one.
+type wrapper interface{ NetConn() net.Conn }
+
 // Quiet reports that nothing can be read from an idle connection: neither data,
 // nor its end. A request must not go out on a connection that isn't quiet. One
 // that has ended loses the request with an unknown outcome, though the target
 // never saw it; one that holds an answer too many would give it to the next
 // caller. The look costs one system call and takes nothing from the stream.
 func Quiet(c net.Conn) bool {
+	for w, ok := c.(wrapper); ok; w, ok = c.(wrapper) {
+		c = w.NetConn()
+	}
 	if p, ok := c.(pender); ok {
 		return !p.Pending()
 	}
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -226,7 +226,7 @@
 	s := x.session
 	switch {
 	case !x.commit.IsZero():
-		if !x.confirm() {
+		if !x.confirm(ctx) {
 			x.refusal = refuser.New(refuser.NotConfirmed, "position %v", x.commit)
 			return endRefused, true
 		}
@@ -273,16 +273,14 @@
 
 // confirm asks the primary whether a majority of the group holds the commit. The
 // answer yes can't become wrong: see runAwait of the stand-in and docs/TARGET.md.
-func (x *exchange) confirm() bool {
+func (x *exchange) confirm(ctx context.Context) bool {
 	q := fmt.Sprintf("SELECT oriole_await(%d, %d, %d)", x.commit.Term, x.commit.Offset, confirmTimeout.Milliseconds())
-	_ = x.conn.SetReadDeadline(time.Now().Add(confirmTimeout + time.Second))
-	defer func() { _ = x.conn.SetReadDeadline(time.Time{}) }()
 	if _, err := x.conn.Write(encode(&pgproto3.Query{String: q})); err != nil {
 		return false
 	}
 	held := false
 	for {
-		m, err := x.conn.Frontend.Receive()
+		m, err := x.receive(ctx)
 		if err != nil {
 			return false
 		}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -28,6 +28,7 @@
 	table   *router.Table
 	group   *router.Group
 	choice  router.Choice
+	alert   bool // a connection was silent
 }
 
 // attempt tries a request until it is answered, or must be refused.
@@ -88,7 +89,7 @@
 	}
 	x := newExchange(s, c, t.request, false)
 	x.need, x.await, x.strict = t.choice.Need, t.choice.Await, t.strict()
-	x.held = x.strict
+	x.held, x.alert = x.strict, t.alert
 	if x.strict {
 		s.want()
 	}
@@ -111,6 +112,7 @@
 		t.request.read, t.request.pure = false, false
 	default:
 		s.Count("retry.not-run")
+		t.alert = t.alert || errors.Is(x.err, errSilent)
 		t.avoid = append(t.avoid, t.choice.Member)
 		if !t.choice.Replica {
 			s.wait(ctx, t.table, redoPause)
--- /dev/null
+++ b/internal/relayer/consistency_test.go
@@ -0,0 +1,164 @@
+package relayer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/commander"
+	"github.com/oriolegw/oriolegw/pkg/orderer"
+	"github.com/oriolegw/oriolegw/pkg/refuser"
+	"github.com/shoenig/test/must"
+)
+
+// promote makes another member the primary, as a promoter would: it fences a
+// majority for the next term and promotes the newest of it. Members that can't
+// be reached are left as they are.
+func (s *stage) promote(ip, zone string) {
+	s.Helper()
+	orders := &commander.Postgres{Network: s.Net.Host(ip, zone), Application: "promoter"}
+	defer orders.Close()
+	var fenced []string
+	var newest orderer.Position
+	best := ""
+	var term uint64
+	for _, m := range s.Members {
+		term = max(term, m.Status().Term)
+	}
+	term++
+	for _, m := range s.Members {
+		st, err := orders.Fence(s.ctx, m.Address, term, "test")
+		if err != nil {
+			continue
+		}
+		fenced = append(fenced, m.Address)
+		if best == "" || st.Received.Compare(newest) > 0 {
+			best, newest = m.Address, st.Received
+		}
+	}
+	must.GreaterEq(s.T, 2, len(fenced))
+	_, err := orders.Promote(s.ctx, best, term, "test")
+	must.NoError(s.T, err)
+	for _, a := range fenced {
+		if a != best {
+			_, err := orders.Follow(s.ctx, a, term, best)
+			must.NoError(s.T, err)
+		}
+	}
+}
+
+// The caller lodges a sheet through one instance and reads it through another,
+// at once, with or without its token. In between something happens. The read
+// must show the sheet whatever replica or primary it lands on.
+func TestReadYourWrites(t *testing.T) {
+	lag := func(s *stage) {
+		for _, m := range s.Members {
+			m.Faults.SetReplayLag(2 * time.Second)
+		}
+	}
+	cases := map[string]struct {
+		before  func(s *stage)
+		between func(s *stage)
+	}{
+		"nothing":               {},
+		"replicas lag":          {before: lag},
+		"promotion":             {before: lag, between: func(s *stage) { s.promote("10.0.9.9", "b") }},
+		"first instance killed": {before: lag, between: func(s *stage) { s.KillInstance(s.Instances[0]) }},
+		"primary killed, promotion": {before: lag, between: func(s *stage) {
+			s.KillTarget(s.Target("1"))
+			s.promote("10.0.9.9", "b")
+		}},
+		"first instance's zone cut": {before: lag, between: func(s *stage) {
+			s.Net.Cut("a", "b")
+			s.Net.Cut("a", "c")
+			s.promote("10.0.9.9", "b")
+		}},
+	}
+	for name, c := range cases {
+		for _, token := range []bool{true, false} {
+			t.Run(name+map[bool]string{true: ", token", false: ", no token"}[token], func(t *testing.T) {
+				run(t, plan(), func(s *stage) {
+					if c.before != nil {
+						c.before(s)
+					}
+					readBack(s, c.between, token)
+				})
+			})
+		}
+	}
+}
+
+func readBack(s *stage, between func(*stage), token bool) {
+	w := s.open(0, nil)
+	s.exec(w, "INSERT INTO ledger VALUES ('sheet', 'lodged')")
+	p := map[string]string{}
+	if token {
+		p["oriole.token"] = w.PgConn().ParameterStatus("oriole.token")
+	}
+	if between != nil {
+		between(s)
+	}
+	for i := 1; i < len(s.Instances); i++ {
+		r := s.open(i, p)
+		must.Eq(s.T, "lodged", s.get(r, "SELECT value FROM ledger WHERE key = 'sheet'"))
+	}
+}
+
+// An availability zone with the primary is cut off; the others promote another
+// and go on. Callers inside can't be shown their newest work: those with no
+// token are told so, those with one of before the cut are served as long as the
+// stated age allows it, and nobody reads old data as new.
+func TestCutZone(t *testing.T) {
+	run(t, plan(), func(s *stage) {
+		early := s.open(0, nil)
+		s.exec(early, "INSERT INTO ledger VALUES ('a', '1')")
+		s.Net.Cut("a", "b")
+		s.Net.Cut("a", "c")
+		s.promote("10.0.9.9", "b")
+		other := s.open(1, nil)
+		s.exec(other, "UPDATE ledger SET value = value + 1 WHERE key = 'a'")
+		token := other.PgConn().ParameterStatus("oriole.token")
+		time.Sleep(time.Second)
+
+		must.Eq(t, "1", s.get(early, "SELECT value FROM ledger WHERE key = 'a'"))
+		_, err := s.open(0, nil).Exec(s.ctx, "SELECT value FROM ledger WHERE key = 'a'")
+		s.refused(err, refuser.FloorUnknown)
+		_, err = s.open(0, map[string]string{"oriole.token": token}).Exec(s.ctx, "SELECT value FROM ledger WHERE key = 'a'")
+		s.refused(err, refuser.NoTarget)
+		time.Sleep(10 * time.Second)
+		_, err = early.Exec(s.ctx, "SELECT value FROM ledger WHERE key = 'a'")
+		s.refused(err, refuser.NoTarget)
+
+		s.Net.HealAll()
+		time.Sleep(2 * time.Second)
+		must.Eq(t, "2", s.get(s.open(0, nil), "SELECT value FROM ledger WHERE key = 'a'"))
+	})
+}
+
+// The kind of request accepts no age. The primary is cut off from the others
+// only, so it still answers this instance, and does not know that it has been
+// replaced. Its answer must not pass for the newest.
+func TestStrictReadFromAnOldPrimary(t *testing.T) {
+	p := plan()
+	run(t, p, func(s *stage) {
+		c := s.open(0, map[string]string{"oriole.kind": "strict"})
+		s.exec(c, "INSERT INTO ledger VALUES ('a', '1')")
+		must.Eq(t, "1", s.get(c, "SELECT value FROM ledger WHERE key = 'a'"))
+		// Member 1 and instance 1 are in zone a: cut both off, not from each
+		// other, and promote elsewhere.
+		s.Net.Cut("a", "b")
+		s.Net.Cut("a", "c")
+		s.promote("10.0.9.9", "b")
+		_, err := c.Exec(s.ctx, "/* kind=strict */ SELECT value FROM ledger WHERE key = 'a'")
+		s.refused(err, refuser.NoTarget)
+	})
+}
+
+// A token must not lift or sink anybody's floor but that of its own session.
+func TestBadTokens(t *testing.T) {
+	run(t, plan(), func(s *stage) {
+		for _, token := range []string{"x", "AAAA", "AgEHbG9ja2Vycw"} {
+			_, err := s.Connect(s.ctx, s.Instances[0], service, map[string]string{"oriole.token": token})
+			s.refused(err, refuser.BadToken)
+		}
+	})
+}
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"slices"
 	"time"
 
@@ -33,6 +32,11 @@
 		strict  bool
 		started time.Time
 
+		silence silence
+		// alert is set after another connection was found silent: whatever lost
+		// track of one has often lost track of more.
+		alert bool
+
 		expected  []byte   // the answers still to come, see the constants
 		preparing []string // statements sent and not yet answered
 		defining  []string // the caller's names of Parse steps not yet answered
@@ -100,8 +104,10 @@
 
 // run forwards a request and takes its answer.
 func (x *exchange) run(ctx context.Context, r *request) end {
+	defer func() { _ = x.conn.SetReadDeadline(time.Time{}) }()
 	stop := context.AfterFunc(ctx, func() { _ = x.conn.SetDeadline(time.Now()) })
 	defer stop()
+	x.listen(time.Now())
 	if !x.facts.inTransaction && !x.facts.written && !networker.Quiet(x.conn.Conn) {
 		return x.lost(errNotQuiet)
 	}
@@ -152,16 +158,6 @@
 	return nil
 }
 
-// receive takes the target's next message.
-func (x *exchange) receive(ctx context.Context) (pgproto3.BackendMessage, error) {
-	m, err := x.conn.Frontend.Receive()
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() && ctx.Err() != nil {
-		return nil, ctx.Err()
-	}
-	return m, err
-}
-
 // prepareSession gives the connection the caller's settings, when it was last
 // lent to a caller with others.
 func (x *exchange) prepareSession(ctx context.Context) error {
--- /dev/null
+++ b/internal/relayer/fate_test.go
@@ -0,0 +1,223 @@
+package relayer_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/oriolegw/oriolegw/pkg/refuser"
+	"github.com/shoenig/test/must"
+)
+
+const increment = "UPDATE ledger SET value = value + 1 WHERE key = 'a'"
+
+// Connections that are open stop answering for good, new ones work. Callers
+// that wait on an old one get an answer that is true, soon, and the next
+// request runs on a new one.
+func TestSilentConnections(t *testing.T) {
+	cases := map[string]struct {
+		sql    string
+		begin  bool
+		reason *refuser.Reason // nil: answered all the same
+	}{
+		"a write":                      {sql: increment, reason: refuser.ConnectionLost},
+		"a read":                       {sql: "SELECT value FROM ledger WHERE key = 'a'"},
+		"a statement of a transaction": {sql: increment, begin: true, reason: refuser.TransactionLost},
+		"a COMMIT":                     {sql: "COMMIT", begin: true, reason: refuser.ConnectionLost},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			run(t, plan(), func(s *stage) {
+				a := s.open(0, nil)
+				s.exec(a, "INSERT INTO ledger VALUES ('a', '1')")
+				time.Sleep(time.Second)
+				s.get(a, "SELECT value FROM ledger WHERE key = 'a'")
+				if c.begin {
+					s.exec(a, "BEGIN")
+				}
+				for _, m := range s.Members {
+					m.SilenceOpen()
+				}
+				started := time.Now()
+				_, err := a.Exec(s.ctx, c.sql, pgx.QueryExecModeSimpleProtocol)
+				must.LessEq(t, 2500*time.Millisecond, time.Since(started))
+				if c.reason == nil {
+					must.NoError(t, err)
+				} else {
+					s.refused(err, c.reason)
+				}
+				s.exec(a, "ROLLBACK")
+				s.exec(a, increment)
+			})
+		})
+	}
+}
+
+// A statement may take long: nothing is heard from its connection either, but
+// the target says that it is running.
+func TestLongStatement(t *testing.T) {
+	run(t, plan(), func(s *stage) {
+		a := s.open(0, nil)
+		started := time.Now()
+		s.exec(a, "BEGIN")
+		s.exec(a, "SELECT pg_sleep(45)")
+		s.exec(a, "COMMIT")
+		must.GreaterEq(t, 45*time.Second, time.Since(started))
+	})
+}
+
+// The target runs the write and its answer is lost. The caller is told that the
+// outcome is unknown, and nothing sends the write again.
+func TestLostAnswer(t *testing.T) {
+	run(t, plan(), func(s *stage) {
+		a := s.open(0, nil)
+		s.exec(a, "INSERT INTO ledger VALUES ('a', '0')")
+		s.Target("1").Faults.LoseNextAnswer()
+		_, err := a.Exec(s.ctx, increment)
+		s.refused(err, refuser.ConnectionLost)
+		must.Eq(t, 1, s.ran(increment))
+		// The caller looks: what it reads now is the primary's.
+		must.Eq(t, "1", s.get(a, "SELECT value FROM ledger WHERE key = 'a'"))
+	})
+}
+
+// A SELECT calls a function that releases a locker. On the primary it runs, and
+// its answer is lost: that is no read that changed nothing.
+func TestLostAnswerOfAFunction(t *testing.T) {
+	run(t, plan(), func(s *stage) {
+		a := s.open(0, nil)
+		s.exec(a, "INSERT INTO ledger VALUES ('a', '0')")
+		s.Target("1").Faults.LoseNextAnswer()
+		_, err := a.Exec(s.ctx, "SELECT release_locker('a')", pgx.QueryExecModeSimpleProtocol)
+		s.refused(err, refuser.ConnectionLost)
+		must.Eq(t, 1, s.ran("SELECT release_locker('a')"))
+	})
+}
+
+// The primary was restarted while its connections lay idle: the pool's are dead
+// and nobody has noticed. The write has not reached anybody; it goes out on a
+// new connection, and the caller hears of nothing.
+func TestIdleConnectionsEnded(t *testing.T) {
+	run(t, plan(), func(s *stage) {
+		a := s.open(1, nil)
+		s.exec(a, "INSERT INTO ledger VALUES ('a', '0')")
+		s.KillTarget(s.Target("1"))
+		s.RestartTarget(s.Target("1"))
+		s.exec(a, increment)
+		must.Eq(t, 1, s.ran(increment))
+	})
+}
+
+// The connection belongs to a primary that has been fenced meanwhile. It says
+// that it ran nothing; the write goes to the new primary, once.
+func TestFencedConnection(t *testing.T) {
+	run(t, plan(), func(s *stage) {
+		a := s.open(1, nil)
+		s.exec(a, "INSERT INTO ledger VALUES ('a', '0')")
+		s.promote("10.0.9.9", "b")
+		s.exec(a, increment)
+		must.Eq(t, 1, s.ran(increment))
+	})
+}
+
+// Callers add one to a counter while faults come at random moments. What they
+// were told must agree with what happened: the counter is at least the number
+// acknowledged, and at most that and the unknown ones. A request that was
+// called not run, or ran twice, breaks it.
+func TestAtMostOnce(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			p := plan()
+			p.Seed, p.Work, p.Jitter = seed, time.Millisecond, 2*time.Millisecond
+			run(t, p, func(s *stage) { atMostOnce(s, seed) })
+		})
+	}
+}
+
+type tally struct{ done, notRun, unknown int }
+
+func atMostOnce(s *stage, seed uint64) {
+	s.exec(s.open(0, nil), "INSERT INTO ledger VALUES ('a', '0')")
+	const callers, requests = 3, 30
+	results := make(chan tally, callers)
+	for i := range callers {
+		go func() { results <- s.count(i, requests) }()
+	}
+	r := rand.New(rand.NewPCG(seed, 1))
+	for range 6 {
+		time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
+		s.fault(r)
+	}
+	var sum tally
+	for range callers {
+		one := <-results
+		sum.done += one.done
+		sum.notRun += one.notRun
+		sum.unknown += one.unknown
+	}
+	s.Net.HealAll()
+	time.Sleep(5 * time.Second)
+	value, err := strconv.Atoi(s.get(s.open(1, nil), "SELECT value FROM ledger WHERE key = 'a'"))
+	must.NoError(s.T, err)
+	s.Logf("seed %d: %+v, counter %d", seed, sum, value)
+	must.Eq(s.T, callers*requests, sum.done+sum.notRun+sum.unknown)
+	must.GreaterEq(s.T, sum.done, value)
+	must.LessEq(s.T, sum.done+sum.unknown, value)
+}
+
+// count sends requests, one after another, and counts what it is told.
+func (s *stage) count(i, requests int) (t tally) {
+	var c *pgx.Conn
+	for range requests {
+		time.Sleep(20 * time.Millisecond)
+		for c == nil || c.IsClosed() {
+			c, _ = s.Connect(s.ctx, s.Instances[i], service, nil)
+			time.Sleep(10 * time.Millisecond)
+		}
+		_, err := c.Exec(s.ctx, increment)
+		var e *pgconn.PgError
+		switch {
+		case err == nil:
+			t.done++
+		case errors.As(err, &e):
+			if _, outcome, _ := refuser.Parse(e.Hint); outcome == refuser.NotRun {
+				t.notRun++
+				continue
+			}
+			t.unknown++
+		default:
+			t.unknown++
+		}
+	}
+	return t
+}
+
+// fault throws one switch.
+func (s *stage) fault(r *rand.Rand) {
+	primary := s.Members[0]
+	for _, m := range s.Members {
+		if st := m.Status(); st.Role == "primary" && st.Term >= primary.Status().Term {
+			primary = m
+		}
+	}
+	switch r.IntN(5) {
+	case 0:
+		primary.Faults.LoseNextAnswer()
+	case 1:
+		s.KillTarget(primary)
+		time.Sleep(50 * time.Millisecond)
+		s.RestartTarget(primary)
+	case 2:
+		primary.SilenceOpen()
+	case 3:
+		primary.Faults.Freeze()
+		time.Sleep(700 * time.Millisecond)
+		primary.Faults.Thaw()
+	case 4:
+		s.promote("10.0.9.9", "b")
+	}
+}
--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/standin/stager"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
 	"github.com/shoenig/test/must"
@@ -31,14 +32,25 @@
 		defer cancel()
 		f, err := stager.Start(ctx, p)
 		must.NoError(t, err)
-		defer f.Close()
+		defer func() {
+			// pgx closes failed connections in the background, for up to 15 s.
+			f.Net.HealAll()
+			f.Close()
+			time.Sleep(16 * time.Second)
+		}()
 		must.NoError(t, f.Ready(ctx))
 		test(&stage{T: t, Fleet: f, ctx: ctx})
 	})
 }
 
 func plan() stager.Plan {
-	return stager.Plan{ZoneLatency: 1500 * time.Microsecond, CallerLatency: 3 * time.Millisecond}
+	return stager.Plan{
+		ZoneLatency: 1500 * time.Microsecond, CallerLatency: 3 * time.Millisecond,
+		Services: []configurer.Service{{
+			Name: service, Connections: 60, Slots: 4,
+			Rules: []configurer.ReaderRule{{Kind: configurer.DefaultKind, MaxAge: 10 * time.Second}, {Kind: "strict"}},
+		}},
+	}
 }
 
 // open connects a caller to instance i.
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/oriolegw/oriolegw/internal/pooler"
+	"github.com/oriolegw/oriolegw/internal/prober"
 	"github.com/oriolegw/oriolegw/internal/router"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
@@ -48,6 +49,8 @@
 		Want   func(service string)
 		Pool   *pooler.Pool
 		Sealer *sealer.Sealer
+		// Prober finds silent connections; nil: they are waited for.
+		Prober *prober.Prober
 		// Explainer is told where each request went; nil: nobody.
 		Explainer *router.Explainer
 		Log       log.Logger
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -73,7 +73,7 @@
 		},
 	}
 	control.Open()
-	i.sessions.post = func(e controller.Event) { control.Post(ctx, e) }
+	i.sessions.open(i, func(e controller.Event) { control.Post(ctx, e) })
 	callers := &greeter.Greeter{Address: i.Settings.Callers, Network: i.Network, Log: i.Log, Open: i.open}
 	ended := make(chan error, 3)
 	go func() { ended <- errors.Wrap(control.Run(ctx), "control") }()
--- a/internal/standin/replicator/session.go
+++ b/internal/standin/replicator/session.go
@@ -446,7 +446,7 @@
 }
 
 // controls are the shapes that need no slot and are not recorded.
-var controls = map[string]bool{"status": true, "await": true, "replayed": true, "fence": true, "promote": true, "follow": true}
+var controls = map[string]bool{"status": true, "await": true, "replayed": true, "activity": true, "fence": true, "promote": true, "follow": true}
 
 func (m *Member) record(r Record) {
 	r.At = time.Now()
--- a/internal/standin/replicator/statements.go
+++ b/internal/standin/replicator/statements.go
@@ -88,6 +88,7 @@
 		{Name: "status", Columns: statusColumns, Pattern: pattern(`SELECT \* FROM oriole_status\(\)`), Run: runStatus},
 		{Name: "await", Columns: []column{{"oriole_await", oidBool}}, Pattern: pattern(`SELECT oriole_await\(\s*{v}\s*,\s*{v}\s*,\s*{v}\s*\)`), Run: runAwait},
 		{Name: "replayed", Columns: []column{{"oriole_replayed", oidBool}}, Pattern: pattern(`SELECT oriole_replayed\(\s*{v}\s*,\s*{v}\s*,\s*{v}\s*\)`), Run: runReplayed},
+		{Name: "activity", Columns: []column{{"state", oidText}}, Pattern: pattern(`SELECT state FROM pg_stat_activity WHERE pid\s*=\s*{v}`), Run: runActivity},
 		{Name: "advisory lock", Columns: []column{{"pg_advisory_lock", oidText}}, Pattern: pattern(`SELECT pg_advisory_lock\(\s*{v}\s*\)`), Run: runAdvisoryLock},
 		{Name: "hidden set", Columns: []column{{"value", oidText}}, Pattern: pattern(`SELECT \* FROM remember\(\s*{v}\s*\)`), Run: runRemember},
 		{Name: "release", Columns: []column{{"value", oidText}}, Write: true, Pattern: pattern(`SELECT release_locker\(\s*{v}\s*\)`), Run: runRelease},
@@ -269,6 +270,25 @@
 	return result{Tag: "RESET"}
 }
 
+// runActivity tells what a session of this member does.
+func runActivity(_ context.Context, s *session, a []string) result {
+	m := s.member
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	r := result{Columns: []column{{"state", oidText}}, Tag: "SELECT 0"}
+	for o := range m.sessions {
+		if strconv.FormatUint(uint64(o.pid), 10) != a[0] {
+			continue
+		}
+		state := "idle"
+		if o.running.Load() != nil {
+			state = "active"
+		}
+		r.Rows, r.Tag = [][]string{{state}}, "SELECT 1"
+	}
+	return r
+}
+
 // runAdvisoryLock takes a lock that lasts as long as the session.
 func runAdvisoryLock(_ context.Context, s *session, a []string) result {
 	s.settings["lock"] = a[0]
--- a/internal/standin/wirer/conn.go
+++ b/internal/standin/wirer/conn.go
@@ -178,6 +178,8 @@
 func (c *conn) Write(p []byte) (int, error) {
 	s := c.out
 	for {
+		// The network's mutex goes before that of a stream.
+		delay := c.net.latency(c.local, c.remote)
 		s.mutex.Lock()
 		if s.failure != nil || s.finished {
 			err := s.failure
@@ -188,7 +190,7 @@
 			return 0, err
 		}
 		if s.size < window {
-			at := time.Now().Add(c.net.latency(c.local, c.remote))
+			at := time.Now().Add(delay)
 			if at.Before(s.last) {
 				at = s.last
 			}
@@ -209,10 +211,11 @@
 
 // Close implements net.Conn: the other end reads what was sent, then io.EOF.
 func (c *conn) Close() error {
+	delay := c.net.latency(c.local, c.remote)
 	c.out.mutex.Lock()
 	if !c.out.finished {
 		c.out.finished = true
-		c.out.last = time.Now().Add(c.net.latency(c.local, c.remote))
+		c.out.last = time.Now().Add(delay)
 		c.out.wake()
 	}
 	c.out.mutex.Unlock()
