Cancels that can't hit the next caller; stray, cut and pipelined answers

Cause: cancels were passed over; keys were random and named no instance. An answer too many was taken for that to the next request on the connection. Flush, function calls and COPY met no test. Now: a key names its instance, session and a secret; a connection is lent on only when the cancel's own connection has closed; a request that still waits is cancelled as not run. Each exchange begins with a Sync whose ReadyForQuery must come first, and each message must fit what is expected. Ruled out: a nonce in a query before each request, which costs the target a statement; a Sync behind each request as well: it would find only an answer that the target inserts within an exchange. Not covered: two targets' whole answers of the same form exchanged for each other. The protocol carries nothing that would tell.

--- a/internal/greeter/greeter.go
+++ b/internal/greeter/greeter.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"math/rand/v2"
 	"net"
 	"time"
 
@@ -28,6 +27,8 @@
 		// Open makes the session of a caller from its start-up parameters, or
 		// refuses it.
 		Open func(parameters map[string]string) (*relayer.Session, *refuser.Refusal)
+		// Cancel carries out a cancel request; nil: it is passed over.
+		Cancel func(ctx context.Context, pid, secret uint32)
 	}
 
 	ended struct{ err error }
@@ -79,7 +80,7 @@
 	defer stop()
 	_ = conn.SetDeadline(time.Now().Add(startTimeout))
 	b := pgproto3.NewBackend(conn, conn)
-	parameters, err := start(conn, b)
+	parameters, err := g.start(ctx, conn, b)
 	if err != nil || parameters == nil {
 		return err
 	}
@@ -101,7 +102,7 @@
 
 // start returns the caller's parameters; nil for a connection that only brought
 // a cancel request.
-func start(conn net.Conn, b *pgproto3.Backend) (map[string]string, error) {
+func (g *Greeter) start(ctx context.Context, conn net.Conn, b *pgproto3.Backend) (map[string]string, error) {
 	for {
 		m, err := b.ReceiveStartupMessage()
 		if err != nil {
@@ -111,6 +112,9 @@
 		case *pgproto3.StartupMessage:
 			return m.Parameters, nil
 		case *pgproto3.CancelRequest:
+			if g.Cancel != nil && len(m.SecretKey) == 4 {
+				g.Cancel(ctx, m.ProcessID, binary.BigEndian.Uint32(m.SecretKey))
+			}
 			return nil, nil
 		default: // encryption is asked for
 			if _, err := conn.Write([]byte("N")); err != nil {
@@ -134,8 +138,7 @@
 	} {
 		b.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
-	secret := binary.BigEndian.AppendUint32(nil, rand.Uint32())
-	b.Send(&pgproto3.BackendKeyData{ProcessID: rand.Uint32() >> 1, SecretKey: secret})
+	b.Send(&pgproto3.BackendKeyData{ProcessID: s.PID, SecretKey: binary.BigEndian.AppendUint32(nil, s.Secret)})
 	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 	return b.Flush()
 }
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -23,7 +23,7 @@
 	errFenced    = errors.New("the target obeys a newer term")
 	errReadOnly  = errors.New("a replica refused a write")
 	errFatal     = errors.New("the target ended the connection")
-	errNotReady  = errors.New("an answer that belongs to no request")
+	errCrossed   = errors.New("the target sent an answer that belongs to no request")
 	errTooLarge  = errors.New("the answer behind a COMMIT is too large to hold")
 	errOutdated  = errors.New("a newer term began while a read was answered")
 	errBehind    = errors.New("the replica does not hold what the answer must show")
@@ -39,15 +39,27 @@
 		return 0, false
 	case *pgproto3.NotificationResponse:
 		return 0, false
+	case *pgproto3.NoticeResponse:
+		if !x.opening && !x.awaiting && !x.behind {
+			x.session.emit(m)
+		}
+		return 0, false
 	case *pgproto3.ErrorResponse:
 		return x.fail(m)
 	case *pgproto3.ReadyForQuery:
+		if x.opening {
+			x.opening = false
+			return 0, false
+		}
 		if x.awaiting {
 			x.awaiting = false
 			return 0, false
 		}
 		return x.ready(ctx, m)
 	}
+	if x.opening {
+		return x.lost(errCrossed), true
+	}
 	if x.awaiting {
 		if row, ok := m.(*pgproto3.DataRow); ok {
 			x.behind = len(row.Values) != 1 || string(row.Values[0]) != "t"
@@ -64,6 +76,9 @@
 func (x *exchange) forward(ctx context.Context, m pgproto3.BackendMessage) (e end, done bool) {
 	s := x.session
 	x.skipKnown()
+	if !x.fits(m) {
+		return x.lost(errCrossed), true
+	}
 	switch m := m.(type) {
 	case *pgproto3.ParseComplete:
 		x.preparing = x.preparing[min(1, len(x.preparing)):]
@@ -78,6 +93,7 @@
 	case *pgproto3.CommandComplete:
 		x.completed(m.CommandTag)
 	case *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
+		x.answered = true
 		x.popUnless('Q')
 	case *pgproto3.BindComplete, *pgproto3.NoData:
 		x.pop()
@@ -94,8 +110,36 @@
 	return x.relieve(ctx)
 }
 
+// fits reports whether a message may come now.
+func (x *exchange) fits(m pgproto3.BackendMessage) bool {
+	if len(x.expected) == 0 {
+		return false
+	}
+	k := x.expected[0]
+	switch m.(type) {
+	case *pgproto3.ParseComplete:
+		return k == 'P' || k == answerHiddenParse
+	case *pgproto3.BindComplete:
+		return k == 'B'
+	case *pgproto3.CloseComplete:
+		return k == 'C' || k == answerHiddenClose
+	case *pgproto3.ParameterDescription, *pgproto3.NoData:
+		return k == 'D'
+	case *pgproto3.RowDescription:
+		return k == 'D' || k == 'Q'
+	case *pgproto3.PortalSuspended:
+		return k == 'E'
+	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
+		return k == 'E' || k == 'Q'
+	case *pgproto3.DataRow, *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse:
+		return k == 'E' || k == 'Q'
+	}
+	return false
+}
+
 // completed notes what the tag of a finished statement tells.
 func (x *exchange) completed(tag []byte) {
+	x.answered = true
 	x.popUnless('Q')
 	x.held = x.held || !x.request.read
 	switch {
@@ -181,6 +225,9 @@
 
 // fail handles an error of the target.
 func (x *exchange) fail(m *pgproto3.ErrorResponse) (e end, done bool) {
+	if x.opening {
+		return x.lost(errors.Wrap(errCrossed, m.Code+" "+m.Message)), true
+	}
 	if x.awaiting { // the target can't tell: it may be behind
 		x.behind = true
 		return 0, false
@@ -219,8 +266,8 @@
 		return endBehind, true
 	}
 	x.skipKnown()
-	if x.pop(); len(x.expected) > 0 {
-		return x.lost(errNotReady), true
+	if len(x.expected) > 1 || (len(x.expected) == 1 && x.expected[0] == 'Q' && !x.answered) {
+		return x.lost(errCrossed), true
 	}
 	x.status = m.TxStatus
 	s := x.session
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -24,6 +24,7 @@
 	session *Session
 	request *request
 	started time.Time
+	wait    context.Context // ends with a cancel while no target has the request
 	avoid   []int
 	table   *router.Table
 	group   *router.Group
@@ -44,16 +45,22 @@
 		x := newExchange(s, c, r, true)
 		return s.finish(x, x.run(ctx, r))
 	}
-	t := &try{session: s, request: r, started: time.Now()}
+	wait, done := s.cancels.waiting(ctx)
+	defer done()
+	t := &try{session: s, request: r, started: time.Now(), wait: wait}
 	for {
 		done, refusal := t.once(ctx)
-		if done {
-			t.explain(refusal)
-			return refusal
-		}
-		if ctx.Err() != nil {
-			return refuser.New(refuser.NoPrimary, "the instance is stopping")
+		switch {
+		case done:
+		case ctx.Err() != nil:
+			refusal = refuser.New(refuser.NoPrimary, "the instance is stopping")
+		case wait.Err() != nil:
+			refusal = refuser.New(refuser.Cancelled, "while it waited")
+		default:
+			continue
 		}
+		t.explain(refusal)
+		return refusal
 	}
 }
 
@@ -68,23 +75,26 @@
 		return true, t.noTarget()
 	}
 	if wait, refusal := t.needFloor(); refusal != nil || wait {
-		s.wait(ctx, t.table, min(left, floorWait))
+		s.wait(t.wait, t.table, min(left, floorWait))
 		return refusal != nil, refusal
 	}
 	t.choice = t.group.Choose(time.Now(), t.question())
 	if t.choice.Member < 0 {
 		t.avoid = nil
-		s.wait(ctx, t.table, left)
+		s.wait(t.wait, t.table, left)
+		return false, nil
+	}
+	c, err := s.borrow(t.wait, t.group, t.choice, left)
+	if err != nil && t.wait.Err() != nil {
 		return false, nil
 	}
-	c, err := s.borrow(ctx, t.group, t.choice, left)
 	if errors.Is(err, pooler.ErrBusy) {
 		return true, refuser.New(refuser.NoConnection, "service %q", s.Service)
 	}
 	if err != nil {
 		s.Count("retry.connect")
 		t.avoid = append(t.avoid, t.choice.Member)
-		s.wait(ctx, t.table, redoPause)
+		s.wait(t.wait, t.table, redoPause)
 		return false, nil
 	}
 	x := newExchange(s, c, t.request, false)
@@ -100,12 +110,15 @@
 // judge decides whether the request may be tried again.
 func (t *try) judge(ctx context.Context, x *exchange, e end) (done bool, refusal *refuser.Refusal) {
 	s := t.session
+	again := e == endBehind || (e == endLost && !s.sent && x.facts.outcome() == refuser.NotRun)
+	if !again {
+		return true, s.finish(x, e)
+	}
+	s.giveBack(x.conn, e == endLost)
 	switch {
 	case e == endBehind:
 		s.Count("retry.behind")
 		t.avoid = append(t.avoid, t.choice.Member)
-	case e != endLost || s.sent || x.facts.outcome() != refuser.NotRun:
-		return true, s.finish(x, e)
 	case x.writeMet:
 		// A replica met a write that its words did not show.
 		s.Count("retry.write")
@@ -115,10 +128,9 @@
 		t.alert = t.alert || errors.Is(x.err, errSilent)
 		t.avoid = append(t.avoid, t.choice.Member)
 		if !t.choice.Replica {
-			s.wait(ctx, t.table, redoPause)
+			s.wait(t.wait, t.table, redoPause)
 		}
 	}
-	s.giveBack(x.conn, e == endLost)
 	return false, nil
 }
 
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -40,7 +40,9 @@
 		expected  []byte   // the answers still to come, see the constants
 		preparing []string // statements sent and not yet answered
 		defining  []string // the caller's names of Parse steps not yet answered
+		answered  bool     // a statement has been answered
 		failed    bool     // an error came; the target skips up to Sync
+		opening   bool     // the ReadyForQuery of the leading Sync is still to come
 		awaiting  bool     // the answer to the hidden question is still to come
 		behind    bool     // it was no: what follows isn't used
 		writeMet  bool
@@ -87,6 +89,8 @@
 	confirmTimeout = 3 * time.Second
 )
 
+var syncMessage = encode(&pgproto3.Sync{})
+
 func newExchange(s *Session, c *pooler.Conn, r *request, inTransaction bool) *exchange {
 	return &exchange{
 		session: s, conn: c, request: r, started: time.Now(), status: s.status,
@@ -108,6 +112,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = x.conn.SetDeadline(time.Now()) })
 	defer stop()
 	x.listen(time.Now())
+	x.session.cancels.lent(x.conn)
+	defer func() { x.conn.Tainted = x.session.cancels.taken() || x.conn.Tainted }()
 	if !x.facts.inTransaction && !x.facts.written && !networker.Quiet(x.conn.Conn) {
 		return x.lost(errNotQuiet)
 	}
@@ -135,7 +141,7 @@
 
 // pausedAtFlush reports that all answers up to the Flush have come.
 func (x *exchange) pausedAtFlush() bool {
-	return x.request.flush && !x.awaiting && (x.failed || len(x.expected) == 0)
+	return x.request.flush && !x.opening && !x.awaiting && (x.failed || len(x.expected) == 0)
 }
 
 func (x *exchange) lost(err error) end {
@@ -206,6 +212,11 @@
 	}
 	var out []byte
 	if !x.facts.written {
+		// A Sync goes first, and its ReadyForQuery must come first: an answer too
+		// many to an earlier request, however late, then stands where none may,
+		// and isn't taken for the answer to this one. It costs no round trip.
+		x.opening = true
+		out = append(out, syncMessage...)
 		out = x.ask(out)
 		out = x.forget(out, r)
 	}
@@ -250,7 +261,7 @@
 		return nil
 	}
 	x.expected = []byte{'S'}
-	return encode(&pgproto3.Sync{})
+	return syncMessage
 }
 
 // ask puts a question before a read: the target answers it when it has
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/oriolegw/oriolegw/internal/networker"
 	"github.com/oriolegw/oriolegw/internal/pooler"
 	"github.com/oriolegw/oriolegw/internal/prober"
 	"github.com/oriolegw/oriolegw/internal/router"
@@ -49,6 +50,12 @@
 		Want   func(service string)
 		Pool   *pooler.Pool
 		Sealer *sealer.Sealer
+		// Network reaches targets with cancels.
+		Network networker.Network
+		// PID and Secret are the key with which the caller cancels.
+		PID, Secret uint32
+		// Ended is called when the session ends; nil: nothing is.
+		Ended func()
 		// Prober finds silent connections; nil: they are waited for.
 		Prober *prober.Prober
 		// Explainer is told where each request went; nil: nobody.
@@ -57,6 +64,7 @@
 		// Count counts an event by name, for the metrics.
 		Count func(name string)
 
+		cancels    cancels
 		statements map[string]*statement
 		portals    map[string]*statement
 		settings   settings
@@ -90,6 +98,9 @@
 	s.Backend.SetMaxBodyLen(maxRequest)
 	stop := context.AfterFunc(ctx, func() { _ = s.Conn.Close() })
 	defer stop()
+	if s.Ended != nil {
+		defer s.Ended()
+	}
 	defer s.drop()
 	for {
 		r, err := s.collect()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -74,7 +74,7 @@
 	}
 	control.Open()
 	i.sessions.open(i, func(e controller.Event) { control.Post(ctx, e) })
-	callers := &greeter.Greeter{Address: i.Settings.Callers, Network: i.Network, Log: i.Log, Open: i.open}
+	callers := &greeter.Greeter{Address: i.Settings.Callers, Network: i.Network, Log: i.Log, Open: i.open, Cancel: i.cancel}
 	ended := make(chan error, 3)
 	go func() { ended <- errors.Wrap(control.Run(ctx), "control") }()
 	go func() { ended <- errors.Wrap(callers.Run(ctx), "callers") }()
@@ -125,8 +125,7 @@
 		Floor: floor, Table: i.table.Load, Pool: i.pool(service), Sealer: i.sealer, Log: i.Log,
 		Count: func(n string) { i.Metrics.Counter(n).Inc(1) },
 	}
-	i.equip(s, parameters)
-	return s, nil
+	return s, i.equip(s, parameters)
 }
 
 func (i *Instance) pool(service string) *pooler.Pool {
--- a/internal/standin/replicator/faults.go
+++ b/internal/standin/replicator/faults.go
@@ -13,8 +13,12 @@
 	replayLag time.Duration
 	streamLag time.Duration
 	slow      time.Duration
+	acceptLag time.Duration
 	refuse    bool
 	loseAfter bool
+	stray     time.Duration
+	strayNext bool
+	cutRows   int
 }
 
 // Freeze stops the member: connections stay open and nothing is answered.
@@ -45,6 +49,9 @@
 // SetSlow adds to the time of each statement.
 func (f *Faults) SetSlow(d time.Duration) { f.set(func() { f.slow = d }) }
 
+// SetAcceptLag delays what comes first on each new connection, a cancel too.
+func (f *Faults) SetAcceptLag(d time.Duration) { f.set(func() { f.acceptLag = d }) }
+
 // SetRefuse makes the member close every new connection at once.
 func (f *Faults) SetRefuse(on bool) { f.set(func() { f.refuse = on }) }
 
@@ -52,6 +59,36 @@
 // in place of the answer.
 func (f *Faults) LoseNextAnswer() { f.set(func() { f.loseAfter = true }) }
 
+// StrayNext makes the member send an answer too many behind that to the next
+// statement, a little later.
+func (f *Faults) StrayNext(later time.Duration) {
+	f.set(func() { f.stray, f.strayNext = later, true })
+}
+
+// CutNext makes the member close the connection after so many rows of the next
+// answer that has more.
+func (f *Faults) CutNext(rows int) { f.set(func() { f.cutRows = rows }) }
+
+// takeStray reports, once per StrayNext, that an answer too many is due.
+func (f *Faults) takeStray() (later time.Duration, on bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	on, f.strayNext = f.strayNext, false
+	return f.stray, on
+}
+
+// takeCut reports, once per CutNext, after how many of the rows to cut.
+func (f *Faults) takeCut(rows int) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.cutRows == 0 || f.cutRows >= rows {
+		return 0
+	}
+	n := f.cutRows
+	f.cutRows = 0
+	return n
+}
+
 func (f *Faults) set(change func()) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/standin/replicator/session.go
+++ b/internal/standin/replicator/session.go
@@ -40,6 +40,7 @@
 		open       bool // inside a transaction block
 		failed     bool
 		skip       bool // after an error, until Sync
+		worked     bool // a statement has run since the last ReadyForQuery
 		ops        []Op
 		committed  orderer.Position // what the current exchange committed
 		reported   string
@@ -73,6 +74,7 @@
 	if err := m.Faults.pass(ctx); err != nil {
 		return err
 	}
+	sleep(ctx, m.Faults.read(func() time.Duration { return m.Faults.acceptLag }))
 	s := &session{
 		member: m, conn: conn, backend: pgproto3.NewBackend(conn, conn),
 		settings: map[string]string{}, statements: map[string]*prepared{}, portals: map[string]*portal{},
@@ -260,6 +262,27 @@
 		status = 'T'
 	}
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	if err := s.backend.Flush(); err != nil {
+		return err
+	}
+	worked := s.worked
+	s.worked = false
+	if !worked {
+		return nil
+	}
+	if later, on := m.Faults.takeStray(); on {
+		return s.stray(later, status)
+	}
+	return nil
+}
+
+// stray sends an answer that nobody asked for.
+func (s *session) stray(later time.Duration, status byte) error {
+	time.Sleep(later)
+	s.backend.Send(describeRows(valueColumn))
+	s.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte("stray")}})
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
 	return s.backend.Flush()
 }
 
@@ -290,7 +313,13 @@
 }
 
 func (s *session) rows(r result, formats []int16) {
-	for _, row := range r.Rows {
+	cut := s.member.Faults.takeCut(len(r.Rows))
+	for i, row := range r.Rows {
+		if cut > 0 && i == cut {
+			_ = s.backend.Flush()
+			_ = s.conn.Close()
+			return
+		}
 		values := make([][]byte, len(row))
 		for i, v := range row {
 			values[i] = encode(v, r.Columns[i].OID, format(formats, i))
@@ -425,6 +454,7 @@
 		s.member.record(Record{Application: s.application, Statement: sql, Code: r.Code})
 		return result{Err: r}
 	}
+	s.worked = !controls[sh.Name]
 	ctx, stop := context.WithCancel(ctx)
 	s.running.Store(&stop)
 	defer func() { s.running.Store(nil); stop() }()
--- a/pkg/refuser/reasons.go
+++ b/pkg/refuser/reasons.go
@@ -74,6 +74,16 @@
 		Title: "the caller's own work can't be located",
 		Text:  "The caller came without a session token, and no majority of the group answers, so nobody can tell which of its earlier writes a read must show. Callers with a token, and those connected before, are still served.",
 	}
+	Cancelled = &Reason{
+		Code: "OR206", Name: "cancelled", Since: "0.1", SQLState: "57014", Outcome: NotRun,
+		Title: "cancelled before it ran",
+		Text:  "The caller cancelled the request while it waited for a target or a connection.",
+	}
+	TooManySessions = &Reason{
+		Code: "OR103", Name: "too-many-sessions", Since: "0.1", SQLState: "53300", Outcome: NotRun, Fatal: true, RetryAfter: time.Second,
+		Title: "no key is left for another caller",
+		Text:  "The instance holds 65,536 callers, as many as its cancel keys can tell apart. Connect again: the balancer may choose another instance.",
+	}
 	TransactionAborted = &Reason{
 		Code: "OR305", Name: "transaction-aborted", Since: "0.1", SQLState: "25P02", Outcome: NotRun,
 		Title: "the transaction has already been lost",
@@ -88,8 +98,8 @@
 
 // Reasons lists them all, in the order of their codes.
 var Reasons = []*Reason{
-	NoService, NoConfiguration,
-	NoPrimary, NoTarget, NoConnection, FloorUnknown,
+	NoService, NoConfiguration, TooManySessions,
+	NoPrimary, NoTarget, NoConnection, FloorUnknown, Cancelled,
 	ConnectionLost, NotConfirmed, TransactionLost, ReadLost, TransactionAborted, AnswerTooLarge,
 	BadToken, Unsupported, SessionState, RequestTooLarge,
 }
