--- a/internal/greeter/greeter.go
+++ b/internal/greeter/greeter.go
@@ -43,6 +43,8 @@
 		// Open makes the session of a caller from its start-up parameters, or
 		// refuses it.
 		Open func(parameters map[string]string) (*relayer.Session, *refuser.Refusal)
+		// Cancel carries out a cancel request; nil: it is passed over.
+		Cancel func(ctx context.Context, pid, secret uint32)
 		// Authentication is how callers prove who they are; empty refuses all.
 		Authentication loader.Authentication
 		// Mode says whether TLS may or must be used; TLS has the certificate.
--- a/internal/greeter/start.go
+++ b/internal/greeter/start.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"encoding/binary"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
 	"strings"
@@ -28,6 +27,9 @@
 	maxStartMessage = 4 << 10
 	maxMessage      = 64 << 20
 
+	// cancelKeyBytes is the length of the secrets that this proxy gives out.
+	cancelKeyBytes = 4
+
 	parameterUser        = "user"
 	parameterOptions     = "options"
 	parameterReplication = "replication"
@@ -91,6 +93,9 @@
 		case *pgproto3.StartupMessage:
 			return m, nil
 		case *pgproto3.CancelRequest:
+			if s.greeter.Cancel != nil && len(m.SecretKey) == cancelKeyBytes {
+				s.greeter.Cancel(ctx, m.ProcessID, binary.BigEndian.Uint32(m.SecretKey))
+			}
 			return nil, nil
 		case *pgproto3.SSLRequest:
 			if refusal := s.encrypt(ctx); refusal != nil {
@@ -260,8 +265,7 @@
 	} {
 		b.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
-	secret := binary.BigEndian.AppendUint32(nil, rand.Uint32())
-	b.Send(&pgproto3.BackendKeyData{ProcessID: rand.Uint32() >> 1, SecretKey: secret})
+	b.Send(&pgproto3.BackendKeyData{ProcessID: s.PID, SecretKey: binary.BigEndian.AppendUint32(nil, s.Secret)})
 	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 	return b.Flush()
 }
--- a/internal/runner/callers.go
+++ b/internal/runner/callers.go
@@ -38,7 +38,7 @@
 // greeter makes what accepts callers.
 func (i *Instance) greeter() (*greeter.Greeter, error) {
 	g := &greeter.Greeter{
-		Address: i.Settings.Callers, Network: i.Network, Log: i.Log, Open: i.open,
+		Address: i.Settings.Callers, Network: i.Network, Log: i.Log, Open: i.open, Cancel: i.cancel,
 		Authentication: i.Settings.Authentication, Mode: i.Settings.Encryption.Mode,
 		Verifier: i.verifier, Limits: i.Settings.Limits,
 		Count: func(n string) { i.Metrics.Counter(n).Inc(1) },
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -49,6 +49,8 @@
 	table  atomic.Pointer[router.Table]
 	sealer *sealer.Sealer
 
+	sessions sessions
+
 	mutex sync.Mutex
 	pools map[string]*pooler.Pool
 }
@@ -80,6 +82,7 @@
 	control.Slices = append(control.Slices, terms...)
 	control.Performers = append(control.Performers, promotions)
 	control.Open()
+	i.sessions.open(i, func(e controller.Event) { control.Post(ctx, e) })
 	callers, err := i.greeter()
 	if err != nil {
 		return err
@@ -130,11 +133,12 @@
 			return nil, refuser.New(refuser.BadToken, "%v", err)
 		}
 	}
-	return &relayer.Session{
+	s := &relayer.Session{
 		Service: service, User: parameters["user"], Zone: i.Settings.Zone, Kind: parameters[relayer.ParameterKind],
 		Floor: floor, Table: i.table.Load, Pool: i.pool(service), Sealer: i.sealer, Log: i.Log,
 		Count: func(n string) { i.Metrics.Counter(n).Inc(1) },
-	}, nil
+	}
+	return s, i.equip(s, parameters)
 }
 
 func (i *Instance) pool(service string) *pooler.Pool {
