--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -177,6 +177,21 @@
 	p.changed = make(chan struct{})
 }
 
+// DropIdle closes the connections that are not lent. It is for the moment when
+// one was found silent: whatever has lost track of it, a table of connections on
+// the way, has probably lost the others too, and each would cost a request the
+// time to find out.
+func (p *Pool) DropIdle() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.held -= len(p.idle)
+	p.idle = nil
+	p.wake()
+}
+
 // Close closes the idle connections.
 func (p *Pool) Close() {
 	p.mutex.Lock()
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -125,7 +125,10 @@
 		t.request.read, t.request.pure = false, false
 	default:
 		s.Count("retry.not-run")
-		t.alert = t.alert || errors.Is(x.err, errSilent)
+		if errors.Is(x.err, errSilent) {
+			t.alert = true
+			s.Pool.DropIdle()
+		}
 		t.avoid = append(t.avoid, t.choice.Member)
 		if !t.choice.Replica {
 			s.wait(t.wait, t.table, redoPause)
--- a/internal/relayer/cancel_test.go
+++ b/internal/relayer/cancel_test.go
@@ -40,11 +40,13 @@
 	})
 }
 
-// The request still waits for a primary when it is cancelled: it has not run.
+// Two of three members are gone, so that nobody can be promoted. The request
+// still waits for a primary when it is cancelled: it has not run.
 func TestCancelWhileHeld(t *testing.T) {
 	run(t, plan(), func(s *stage) {
 		c := s.open(0, nil)
 		s.KillTarget(s.Target("1"))
+		s.KillTarget(s.Target("2"))
 		time.Sleep(time.Second)
 		done := s.start(c, "INSERT INTO ledger VALUES ('a', '1')")
 		s.cancel(c)
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -79,9 +79,12 @@
 	{"callers.failed", KindCounter, "Callers that broke the protocol, or left, before they were authenticated."},
 	{GaugeCallers, KindGauge, "Callers that are connected now."},
 	{GaugeVersion, KindGauge, "Version of the configuration in force; 0 is none."},
+	{"given-up.silent", KindCounter, "Answers given up because the connection had gone silent."},
+	{"probe", KindCounter, "Questions to a target, over a fresh connection, about a silent one."},
+	{"retry.behind", KindCounter, "Reads tried again because the replica turned out to be behind the session's own writes."},
 	{"retry.connect", KindCounter, "Requests tried again because no connection to the target could be opened; nothing had been sent."},
-	{"retry.not-run", KindCounter, "Requests tried again because the target said that it ran nothing of them: it was fenced, or a replica met a write."},
-	{"retry.read", KindCounter, "Reads tried again because their target was lost before any part of the answer had gone to the caller."},
+	{"retry.not-run", KindCounter, "Requests tried again because the target said that it ran nothing of them: it was fenced, or the connection was lost with a request that changes nothing."},
+	{"retry.write", KindCounter, "Requests sent to the primary because a replica refused them as a write, before it ran them."},
 }
 
 // RefusalMetric is the name of the counter of a reason.
