A language for scenarios: testscript lines that stage, cut, crash and expect

Cause: proofs are asked for as scripted scenarios with one verdict in every run. testscript reads the lines outside the bubble; each is played inside it, and the bubble's clock stands still while it waits for the next, so only what a line says takes (virtual) time. Ruled out: testscript inside the bubble (its subtests aren't allowed there) and real time (verdicts would depend on the machine).

--- /dev/null
+++ b/internal/standin/player/callers.go
@@ -0,0 +1,245 @@
+package player
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/oriolegw/oriolegw/internal/standin/stager"
+)
+
+const recoverPoll = 10 * time.Millisecond
+
+var callerCommands = []Command{
+	{
+		Name: "stage", Usage: "[per-zone=N] [seed=N] [latency=D] [jitter=D] [work=D]",
+		Text: "Starts a fleet: the platform, three targets lockers-1 to lockers-3 (1 is the primary) and instances entry-a-1 and so on, in the availability zones a, b and c.",
+		Run:  runStage,
+	},
+	{
+		Name: "connect", Usage: "CALLER INSTANCE [token=CALLER|TEXT] [kind=KIND]", Min: 2,
+		Text: "Opens a session; token carries that of another caller. Prints the outcome.",
+		Run:  runConnect,
+	},
+	{
+		Name: "leave", Usage: "CALLER", Min: 1, Text: "Closes a session.",
+		Run: func(p *Player, a []string) (string, error) {
+			c, err := p.find(a[0])
+			if err != nil {
+				return "", err
+			}
+			err = c.conn.Close(p.ctx)
+			c.conn = nil
+			return "", err
+		},
+	},
+	{
+		Name: "do", Usage: "CALLER SQL", Min: 2,
+		Text: "Runs a statement and prints its rows, or its outcome: done, not-run CODE, unknown CODE, failed CODE.",
+		Run: func(p *Player, a []string) (string, error) {
+			c, err := p.find(a[0])
+			if err != nil {
+				return "", err
+			}
+			return p.query(c, strings.Join(a[1:], " ")), nil
+		},
+	},
+	{
+		Name: "start", Usage: "CALLER SQL", Min: 2, Text: "Runs a statement in the background; end waits for it.",
+		Run: runStart,
+	},
+	{
+		Name: "end", Usage: "CALLER", Min: 1, Text: "Waits for the statement that start began and prints as do does.",
+		Run: func(p *Player, a []string) (string, error) {
+			c, err := p.find(a[0])
+			if err != nil {
+				return "", err
+			}
+			if c.done == nil {
+				return "", errors.New("nothing was started")
+			}
+			r := <-c.done
+			c.done = nil
+			return r.text, nil
+		},
+	},
+	{
+		Name: "cancel", Usage: "CALLER INSTANCE", Min: 2, Text: "Sends the caller's cancel request to an instance.",
+		Run: runCancel,
+	},
+	{
+		Name: "sleep", Usage: "D", Min: 1, Text: "Lets virtual time pass.",
+		Run: func(_ *Player, a []string) (string, error) {
+			d, err := duration(a[0])
+			if err == nil {
+				time.Sleep(d)
+			}
+			return "", err
+		},
+	},
+	{
+		Name: "committed", Usage: "KEY", Min: 1,
+		Text: "Prints how often targets committed the key, by their own records, and whether the primary shows it.",
+		Run:  runCommitted,
+	},
+	{
+		Name: "recovered", Usage: "CALLER D", Min: 2,
+		Text: "Writes with the caller until a write is done, for at most D of virtual time, and prints the time that took.",
+		Run:  runRecovered,
+	},
+}
+
+func runStage(p *Player, a []string) (string, error) {
+	_, named := options(a)
+	plan := stager.Plan{Log: p.Log, ZoneLatency: time.Millisecond, CallerLatency: 3 * time.Millisecond}
+	for k, v := range named {
+		n, _ := strconv.Atoi(v)
+		d, _ := time.ParseDuration(v)
+		switch k {
+		case "per-zone":
+			plan.PerZone = n
+		case "seed":
+			plan.Seed = uint64(n)
+		case "latency":
+			plan.ZoneLatency = d
+		case "jitter":
+			plan.Jitter = d
+		case "work":
+			plan.Work = d
+		default:
+			return "", errors.Errorf("no option %q", k)
+		}
+	}
+	f, err := stager.Start(p.ctx, plan)
+	if err != nil {
+		return "", err
+	}
+	p.fleet = f
+	return "", f.Ready(p.ctx)
+}
+
+func runConnect(p *Player, a []string) (string, error) {
+	words, named := options(a)
+	if len(words) < 2 {
+		return "", errors.New("usage: connect CALLER INSTANCE")
+	}
+	e, err := p.entry(words[1])
+	if err != nil {
+		return "", err
+	}
+	parameters := map[string]string{}
+	if t := named["token"]; t != "" {
+		if o := p.caller[t]; o != nil {
+			t = o.token
+		}
+		parameters["oriole.token"] = t
+	}
+	if k := named["kind"]; k != "" {
+		parameters["oriole.kind"] = k
+	}
+	conn, err := p.fleet.Connect(p.ctx, e, stager.DefaultService, parameters)
+	if err != nil {
+		return outcome(err) + "\n", nil
+	}
+	p.caller[words[0]] = &caller{service: stager.DefaultService, entry: e, conn: conn, token: conn.PgConn().ParameterStatus("oriole.token")}
+	return "done\n", nil
+}
+
+// query runs a statement and returns its rows or outcome. Scripts write text in
+// double quotes, since testscript takes the single ones.
+func (p *Player) query(c *caller, sql string) string {
+	sql = strings.ReplaceAll(sql, `"`, "'")
+	rows, err := c.conn.Query(p.ctx, sql, pgx.QueryExecModeSimpleProtocol)
+	if err != nil {
+		return outcome(err) + "\n"
+	}
+	var b strings.Builder
+	for rows.Next() {
+		var line []string
+		for _, v := range rows.RawValues() {
+			line = append(line, string(v))
+		}
+		b.WriteString(strings.Join(line, " ") + "\n")
+	}
+	rows.Close()
+	if t := c.conn.PgConn().ParameterStatus("oriole.token"); t != "" {
+		c.token = t
+	}
+	b.WriteString(outcome(rows.Err()) + "\n")
+	return b.String()
+}
+
+func runStart(p *Player, a []string) (string, error) {
+	c, err := p.find(a[0])
+	if err != nil {
+		return "", err
+	}
+	if c.done != nil {
+		return "", errors.New("end the other statement first")
+	}
+	c.done = make(chan answer, 1)
+	go func() { c.done <- answer{text: p.query(c, strings.Join(a[1:], " "))} }()
+	return "", nil
+}
+
+func runCancel(p *Player, a []string) (string, error) {
+	c, err := p.find(a[0])
+	if err != nil {
+		return "", err
+	}
+	e, err := p.entry(a[1])
+	if err != nil {
+		return "", err
+	}
+	return "", p.fleet.Cancel(p.ctx, e, c.conn.PgConn())
+}
+
+func runCommitted(p *Player, a []string) (string, error) {
+	n := 0
+	for _, t := range p.fleet.Members {
+		for _, r := range t.Journal() {
+			for _, o := range r.Ops {
+				if o.Key == a[0] {
+					n++
+				}
+			}
+		}
+	}
+	shown := "no primary"
+	if t := p.fleet.Primary(stager.DefaultService); t != nil {
+		v, ok := t.Value("ledger", a[0])
+		shown = "absent"
+		if ok {
+			shown = "value " + v
+		}
+	}
+	return fmt.Sprintf("committed %d, %s\n", n, shown), nil
+}
+
+func runRecovered(p *Player, a []string) (string, error) {
+	limit, err := duration(a[1])
+	if err != nil {
+		return "", err
+	}
+	started := time.Now()
+	for n := 0; time.Since(started) < limit; n++ {
+		c, err := p.find(a[0])
+		if err != nil {
+			return "", err
+		}
+		if c.conn.IsClosed() {
+			if c.conn, err = p.fleet.Connect(p.ctx, c.entry, c.service, nil); err != nil {
+				return "", err
+			}
+		}
+		sql := fmt.Sprintf("INSERT INTO ledger (key, value) VALUES ('recovered-%d-%d', '1')", started.UnixNano(), n)
+		if p.query(c, sql) == "done\n" {
+			return fmt.Sprintf("after %v\n", time.Since(started).Round(time.Millisecond)), nil
+		}
+		time.Sleep(recoverPoll)
+	}
+	return "", errors.Errorf("no write was done within %v", limit)
+}
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -14,7 +14,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
-	"github.com/oriolegw/oriolegw/internal/standin/replicator"
 	"github.com/oriolegw/oriolegw/internal/standin/stager"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
 )
@@ -248,16 +247,7 @@
 }
 
 // primary returns the primary of the newest term.
-func (s *Soak) primary() *stager.Target {
-	var best *stager.Target
-	for _, t := range s.fleet.Members {
-		st := t.Status()
-		if st.Role == replicator.RolePrimary && (best == nil || st.Term > best.Status().Term) {
-			best = t
-		}
-	}
-	return best
-}
+func (s *Soak) primary() *stager.Target { return s.fleet.Primary(stager.DefaultService) }
 
 // committed counts, over the logs of all members, the entries that set a key.
 func (s *Soak) committed() map[string]int {
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -13,6 +13,8 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/controller"
 	"github.com/oriolegw/oriolegw/internal/lister"
@@ -328,6 +330,38 @@
 	}
 }
 
+// Primary returns the member that believes to be the primary of the newest such
+// term, or nil.
+func (f *Fleet) Primary(service string) *Target {
+	var best *Target
+	term := uint64(0)
+	for _, t := range f.Members {
+		if st := t.Status(); t.Service == service && st.Role == replicator.RolePrimary && st.Term > term {
+			best, term = t, st.Term
+		}
+	}
+	return best
+}
+
+// Cancel sends the cancel request of a caller's connection to an instance, which
+// may be another than the one that it is connected to.
+func (f *Fleet) Cancel(ctx context.Context, e *Entry, c *pgconn.PgConn) error {
+	conn, err := f.Net.Host(callerIP, "callers").Dial(ctx, e.IP+":5432")
+	if err != nil {
+		return errors.Wrap(err, "cancel")
+	}
+	defer conn.Close()
+	b, err := (&pgproto3.CancelRequest{ProcessID: c.PID(), SecretKey: c.SecretKey()}).Encode(nil)
+	if err != nil {
+		return errors.Wrap(err, "cancel")
+	}
+	if _, err := conn.Write(b); err != nil {
+		return errors.Wrap(err, "cancel")
+	}
+	_, _ = conn.Read(make([]byte, 1)) // the instance closes when it has acted
+	return nil
+}
+
 const readyPause = 20 * time.Millisecond
 
 // Target returns the member with the name, which may lack the service's prefix.
