Promoters fence one member first, so that they do not split the members

Cause: with the primary dead and no store to order them, nine instances fence two members at the same moment; each promoter got one, none a majority, and they tried again with newer terms. Now the first member that answered the probe is fenced first and the rest after its grant; whoever is refused there stops nothing.

Ruled out: longer random delays, which add to every gap; ranks alone, which need peers that are heard. Safety does not change: a majority of grants is still what permits a promotion, and a first member that is silent holds up the rest for 150 ms at most.

Also: crash while replicas lag, an answer held back until another primary has taken over, nine promoters at once; all members' logs are compared with the primary's.

--- a/internal/promoter/attempt.go
+++ b/internal/promoter/attempt.go
@@ -37,6 +37,8 @@
 	catchUpBound = 400 * time.Millisecond
 	fenceBound   = 1200 * time.Millisecond
 	promoteBound = 1500 * time.Millisecond
+	// firstBound is how long the first fence may keep the others waiting.
+	firstBound = 150 * time.Millisecond
 	// drainBound is how long a planned change waits for open transactions: half
 	// of what a planned change may take in all.
 	drainBound = 100 * time.Millisecond
@@ -65,6 +67,8 @@
 
 		seen     map[int]bool // members that answered the probe
 		target   orderer.Position
+		first    int  // the member that is fenced first, or -1
+		rest     bool // the others have been ordered as well
 		fenced   []candidate
 		failed   int
 		majority time.Time // when enough members were fenced
@@ -125,6 +129,8 @@
 		return g.fence(now)
 	case a.step == stepFence && in >= fenceBound:
 		return g.abandon(now, AbandonNoMajority, retryPause)
+	case a.step == stepFence && in >= firstBound && !a.rest:
+		return g.fenceRest()
 	case a.step == stepFence:
 		return g.promote(now)
 	case a.step == stepPromote && in >= promoteBound:
@@ -227,9 +233,39 @@
 	return []controller.Action{o}
 }
 
+// fence orders one member first, the same for all promoters that see the same
+// members, and the rest once it has granted the term. With one member dead and
+// two left, promoters that fence both at once each get one and none a majority;
+// the one that is refused by the first leaves the rest alone.
 func (g *group) fence(now time.Time) []controller.Action {
+	a := g.attempt
 	g.enter(now, stepFence)
-	return g.all(OrderFence)
+	a.first = -1
+	for i := range g.view.Members {
+		if a.seen[i] && i != a.old {
+			a.first = i
+			break
+		}
+	}
+	if a.planned || a.first < 0 { // the drain of the primary came first
+		return g.fenceRest()
+	}
+	return []controller.Action{g.order(OrderFence, a.first)}
+}
+
+func (g *group) fenceRest() []controller.Action {
+	a := g.attempt
+	if a.rest {
+		return nil
+	}
+	a.rest = true
+	var out []controller.Action
+	for i := range g.view.Members {
+		if i != a.first || a.planned {
+			out = append(out, g.order(OrderFence, i))
+		}
+	}
+	return out
 }
 
 func (g *group) granted(now time.Time, i int, e Ordered) []controller.Action {
@@ -246,7 +282,7 @@
 	if a.majority.IsZero() && len(a.fenced) >= g.view.Service.Quorum() {
 		a.majority = now
 	}
-	return g.promote(now)
+	return append(g.fenceRest(), g.promote(now)...)
 }
 
 // promote chooses among the fenced members, once enough have answered.
--- a/internal/standin/failer/failer.go
+++ b/internal/standin/failer/failer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"strings"
 	"time"
 
@@ -144,6 +145,10 @@
 // PromiseRecovers is broken when no instance gets a write through in the end.
 const PromiseRecovers = "the group takes writes again"
 
+// PromiseSameLog is broken when a member that follows the primary keeps entries of
+// its own, as an old primary that took writes nobody confirmed.
+const PromiseSameLog = "all members hold the primary's log"
+
 // PromiseOnePrimary is broken when two members took writes in the same term.
 const PromiseOnePrimary = "a term has one primary"
 
@@ -178,6 +183,9 @@
 		if s := m.Status(); m != p && (s.Following != p.Address || s.Term != p.Status().Term) {
 			out = append(out, checker.Violation{Promise: PromiseRecovers, Detail: fmt.Sprintf("%s is %s of term %d", m.Name, s.Role, s.Term)})
 		}
+		if !reflect.DeepEqual(m.Entries(), p.Entries()) {
+			out = append(out, checker.Violation{Promise: PromiseSameLog, Detail: m.Name + " differs from " + p.Name})
+		}
 	}
 	var last error
 	for _, e := range f.Instances {
