--- a/cmd/oriolegw-platform/main.go
+++ b/cmd/oriolegw-platform/main.go
@@ -19,6 +19,10 @@
 func main() {
 	address := flag.String("address", "127.0.0.1:7000", "where to serve, `ip:port`")
 	lag := flag.Duration("list-lag", 0, "how late the instance list shows a change")
+	flag.Usage = func() {
+		fmt.Fprint(flag.CommandLine.Output(), "oriolegw-platform is the stand-in for the platform: its key-value service and its list of instances, in memory.\nPOST /faults throws faults while it runs.\n\nUsage: oriolegw-platform [FLAGS]\n\n")
+		flag.PrintDefaults()
+	}
 	flag.Parse()
 	if flag.NArg() > 0 {
 		flag.Usage()
--- a/cmd/oriolegw-target/main.go
+++ b/cmd/oriolegw-target/main.go
@@ -27,6 +27,10 @@
 	flag.DurationVar(&m.Work, "work", 0, "how long a statement takes")
 	primary := flag.String("primary", "", "`address` of the first primary of a new group; empty starts the member fenced")
 	faults := flag.String("faults", "", "where to serve the fault switches, `ip:port`")
+	flag.Usage = func() {
+		fmt.Fprint(flag.CommandLine.Output(), "oriolegw-target is the stand-in for a target: one member of a database group, in memory.\n\nUsage: oriolegw-target [FLAGS]\n\n")
+		flag.PrintDefaults()
+	}
 	flag.Parse()
 	if flag.NArg() > 0 {
 		flag.Usage()
--- a/internal/greeter/greeter.go
+++ b/internal/greeter/greeter.go
@@ -197,6 +197,7 @@
 	// and then must not hold its place for longer.
 	_ = conn.SetDeadline(time.Now().Add(g.Limits.StartUp))
 	s := &start{greeter: g, conn: conn, full: place > g.Limits.Callers}
+	defer func() { _ = s.conn.Close() }() // ends TLS in form, where it was begun
 	session, err := s.run(ctx)
 	if err != nil || session == nil {
 		return err
--- a/pkg/verifier/verifier_test.go
+++ b/pkg/verifier/verifier_test.go
@@ -26,3 +26,11 @@
 		must.ErrorIs(t, err, verifier.ErrMalformed)
 	}
 }
+
+func BenchmarkMatches(b *testing.B) {
+	v, err := verifier.New("open sesame")
+	must.NoError(b, err)
+	for b.Loop() {
+		must.True(b, v.Matches("open sesame"))
+	}
+}
