Decisions on a page; every counter in the code is described and shows at 0

Cause: counters of the relayer and the peers were missing from the table, and the check looked at retries only. /decisions shows what router.Explainer keeps.

--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -72,16 +72,32 @@
 )
 
 // Metrics lists the metrics beside those of the refusals, in order of names. A
-// retry counter that is missing here fails the tests of this package.
+// counter that is used and missing here fails the tests of this package.
 var Metrics = []Metric{
 	{"callers.accepted", KindCounter, "Callers that connected."},
 	{"callers.cancels", KindCounter, "Connections that only brought a cancel request."},
-	{"callers.failed", KindCounter, "Callers that broke the protocol, or left, before they were authenticated."},
+	{"callers.failed", KindCounter, "Callers that were refused, broke the protocol, or left, before their session began."},
 	{GaugeCallers, KindGauge, "Callers that are connected now."},
+	{"cancels.failed", KindCounter, "Cancel requests that found no request to cancel, or could not be passed on."},
+	{"configuration-rejected", KindCounter, "Published versions that the instance could not read; the version in force stayed."},
 	{GaugeVersion, KindGauge, "Version of the configuration in force; 0 is none."},
+	{"given-up.silent", KindCounter, "Requests given up because their connection to the target had gone silent and a fresh one had not."},
+	{"peer-failed.exchange", KindCounter, "Exchanges with another instance that failed."},
+	{"peer-refused.connections", KindCounter, "Peer connections refused because there were too many."},
+	{"peer-refused.foreign-fleet", KindCounter, "Peer connections refused because the other end is of another fleet."},
+	{"peer-refused.handshake-timeout", KindCounter, "Peer connections refused because the handshake took too long."},
+	{"peer-refused.unproved", KindCounter, "Peer connections refused because the other end did not prove that it belongs to the fleet."},
+	{"peer-refused.wire-version", KindCounter, "Peer connections refused because the other end speaks a version that this one does not."},
+	{"probe", KindCounter, "Probes on fresh connections to targets, sent because an open one had been silent."},
+	{"retry.behind", KindCounter, "Reads tried elsewhere because the replica turned out to be behind what the request needs."},
 	{"retry.connect", KindCounter, "Requests tried again because no connection to the target could be opened; nothing had been sent."},
-	{"retry.not-run", KindCounter, "Requests tried again because the target said that it ran nothing of them: it was fenced, or a replica met a write."},
+	{"retry.not-run", KindCounter, "Requests tried again because the target ran nothing of them: it was fenced, or said so."},
 	{"retry.read", KindCounter, "Reads tried again because their target was lost before any part of the answer had gone to the caller."},
+	{"retry.write", KindCounter, "Requests sent to the primary because a replica met a write that their words did not show."},
+	{"target-leaving.list", KindCounter, "Signs that a target is leaving, from the platform's list."},
+	{"target-leaving.operator", KindCounter, "Signs that a target is leaving, from the document."},
+	{"target-leaving.peer", KindCounter, "Signs that a target is leaving, from another instance."},
+	{"target-leaving.target", KindCounter, "Signs that a target is leaving, from the target."},
 }
 
 // RefusalMetric is the name of the counter of a reason.
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/networker"
+	"github.com/oriolegw/oriolegw/internal/router"
 )
 
 // Pages serves the pages of an instance. Set the exported fields, then call Run.
@@ -19,7 +20,7 @@
 	// State returns what the instance shows of itself.
 	State func() State
 	// Recent returns the last decisions, newest first; nil shows none.
-	Recent func() []Decision
+	Recent func() []router.Decision
 	// Register has the metrics; nil shows none.
 	Register *Register
 	// Drain makes the instance leave; nil refuses.
@@ -100,7 +101,7 @@
 }
 
 func (p *Pages) handleDecisions(w http.ResponseWriter, _ *http.Request) {
-	var list []Decision
+	var list []router.Decision
 	if p.Recent != nil {
 		list = p.Recent()
 	}
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/reporter"
+	"github.com/oriolegw/oriolegw/internal/router"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
 	"github.com/shoenig/test/must"
 )
@@ -60,6 +61,16 @@
 	}
 }
 
+// The newest decisions tell where requests went, and why.
+func TestDecisions(t *testing.T) {
+	var e router.Explainer
+	e.Add(router.Decision{Service: "lockers", Kind: "drop-status", Read: true, Target: "m2", Replica: true, Why: "replica holds the floor"})
+	e.Add(router.Decision{Service: "lockers", Member: -1, Why: "no primary known", Code: "OR201", Waited: time.Second})
+	_, body := get(t, &reporter.Pages{Recent: e.Recent}, http.MethodGet, reporter.PathDecisions)
+	must.StrContains(t, body, `"why": "replica holds the floor"`)
+	must.Less(t, strings.Index(body, "m2"), strings.Index(body, "OR201"))
+}
+
 func TestDrain(t *testing.T) {
 	drained := 0
 	p := &reporter.Pages{Drain: func() { drained++ }}
@@ -86,21 +97,23 @@
 	must.StrContains(t, string(r.Page()), `oriolegw_callers_open{instance="entry-a"} 2`+"\n")
 }
 
-// A retry counter in the code that Metrics does not list has no description and
-// does not show at 0.
-func TestRetryCountersAreListed(t *testing.T) {
+// A counter in the code that Metrics does not list has no description and does
+// not show at 0. Names that are put together, "refused." and a reason, are listed
+// one by one.
+func TestCountersAreListed(t *testing.T) {
 	listed := map[string]bool{}
 	for _, m := range reporter.Metrics {
 		listed[m.Name] = true
 	}
-	used := regexp.MustCompile(`"(retry\.[a-z-]+)"`)
+	used := regexp.MustCompile(`(?:Count|Counter)\("([a-z.-]+[a-z])"|"(retry\.[a-z-]+)"`)
 	must.NoError(t, filepath.WalkDir("..", func(path string, _ os.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
 		text, err := os.ReadFile(path)
 		for _, m := range used.FindAllStringSubmatch(string(text), -1) {
-			must.True(t, listed[m[1]], must.Sprintf("%s counts %q: list it in internal/reporter/metrics.go", path, m[1]))
+			name := m[1] + m[2]
+			must.True(t, listed[name], must.Sprintf("%s counts %q: list it in internal/reporter/metrics.go", path, name))
 		}
 		return err
 	}))
--- a/internal/reporter/state.go
+++ b/internal/reporter/state.go
@@ -50,18 +50,6 @@
 		Leaving  bool
 	}
 
-	// Decision tells why a request went where it did, or why not.
-	Decision struct {
-		At      time.Time
-		Service string
-		User    string
-		Kind    string
-		Read    bool
-		// Target is empty when the request went nowhere.
-		Target string
-		Why    string
-	}
-
 	wireState struct {
 		Instance string      `json:"instance"`
 		Zone     string      `json:"availability-zone"`
@@ -93,13 +81,15 @@
 	}
 
 	wireDecision struct {
-		At      time.Time `json:"at"`
-		Service string    `json:"service"`
-		User    string    `json:"user"`
-		Kind    string    `json:"kind"`
-		Read    bool      `json:"read"`
-		Target  string    `json:"target"`
-		Why     string    `json:"why"`
+		At       time.Time `json:"at"`
+		Service  string    `json:"service"`
+		Kind     string    `json:"kind"`
+		Read     bool      `json:"read"`
+		Target   string    `json:"target"`
+		Replica  bool      `json:"replica"`
+		Why      string    `json:"why"`
+		Code     string    `json:"refusal"`
+		WaitedMS float64   `json:"waited-ms"`
 	}
 )
 
@@ -236,10 +226,13 @@
 }
 
 // EncodeDecisions writes decisions as JSON.
-func EncodeDecisions(list []Decision) []byte {
+func EncodeDecisions(list []router.Decision) []byte {
 	w := []wireDecision{}
 	for _, d := range list {
-		w = append(w, wireDecision{At: d.At, Service: d.Service, User: d.User, Kind: d.Kind, Read: d.Read, Target: d.Target, Why: d.Why})
+		w = append(w, wireDecision{
+			At: d.At, Service: d.Service, Kind: d.Kind, Read: d.Read, Target: d.Target, Replica: d.Replica,
+			Why: d.Why, Code: d.Code, WaitedMS: float64(d.Waited.Microseconds()) / 1000,
+		})
 	}
 	return encode(w)
 }
--- a/internal/runner/callers.go
+++ b/internal/runner/callers.go
@@ -21,7 +21,7 @@
 		i.Register.Watch(reporter.GaugeVersion, tags, func() float64 { return float64(i.state().Version) })
 	}
 	return &reporter.Pages{
-		Address: i.Settings.Status, Network: i.Network, State: i.state, Register: i.Register,
+		Address: i.Settings.Status, Network: i.Network, State: i.state, Recent: i.sessions.explainer.Recent, Register: i.Register,
 		Drain: func() { control.Post(ctx, drainer.InstanceLeaving{}) },
 	}
 }
