--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	go build -o $(BUILD)/ ./cmd/...
 
 run: build
-	$(FLEET)
+	$(FLEET) -kill
 
 fleet: build
 	$(FLEET) -keep -describe $(BUILD)/fleet.json
--- a/cmd/oriolegw-fleet/demonstrate.go
+++ b/cmd/oriolegw-fleet/demonstrate.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/oriolegw/oriolegw/internal/relayer"
+	"github.com/oriolegw/oriolegw/internal/reporter"
 	"github.com/oriolegw/oriolegw/internal/starter"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
 )
@@ -124,10 +127,38 @@
 			return errors.Wrap(err, "a write that was acknowledged before the kill")
 		}
 	}
+	if err := d.showPrimary(ctx); err != nil {
+		return err
+	}
 	fmt.Printf("%d writes acknowledged before the kill were looked for, and found.\n", sessions)
 	return nil
 }
 
+// showPrimary prints what the first instance's status page says.
+func (d *demonstration) showPrimary(ctx context.Context) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.fleet.Entries[0].Pages+reporter.PathStatus, nil)
+	if err != nil {
+		return errors.Wrap(err, "make call")
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "read status")
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		return errors.Wrap(err, "read status")
+	}
+	s, err := reporter.Decode(body)
+	if err != nil {
+		return err
+	}
+	for _, g := range s.Groups {
+		fmt.Printf("Primary of %s is now %s, in term %d.\n", g.Service, g.Primary, g.Term)
+	}
+	return nil
+}
+
 // refusal names the reason in an error.
 func refusal(err error) string {
 	var e *pgconn.PgError
