--- a/internal/standin/player/callers.go
+++ b/internal/standin/player/callers.go
@@ -63,7 +63,7 @@
 			}
 			r := <-c.done
 			c.done = nil
-			return r.text, nil
+			return r, nil
 		},
 	},
 	{
@@ -180,8 +180,8 @@
 	if c.done != nil {
 		return "", errors.New("end the other statement first")
 	}
-	c.done = make(chan answer, 1)
-	go func() { c.done <- answer{text: p.query(c, strings.Join(a[1:], " "))} }()
+	c.done = make(chan string, 1)
+	go func() { c.done <- p.query(c, strings.Join(a[1:], " ")) }()
 	return "", nil
 }
 
--- a/internal/standin/player/player.go
+++ b/internal/standin/player/player.go
@@ -41,12 +41,7 @@
 		entry   *stager.Entry
 		conn    *pgx.Conn
 		token   string
-		done    chan answer // of a statement that runs in the background
-	}
-
-	answer struct {
-		text string
-		err  error
+		done    chan string // what a statement in the background printed
 	}
 )
 
