Peers: calls between instances over drpc, with both ends authenticated

Cause: instances could not talk to each other, so configuration, observations, leaving signs and cancels had no way but the store.

A connection begins with Hello and Prove: each end shows by HMAC over both nonces, its side and both version ranges that it holds a key of the fleet. No other call is served before. Ruled out: TLS between instances (no certificates in the settings yet) and a handshake of our own beneath drpc (a second framing to fuzz).

Shown by internal/gossiper/wire_test.go, in a bubble on the network in memory.

--- /dev/null
+++ b/internal/gossiper/wire_test.go
@@ -0,0 +1,195 @@
+package gossiper_test
+
+import (
+	"context"
+	"encoding/binary"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/oriolegw/oriolegw/internal/gossiper"
+	"github.com/oriolegw/oriolegw/internal/gossiper/wire"
+	"github.com/oriolegw/oriolegw/internal/standin/wirer"
+	"github.com/shoenig/test/must"
+	"storj.io/drpc/drpcconn"
+)
+
+const serverAddress = "10.0.0.1:7100"
+
+var fleetKey = []gossiper.Secret{{Number: 1, Value: []byte("one secret")}}
+
+// serveIn runs a server inside the bubble and hands the test a network.
+func serveIn(t *testing.T, versions gossiper.Versions, f func(t *testing.T, client *gossiper.Client, n *wirer.Net, h *wirer.Host)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := wirer.New(1)
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &gossiper.Server{
+			Address: serverAddress, Network: n.Host("10.0.0.1", "a"), Secrets: fleetKey, Versions: versions,
+			Log: log.NewNopLogger(), Count: func(string) {},
+			Exchange: func(_ context.Context, r *wire.ExchangeRequest) (*wire.Report, error) {
+				return &wire.Report{Instance: "server", Version: r.Version}, nil
+			},
+			Configuration: func(int64) *wire.FetchReply {
+				return &wire.FetchReply{Version: 7, Document: make([]byte, 1<<20)}
+			},
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- s.Run(ctx) }()
+		synctest.Wait()
+		h := n.Host("10.0.0.2", "a")
+		c := &gossiper.Client{Network: h, Secrets: fleetKey, Versions: gossiper.CurrentVersions}
+		defer func() {
+			c.Close()
+			cancel()
+			<-ended
+		}()
+		f(t, c, n, h)
+	})
+}
+
+func mustServe(t *testing.T, c *gossiper.Client) {
+	t.Helper()
+	r, err := c.Exchange(t.Context(), serverAddress, &wire.ExchangeRequest{Version: 3})
+	must.NoError(t, err)
+	must.Eq(t, 3, r.Version)
+}
+
+// An operator points an instance at another fleet, or rolls an upgrade out that
+// skips a version: the ends refuse each other with an error that names the
+// cause, and nothing is exchanged. One version apart they talk.
+func TestHandshake(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		secrets []gossiper.Secret
+		client  gossiper.Versions
+		server  gossiper.Versions
+		want    error
+	}{
+		{"same", fleetKey, gossiper.Versions{Oldest: 1, Newest: 1}, gossiper.Versions{Oldest: 1, Newest: 1}, nil},
+		{"server one newer", fleetKey, gossiper.Versions{Oldest: 1, Newest: 1}, gossiper.Versions{Oldest: 1, Newest: 2}, nil},
+		{"client one newer", fleetKey, gossiper.Versions{Oldest: 1, Newest: 2}, gossiper.Versions{Oldest: 1, Newest: 1}, nil},
+		{"client too old", fleetKey, gossiper.Versions{Oldest: 1, Newest: 1}, gossiper.Versions{Oldest: 2, Newest: 3}, gossiper.ErrWireVersion},
+		{"client too new", fleetKey, gossiper.Versions{Oldest: 2, Newest: 3}, gossiper.Versions{Oldest: 1, Newest: 1}, gossiper.ErrWireVersion},
+		{"foreign number", []gossiper.Secret{{Number: 2, Value: []byte("one secret")}}, gossiper.CurrentVersions, gossiper.CurrentVersions, gossiper.ErrForeign},
+		{"foreign secret", []gossiper.Secret{{Number: 1, Value: []byte("other secret")}}, gossiper.CurrentVersions, gossiper.CurrentVersions, gossiper.ErrForeign},
+		{"key being replaced", append([]gossiper.Secret{{Number: 2, Value: []byte("next secret")}}, fleetKey...), gossiper.CurrentVersions, gossiper.CurrentVersions, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			serveIn(t, c.server, func(t *testing.T, client *gossiper.Client, _ *wirer.Net, _ *wirer.Host) {
+				client.Secrets, client.Versions = c.secrets, c.client
+				_, err := client.Exchange(t.Context(), serverAddress, &wire.ExchangeRequest{})
+				if c.want == nil {
+					must.NoError(t, err)
+					return
+				}
+				must.ErrorIs(t, err, c.want)
+			})
+		})
+	}
+}
+
+// A stranger sends bytes that are no message, a frame that announces more than
+// the bound, a call before the handshake, or nothing at all. It loses its own
+// connection; the peer beside it is served all the while.
+func TestMalformedCostsItsConnectionOnly(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		input []byte
+		limit time.Duration
+	}{
+		{"no message", []byte("GET / HTTP/1.1\r\n\r\n"), time.Minute},
+		{"long varint", []byte{0x01, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, time.Second},
+		{"endless packet", endless(), time.Second},
+		{"silence", nil, time.Minute},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			serveIn(t, gossiper.CurrentVersions, func(t *testing.T, client *gossiper.Client, n *wirer.Net, h *wirer.Host) {
+				mustServe(t, client)
+				stranger, err := h.Dial(t.Context(), serverAddress)
+				must.NoError(t, err)
+				defer stranger.Close()
+				_, _ = stranger.Write(c.input)
+				_ = stranger.SetReadDeadline(time.Now().Add(c.limit))
+				buffer := make([]byte, 1024)
+				for err == nil {
+					_, err = stranger.Read(buffer)
+				}
+				must.False(t, isTimeout(err), must.Sprint("the connection stayed open"))
+				mustServe(t, client)
+			})
+		})
+	}
+}
+
+func isTimeout(err error) bool {
+	t, ok := err.(interface{ Timeout() bool })
+	return ok && t.Timeout()
+}
+
+// endless is one packet in frames without end: past the bound it must be cut.
+func endless() []byte {
+	var out []byte
+	for range 3 << 10 {
+		out = append(out, 2<<1, 1, 1) // a frame of a message that goes on: stream 1, message 1
+		out = binary.AppendUvarint(out, 1<<10)
+		out = append(out, make([]byte, 1<<10)...)
+	}
+	return out
+}
+
+// A peer whose connection went silent for good, with new ones working: the call
+// ends at its limit and the next one, on a fresh connection, is answered.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	serveIn(t, gossiper.CurrentVersions, func(t *testing.T, client *gossiper.Client, n *wirer.Net, h *wirer.Host) {
+		mustServe(t, client)
+		n.Cut("10.0.0.1", "10.0.0.2")
+		_, err := client.Exchange(t.Context(), serverAddress, &wire.ExchangeRequest{})
+		must.ErrorIs(t, err, context.DeadlineExceeded)
+		n.HealAll()
+		mustServe(t, client)
+	})
+}
+
+// A document of a megabyte, the most that the store holds, gets through.
+func TestLargestDocument(t *testing.T) {
+	serveIn(t, gossiper.CurrentVersions, func(t *testing.T, client *gossiper.Client, _ *wirer.Net, _ *wirer.Host) {
+		r, err := client.FetchConfiguration(t.Context(), serverAddress, 0)
+		must.NoError(t, err)
+		must.Eq(t, 1<<20, len(r.Document))
+	})
+}
+
+// A stranger that speaks the protocol skips the handshake, or answers it with a
+// proof of its own making: no call is served to it.
+func TestUnprovedIsRefused(t *testing.T) {
+	for name, prove := range map[string]func(*testing.T, wire.DRPCPeersClient){
+		"no handshake": func(*testing.T, wire.DRPCPeersClient) {},
+		"invented proof": func(t *testing.T, p wire.DRPCPeersClient) {
+			_, err := p.Hello(t.Context(), &wire.HelloRequest{Oldest: 1, Newest: 1, Keys: []uint32{1}, Nonce: make([]byte, 32)})
+			must.NoError(t, err)
+			_, err = p.Prove(t.Context(), &wire.ProveRequest{Proof: make([]byte, 32)})
+			must.Error(t, err)
+		},
+		"short nonce": func(t *testing.T, p wire.DRPCPeersClient) {
+			a, err := p.Hello(t.Context(), &wire.HelloRequest{Oldest: 1, Newest: 1, Keys: []uint32{1}, Nonce: []byte{1}})
+			must.NoError(t, err)
+			_, err = p.Prove(t.Context(), &wire.ProveRequest{Proof: a.Proof}) // reflected
+			must.Error(t, err)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			serveIn(t, gossiper.CurrentVersions, func(t *testing.T, _ *gossiper.Client, _ *wirer.Net, h *wirer.Host) {
+				raw, err := h.Dial(t.Context(), serverAddress)
+				must.NoError(t, err)
+				conn := drpcconn.New(raw)
+				defer conn.Close()
+				p := wire.NewDRPCPeersClient(conn)
+				prove(t, p)
+				_, err = p.FetchConfiguration(t.Context(), &wire.FetchRequest{})
+				must.Error(t, err)
+			})
+		})
+	}
+}
