Who observes what, what peers tell each other, configuration by watchers and peers

Cause: every instance asked every member of every group and read the document from the store every 2 s. That is 69,000 questions a second for one of 1,800 instances before 2,300 groups, and a store that every instance calls.

- lister: a view of the live instances from the lagging list, from who calls and from who does not answer; rendezvous ranking.
- gossiper: instances pull the reports they need, members unchanged are sent as an age, a budget of bytes stretches the pace.
Suspicions, versions and leaving signs are announced, and repaired by what every exchange carries.
- configurer: two watchers per zone; the rest is told by peers.

Not built yet: the drain of an instance, differences of documents, slopes.

--- a/internal/gossiper/client.go
+++ b/internal/gossiper/client.go
@@ -24,8 +24,6 @@
 
 		mutex sync.Mutex
 		links map[string]*link
-		// bytes counts what the connections carried, both ways.
-		bytes atomic.Int64
 	}
 
 	// link is the connection to one peer. The turn is a channel and not a
@@ -34,6 +32,8 @@
 		turn chan struct{}
 		conn *drpcconn.Conn
 		used time.Time
+		// bytes counts what the link carried, both ways.
+		bytes atomic.Int64
 	}
 
 	counted struct {
@@ -52,9 +52,6 @@
 	idleTimeout = time.Minute
 )
 
-// Bytes returns how many bytes were sent and received since the start.
-func (c *Client) Bytes() int64 { return c.bytes.Load() }
-
 // Close ends all connections; calls that run fail.
 func (c *Client) Close() {
 	c.mutex.Lock()
@@ -67,13 +64,14 @@
 	c.links = nil
 }
 
-// Exchange asks a peer what it has observed.
-func (c *Client) Exchange(ctx context.Context, address string, r *wire.ExchangeRequest) (out *wire.Report, err error) {
+// Exchange asks a peer what it has observed, and returns what that cost in
+// bytes, both ways.
+func (c *Client) Exchange(ctx context.Context, address string, r *wire.ExchangeRequest) (out *wire.Report, bytes int64, err error) {
 	err = c.call(ctx, callTimeout, address, func(ctx context.Context, p wire.DRPCPeersClient) error {
 		out, err = p.Exchange(ctx, r)
 		return err
-	})
-	return out, err
+	}, &bytes)
+	return out, bytes, err
 }
 
 // Announce tells a peer of news.
@@ -81,7 +79,7 @@
 	return c.call(ctx, callTimeout, address, func(ctx context.Context, p wire.DRPCPeersClient) error {
 		_, err := p.Announce(ctx, r)
 		return err
-	})
+	}, nil)
 }
 
 // FetchConfiguration asks a peer for its document, if it is newer.
@@ -89,7 +87,7 @@
 	err = c.call(ctx, fetchTimeout, address, func(ctx context.Context, p wire.DRPCPeersClient) error {
 		out, err = p.FetchConfiguration(ctx, &wire.FetchRequest{NewerThan: newerThan})
 		return err
-	})
+	}, nil)
 	return out, err
 }
 
@@ -98,10 +96,10 @@
 	return c.call(ctx, callTimeout, address, func(ctx context.Context, p wire.DRPCPeersClient) error {
 		_, err := p.Cancel(ctx, &wire.CancelRequest{Pid: pid, Secret: secret})
 		return err
-	})
+	}, nil)
 }
 
-func (c *Client) call(ctx context.Context, limit time.Duration, address string, f func(context.Context, wire.DRPCPeersClient) error) error {
+func (c *Client) call(ctx context.Context, limit time.Duration, address string, f func(context.Context, wire.DRPCPeersClient) error, cost *int64) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	l := c.link(address)
@@ -112,6 +110,10 @@
 	}
 	defer func() { <-l.turn }()
 	l.used = time.Now()
+	if cost != nil {
+		before := l.bytes.Load()
+		defer func() { *cost = l.bytes.Load() - before }()
+	}
 	if err := c.connect(ctx, l, address); err != nil {
 		return errors.Wrapf(err, "connect to peer %s", address)
 	}
@@ -181,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	conn := drpcconn.NewWithOptions(counted{raw, &c.bytes}, drpcconn.Options{Manager: managerOptions()})
+	conn := drpcconn.NewWithOptions(counted{raw, &l.bytes}, drpcconn.Options{Manager: managerOptions()})
 	if err := c.shake(ctx, wire.NewDRPCPeersClient(conn)); err != nil {
 		_ = conn.Close()
 		return err
--- /dev/null
+++ b/internal/gossiper/exchange.go
@@ -0,0 +1,177 @@
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/configurer"
+	"github.com/oriolegw/oriolegw/internal/controller"
+	"github.com/oriolegw/oriolegw/internal/gossiper/wire"
+	"github.com/oriolegw/oriolegw/internal/lister"
+	"github.com/oriolegw/oriolegw/internal/observer"
+)
+
+// seedEvery is how often an instance that knows no peer asks one of its seeds.
+const seedEvery = time.Second
+
+var errUnanswered = errors.New("observer got no answer")
+
+// tick asks the peers whose turn has come, those that wait longest first, as far
+// as the budget of bytes goes.
+func (s *Slice) tick(now time.Time) []controller.Action {
+	if s.dirty {
+		s.publish()
+	}
+	s.save(now)
+	out := s.seed(now)
+	for _, p := range s.waiting(now) {
+		if s.saved <= 0 {
+			break
+		}
+		out = append(out, s.ask(now, p))
+	}
+	return append(out, s.repair(now)...)
+}
+
+// save adds to the budget what the time since the last tick allows.
+func (s *Slice) save(now time.Time) {
+	if !s.last.IsZero() {
+		s.saved = min(maxSaved, s.saved+now.Sub(s.last).Seconds()*bytesPerSecond)
+	}
+	s.last = now
+}
+
+func (s *Slice) waiting(now time.Time) []*peer {
+	var out []*peer
+	for _, p := range s.peers {
+		if !p.open && len(p.shards) > 0 && !now.Before(p.next) {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b *peer) int {
+		if c := a.next.Compare(b.next); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.instance.Name, b.instance.Name)
+	})
+	return out
+}
+
+func (s *Slice) ask(now time.Time, p *peer) Exchange {
+	p.open, p.urgent, p.next = true, false, now.Add(max(p.pace, pace))
+	return Exchange{Peer: p.instance, Request: &wire.ExchangeRequest{
+		Version: s.version, Run: p.held.run, Since: p.held.sequence, Shards: p.shards, Sender: toPeer(s.Self),
+	}}
+}
+
+// repair asks a random peer for the version that it has in force.
+func (s *Slice) repair(now time.Time) []controller.Action {
+	if now.Before(s.nextRepair) || len(s.members) < 2 {
+		return nil
+	}
+	s.nextRepair = now.Add(repairEvery/2 + time.Duration(s.Random.Int64N(int64(repairEvery))))
+	i := s.members[s.Random.IntN(len(s.members))]
+	p := s.peers[i.Name]
+	if p == nil || p.open {
+		return nil
+	}
+	return []controller.Action{s.ask(now, p)}
+}
+
+// probe asks a peer that did not answer, and is therefore out of the view,
+// whether it does now.
+func (s *Slice) probe(i lister.Instance) Exchange {
+	return Exchange{Peer: i, Request: &wire.ExchangeRequest{Version: s.version, Sender: toPeer(s.Self)}}
+}
+
+// seed asks a seed while this instance knows no peer: it has just started, and
+// the platform, which has the list, is down.
+func (s *Slice) seed(now time.Time) []controller.Action {
+	if len(s.members) > 1 || len(s.Seeds) == 0 || now.Before(s.nextSeed) {
+		return nil
+	}
+	s.nextSeed = now.Add(seedEvery)
+	return []controller.Action{Greet{Address: s.Seeds[s.Random.IntN(len(s.Seeds))]}}
+}
+
+// exchanged takes a peer's report, or the failure to get one.
+func (s *Slice) exchanged(now time.Time, e Exchanged) []controller.Action {
+	s.saved -= float64(e.Bytes)
+	p := s.peers[e.Peer.Name]
+	if p != nil {
+		p.open = false
+	}
+	out := []controller.Action{controller.Emit{Event: lister.Called{Name: e.Peer.Name, OK: e.Err == nil}}}
+	if e.Err != nil {
+		return out
+	}
+	out = append(out, controller.Emit{Event: configurer.HeardOf{Version: e.Report.Version, Address: e.Peer.Address}})
+	if e.Report.Leaving {
+		gone := e.Peer
+		gone.State = lister.StateLeaving
+		out = append(out, controller.Emit{Event: lister.Met{Instance: gone}})
+	}
+	for _, w := range e.Report.Signs {
+		out = append(out, s.heardSign(now, signFromWire(w))...)
+	}
+	if p == nil {
+		return out
+	}
+	out = append(out, s.read(now, p, e)...)
+	if p.urgent {
+		out = append(out, s.ask(now, p))
+	}
+	return out
+}
+
+// read hands on what a report says.
+func (s *Slice) read(now time.Time, p *peer, e Exchanged) []controller.Action {
+	d := s.documents[e.Report.Version]
+	if d == nil {
+		return nil // a version that is not here yet: it is being fetched
+	}
+	r, ok := p.held.decode(e.Report, d)
+	if !ok {
+		p.held = heldReport{} // the next exchange asks for the whole
+		return nil
+	}
+	out := []controller.Action{controller.Emit{Event: Heard{Report: r, Asked: e.Asked}}}
+	for _, g := range r.Groups {
+		for _, m := range g.Members {
+			at := [2]string{g.Service, m.Member}
+			out = append(out, reportedSign(p, r.Instance, m, at)...)
+			out = append(out, s.second(now, r, at, m, e.Asked)...)
+		}
+	}
+	return out
+}
+
+// second hands an observation of another instance on, if it is newer than what
+// is known. The age is added on this instance's clock, from before it asked: the
+// observation is taken for older than it is, never for younger.
+func (s *Slice) second(now time.Time, r Report, at [2]string, m MemberReport, asked time.Time) []controller.Action {
+	o := observer.Observed{Service: at[0], Member: at[1], Started: asked.Add(-m.Age), Status: m.Status, From: r.Instance}
+	if m.Failures > 0 {
+		if s.observes(now, at) {
+			return nil // whether a target answers here is not for others to say
+		}
+		o.Err = errors.Wrapf(errUnanswered, "%d times, says %s", m.Failures, r.Instance)
+		return []controller.Action{controller.Emit{Event: o}}
+	}
+	if m.Age == 0 || !o.Started.After(s.newest[at]) {
+		return nil
+	}
+	s.newest[at] = o.Started
+	return []controller.Action{controller.Emit{Event: o}}
+}
+
+// observes tells whether this instance asks the member itself at present.
+func (s *Slice) observes(now time.Time, at [2]string) bool {
+	p, ok := s.places[at]
+	if !ok || s.own[p[0]] == nil {
+		return false
+	}
+	return s.own[p[0]].members[p[1]].tells(now)
+}
--- a/internal/gossiper/wire_test.go
+++ b/internal/gossiper/wire_test.go
@@ -51,7 +51,7 @@
 
 func mustServe(t *testing.T, c *gossiper.Client) {
 	t.Helper()
-	r, err := c.Exchange(t.Context(), serverAddress, &wire.ExchangeRequest{Version: 3})
+	r, _, err := c.Exchange(t.Context(), serverAddress, &wire.ExchangeRequest{Version: 3})
 	must.NoError(t, err)
 	must.Eq(t, 3, r.Version)
 }
@@ -79,7 +79,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			serveIn(t, c.server, func(t *testing.T, client *gossiper.Client, _ *wirer.Net, _ *wirer.Host) {
 				client.Secrets, client.Versions = c.secrets, c.client
-				_, err := client.Exchange(t.Context(), serverAddress, &wire.ExchangeRequest{})
+				_, _, err := client.Exchange(t.Context(), serverAddress, &wire.ExchangeRequest{})
 				if c.want == nil {
 					must.NoError(t, err)
 					return
@@ -145,7 +145,7 @@
 	serveIn(t, gossiper.CurrentVersions, func(t *testing.T, client *gossiper.Client, n *wirer.Net, h *wirer.Host) {
 		mustServe(t, client)
 		n.Cut("10.0.0.1", "10.0.0.2")
-		_, err := client.Exchange(t.Context(), serverAddress, &wire.ExchangeRequest{})
+		_, _, err := client.Exchange(t.Context(), serverAddress, &wire.ExchangeRequest{})
 		must.ErrorIs(t, err, context.DeadlineExceeded)
 		n.HealAll()
 		mustServe(t, client)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -9,7 +9,6 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
 	"github.com/oriolegw/oriolegw/internal/commander"
-	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/controller"
 	"github.com/oriolegw/oriolegw/internal/lister"
 	"github.com/oriolegw/oriolegw/internal/loader"
@@ -45,6 +44,12 @@
 	// Events are taken over by control at its next tick, for a program or a test
 	// around the instance; nil for none.
 	Events <-chan controller.Event
+	// Seeds are addresses of peers to ask while the platform, which has the
+	// list of instances, is down.
+	Seeds []string
+	// Cancel cancels a request of a caller of this instance that a peer was
+	// asked to cancel.
+	Cancel func(ctx context.Context, pid, secret uint32) error
 
 	table  atomic.Pointer[router.Table]
 	sealer *sealer.Sealer
@@ -64,16 +69,14 @@
 	defer cancel()
 	orders := &commander.Postgres{Network: i.Network, Application: i.Settings.Name}
 	defer orders.Close()
-	control := &controller.Controller{
-		Slices: []controller.Slice{
-			&configurer.Slice{},
-			&observer.Slice{},
-			&router.Slice{Published: &i.table},
-		},
-		Performers: []controller.Performer{
-			&configurer.Reader{Store: i.Store},
+	control := &controller.Controller{}
+	p := i.openPeers(control.Post)
+	defer p.client.Close()
+	*control = controller.Controller{
+		Slices: append(p.slices(), &router.Slice{Published: &i.table}),
+		Performers: append(p.performers(),
 			&observer.Asker{Commander: orders},
-		},
+		),
 		Unknown: func(a controller.Action) {
 			_ = i.Log.Log("part", "control", "msg", "No performer for an action.", "action", a.ActionName())
 		},
@@ -87,15 +90,17 @@
 	if err != nil {
 		return err
 	}
-	ended := make(chan error, 3)
+	ended := make(chan error, 4)
 	go func() { ended <- errors.Wrap(control.Run(ctx), "control") }()
 	go func() { ended <- errors.Wrap(callers.Run(ctx), "callers") }()
 	go func() { ended <- errors.Wrap(i.pages(ctx, control, callers).Run(ctx), "pages") }()
+	go func() { ended <- errors.Wrap(p.server().Run(ctx), "peers") }()
 	_ = i.Log.Log("part", "instance", "msg", "Instance is serving.", "name", i.Settings.Name, "availability-zone", i.Settings.Zone, "callers", i.Settings.Callers)
 	first := <-ended
 	cancel()
 	<-ended
 	<-ended
+	<-ended
 	i.closePools()
 	return first
 }
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -255,6 +255,7 @@
 			Name: e.Name, Zone: e.Zone, Callers: e.IP + ":5432", Peers: e.IP + ":7100", Platform: f.Platform.Address, Authentication: loader.Trust,
 			TokenKeys: []loader.TokenKey{{Number: 1, Secret: tokenKey}},
 		},
+		Seeds: f.seeds(),
 		Network: h, Store: store, List: list, Seed: f.Plan.Seed*1000 + f.starts, Events: e.Events, Metrics: e.Metrics, Log: log.With(f.Plan.Log, "instance", e.Name),
 	}
 	if f.Plan.Settings != nil {
@@ -271,6 +272,15 @@
 	}()
 }
 
+// seeds are the addresses of all instances of the plan.
+func (f *Fleet) seeds() []string {
+	var out []string
+	for _, e := range f.Instances {
+		out = append(out, e.IP+":7100")
+	}
+	return out
+}
+
 // StopInstance ends an instance's process at once.
 func (f *Fleet) StopInstance(e *Entry) {
 	if e.cancel == nil {
