--- a/internal/standin/mesher/mesher_test.go
+++ b/internal/standin/mesher/mesher_test.go
@@ -157,6 +157,34 @@
 	}
 }
 
+// No caller uses any group, as at night, so reports are asked for rarely.
+// Instances tell each other of a version at once, and do not wait for the
+// repair, which takes seconds.
+func TestInForceAtOnce(t *testing.T) {
+	m := mesher.New(mesher.Plan{
+		Seed: 1, Zones: zones, PerZone: 12, Document: document(3),
+		Used: func(*mesher.Node) []string { return nil },
+	})
+	m.Run(10 * time.Second)
+	v := m.Publish(document(3))
+	must.Less(t, 300*time.Millisecond, mustBeInForce(t, m, v, everywhere))
+}
+
+// The fleet grows, the calls to the store do not: two watchers in each zone, and
+// an instance that starts.
+func TestStoreCallsDoNotGrow(t *testing.T) {
+	for _, perZone := range []int{3, 12} {
+		t.Run(fmt.Sprint(3*perZone), func(t *testing.T) {
+			m := mesh(perZone, 3, 1)
+			before := m.Counts
+			m.Run(time.Minute)
+			const watchers, perMinute = 6, 6
+			must.LessEq(t, watchers*(perMinute+1), m.Counts.StoreWatches-before.StoreWatches)
+			must.Eq(t, before.StoreReads, m.Counts.StoreReads)
+		})
+	}
+}
+
 // A zone is cut off for an hour, from the store and from the other zones, while
 // operators publish. Its instances keep what they have. Healed, they have the
 // newest within 5 s, and nobody takes their old document over.
