--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,8 @@
 .PHONY: docs
 docs:
 	go run ./internal/documenter/write
+.PHONY: slopes
+
+# slopes prints what control costs at several sizes; docs/CAPACITY.md uses it.
+slopes:
+	@go test ./internal/standin/mesher -run TestSlopes -slopes -v -timeout 20m | grep -E '=[0-9]|^ok|FAIL'
--- /dev/null
+++ b/internal/configurer/difference_test.go
@@ -0,0 +1,92 @@
+package configurer_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/oriolegw/oriolegw/internal/configurer"
+	"github.com/shoenig/test/must"
+)
+
+func text(services int) []byte {
+	d := &configurer.Document{}
+	for i := range services {
+		d.Services = append(d.Services, configurer.Service{Name: fmt.Sprintf("service-%d", i), Connections: 60, Members: service("m1", "m2", "m3").Members})
+	}
+	return configurer.Encode(d)
+}
+
+// Operators change a line or a service of a long document, in any place, or
+// everything: what comes out is the new document, and small changes are small.
+func TestDifference(t *testing.T) {
+	base := text(200)
+	for _, c := range []struct {
+		name string
+		next []byte
+		most int
+	}{
+		{"same", base, 100},
+		{"one line", bytes.Replace(base, []byte(`"connections": 60`), []byte(`"connections": 61`), 1), 2000},
+		{"service added", text(201), 4000},
+		{"service removed", text(199), 2000},
+		{"everything", []byte("{}"), 200},
+		{"nothing", nil, 100},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := configurer.Compare(base, c.next)
+			got, err := d.Apply(base)
+			must.NoError(t, err)
+			must.Eq(t, string(c.next), string(got))
+			must.LessEq(t, c.most, d.Size())
+		})
+	}
+}
+
+// Any two texts: what is applied to the base is the text that was compared.
+func TestDifferenceOfAnyTexts(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	line := func() []byte { return []byte(fmt.Sprintf("line %d\n", random.IntN(20))) }
+	for range 500 {
+		var base, next []byte
+		for range random.IntN(60) {
+			base = append(base, line()...)
+		}
+		for range random.IntN(60) {
+			next = append(next, line()...)
+		}
+		got, err := configurer.Compare(base, next).Apply(base)
+		must.NoError(t, err)
+		must.Eq(t, string(next), string(got))
+	}
+}
+
+// A peer applies a difference to a text that it was not made for, or one whose
+// ranges are nonsense: an error, never a wrong document.
+func TestDifferenceThatDoesNotFit(t *testing.T) {
+	base := text(10)
+	d := configurer.Compare(base, text(11))
+	for name, bad := range map[string]func() error{
+		"other base": func() error { _, err := d.Apply(text(9)); return err },
+		"base of the same length": func() error {
+			_, err := d.Apply(bytes.ReplaceAll(base, []byte(`": 60`), []byte(`": 61`)))
+			return err
+		},
+		"empty base": func() error { _, err := d.Apply(nil); return err },
+		"range too large": func() error {
+			d := d
+			d.Steps = []configurer.Step{{From: 0, To: 1 << 30}}
+			_, err := d.Apply(base)
+			return err
+		},
+		"range backwards": func() error {
+			d := d
+			d.Steps = []configurer.Step{{From: 9, To: 3}}
+			_, err := d.Apply(base)
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) { must.ErrorIs(t, bad(), configurer.ErrDifference) })
+	}
+}
--- a/internal/configurer/slice.go
+++ b/internal/configurer/slice.go
@@ -26,6 +26,9 @@
 	// watchFor ends a watch that has gone silent for good; the next one gets
 	// whatever it missed.
 	watchFor = 10 * time.Second
+	// maxPrevious is how many texts are kept to tell differences from: two
+	// minutes' worth at 2,500 changes a day, 4 MB at the largest.
+	maxPrevious = 4
 	// The pauses after which a store that failed is called again.
 	firstPause = 250 * time.Millisecond
 	maxPause   = 4 * time.Second
@@ -61,10 +64,12 @@
 		hint     HeardOf
 	}
 
-	// Held is a document with its version, and a few before it.
+	// Held is a document in force with its version, and those in force before
+	// it, the newest first.
 	Held struct {
-		Version int64
-		Text    []byte
+		Version  int64
+		Text     []byte
+		Previous []Held
 	}
 
 	// Read asks the store for the document.
@@ -77,6 +82,8 @@
 	Fetch struct {
 		Address   string
 		NewerThan int64
+		// Base is the text in force: the peer may answer with what differs.
+		Base []byte
 	}
 
 	// HeardOf says that a peer has a version in force.
@@ -188,7 +195,7 @@
 		return nil
 	}
 	s.fetching = true
-	return []controller.Action{Fetch{Address: e.Address, NewerThan: s.inForce}}
+	return []controller.Action{Fetch{Address: e.Address, NewerThan: s.inForce, Base: s.text}}
 }
 
 func (s *Slice) offered(now time.Time, e Offered) []controller.Action {
@@ -226,11 +233,34 @@
 		s.rejected = e.Version
 		return []controller.Action{controller.Emit{Event: Rejected{Version: e.Version, Err: e.Err}}}
 	}
-	s.inForce, s.text = e.Version, e.Text
+	s.hold(e.Version, e.Text)
+	return []controller.Action{controller.Emit{Event: InForce{Version: e.Version, Document: e.Document}}}
+}
+
+// hold keeps the text for peers, and some before it, for those that have one of
+// them and need only what differs.
+func (s *Slice) hold(version int64, text []byte) {
 	if s.Held != nil {
-		s.Held.Store(&Held{Version: e.Version, Text: e.Text})
+		next := &Held{Version: version, Text: text}
+		if old := s.Held.Load(); old != nil {
+			next.Previous = append([]Held{{Version: old.Version, Text: old.Text}}, old.Previous...)
+			next.Previous = next.Previous[:min(maxPrevious, len(next.Previous))]
+		}
+		s.Held.Store(next)
 	}
-	return []controller.Action{controller.Emit{Event: InForce{Version: e.Version, Document: e.Document}}}
+	s.inForce, s.text = version, text
+}
+
+// Difference returns what differs from an older version, if that is held and
+// the difference is worth it.
+func (h *Held) Difference(from int64) (Difference, bool) {
+	for _, p := range h.Previous {
+		if p.Version == from {
+			d := Compare(p.Text, h.Text)
+			return d, d.Size() < len(h.Text)/2
+		}
+	}
+	return Difference{}, false
 }
 
 // Perform implements controller.Performer.
--- a/internal/gossiper/client.go
+++ b/internal/gossiper/client.go
@@ -32,6 +32,8 @@
 		turn chan struct{}
 		conn *drpcconn.Conn
 		used time.Time
+		// introduced says that the peer was told on conn who calls.
+		introduced bool
 		// bytes counts what the link carried, both ways.
 		bytes atomic.Int64
 	}
@@ -68,7 +70,12 @@
 // bytes, both ways.
 func (c *Client) Exchange(ctx context.Context, address string, r *wire.ExchangeRequest) (out *wire.Report, bytes int64, err error) {
 	err = c.call(ctx, callTimeout, address, func(ctx context.Context, p wire.DRPCPeersClient) error {
+		l := c.link(address)
+		if l.introduced {
+			r.Sender = nil
+		}
 		out, err = p.Exchange(ctx, r)
+		l.introduced = err == nil
 		return err
 	}, &bytes)
 	return out, bytes, err
@@ -83,9 +90,9 @@
 }
 
 // FetchConfiguration asks a peer for its document, if it is newer.
-func (c *Client) FetchConfiguration(ctx context.Context, address string, newerThan int64) (out *wire.FetchReply, err error) {
+func (c *Client) FetchConfiguration(ctx context.Context, address string, r *wire.FetchRequest) (out *wire.FetchReply, err error) {
 	err = c.call(ctx, fetchTimeout, address, func(ctx context.Context, p wire.DRPCPeersClient) error {
-		out, err = p.FetchConfiguration(ctx, &wire.FetchRequest{NewerThan: newerThan})
+		out, err = p.FetchConfiguration(ctx, r)
 		return err
 	}, nil)
 	return out, err
@@ -189,7 +196,7 @@
 		return err
 	}
 	c.mutex.Lock()
-	l.conn = conn
+	l.conn, l.introduced = conn, false
 	c.mutex.Unlock()
 	return nil
 }
--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -45,8 +45,8 @@
 
 func (s *Slice) waiting(now time.Time) []*peer {
 	var out []*peer
-	for _, p := range s.peers {
-		if !p.open && len(p.shards) > 0 && !now.Before(p.next) {
+	for _, p := range s.sources {
+		if !p.open && !now.Before(p.next) {
 			out = append(out, p)
 		}
 	}
@@ -105,8 +105,16 @@
 	}
 	out := []controller.Action{controller.Emit{Event: lister.Called{Name: e.Peer.Name, OK: e.Err == nil}}}
 	if e.Err != nil {
+		if p != nil {
+			p.held = heldReport{}
+		}
 		return out
 	}
+	if e.Report.Instance != "" && e.Report.Instance != e.Peer.Name {
+		// The address has passed to another instance: what it tells must not
+		// count as this one's, least of all as a zone's say in a suspicion.
+		return []controller.Action{controller.Emit{Event: lister.Called{Name: e.Peer.Name}}}
+	}
 	out = append(out, controller.Emit{Event: configurer.HeardOf{Version: e.Report.Version, Address: e.Peer.Address}})
 	if e.Report.Leaving {
 		gone := e.Peer
@@ -132,7 +140,7 @@
 	if d == nil {
 		return nil // a version that is not here yet: it is being fetched
 	}
-	r, ok := p.held.decode(e.Report, d)
+	r, ok := p.held.decode(p.instance, e.Report, d)
 	if !ok {
 		p.held = heldReport{} // the next exchange asks for the whole
 		return nil
--- a/internal/gossiper/performer.go
+++ b/internal/gossiper/performer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/controller"
 	"github.com/oriolegw/oriolegw/internal/gossiper/wire"
@@ -28,26 +29,83 @@
 	case Greet:
 		return c.greet(ctx, a.Address), true
 	case configurer.Fetch:
-		w, err := c.Client.FetchConfiguration(ctx, a.Address, a.NewerThan)
-		return offered(w, err), true
+		return c.fetch(ctx, a), true
 	}
 	return nil, false
 }
 
 func (c *Caller) greet(ctx context.Context, address string) Greeted {
-	w, err := c.Client.FetchConfiguration(ctx, address, 0)
-	g := Greeted{Offered: offered(w, err)}
+	w, err := c.Client.FetchConfiguration(ctx, address, &wire.FetchRequest{})
+	g := Greeted{Offered: configurer.Offered{Err: err, Source: configurer.SourcePeer}}
+	if err == nil {
+		g.Offered = FromFetchReply(w, nil)
+	}
 	for _, p := range w.GetPeers() {
 		g.Peers = append(g.Peers, fromPeer(p))
 	}
 	return g
 }
 
-func offered(w *wire.FetchReply, err error) configurer.Offered {
-	if err != nil || len(w.Document) == 0 {
-		return configurer.Offered{Err: err, Source: configurer.SourcePeer}
+// fetch asks for what differs, and for the whole if that does not fit.
+func (c *Caller) fetch(ctx context.Context, a configurer.Fetch) configurer.Offered {
+	out := configurer.Offered{Source: configurer.SourcePeer}
+	for _, whole := range []bool{false, true} {
+		w, err := c.Client.FetchConfiguration(ctx, a.Address, &wire.FetchRequest{NewerThan: a.NewerThan, Whole: whole})
+		if err != nil {
+			return configurer.Offered{Err: err, Source: configurer.SourcePeer}
+		}
+		out = FromFetchReply(w, a.Base)
+		if !errors.Is(out.Err, configurer.ErrDifference) {
+			break
+		}
+	}
+	return out
+}
+
+// ToFetchReply answers a peer that asks for the document.
+func ToFetchReply(h *configurer.Held, s *Snapshot, r *wire.FetchRequest) *wire.FetchReply {
+	out := &wire.FetchReply{}
+	if s != nil && r.NewerThan == 0 {
+		out.Peers = append(out.Peers, toPeer(s.Self))
+		for _, i := range s.Peers {
+			out.Peers = append(out.Peers, toPeer(i))
+		}
+	}
+	if h == nil || h.Version <= r.NewerThan {
+		return out
+	}
+	out.Version = h.Version
+	if d, ok := h.Difference(r.NewerThan); ok && !r.Whole {
+		out.Sum = d.Sum[:]
+		for _, p := range d.Steps {
+			out.Steps = append(out.Steps, &wire.Step{From: uint32(p.From), To: uint32(p.To), Text: p.Text})
+		}
+		return out
+	}
+	out.Document = h.Text
+	return out
+}
+
+// FromFetchReply reads a peer's document; base is the text of the version that
+// was asked with. The error is ErrDifference when the whole has to be fetched,
+// and then no version is blamed.
+func FromFetchReply(w *wire.FetchReply, base []byte) configurer.Offered {
+	text := w.Document
+	if len(w.Steps) > 0 {
+		var d configurer.Difference
+		copy(d.Sum[:], w.Sum)
+		for _, p := range w.Steps {
+			d.Steps = append(d.Steps, configurer.Step{From: int(p.From), To: int(p.To), Text: p.Text})
+		}
+		var err error
+		if text, err = d.Apply(base); err != nil {
+			return configurer.Offered{Err: err, Source: configurer.SourcePeer}
+		}
+	}
+	if len(text) == 0 {
+		return configurer.Offered{Source: configurer.SourcePeer}
 	}
-	return configurer.Offer(w.Version, w.Document, configurer.SourcePeer)
+	return configurer.Offer(w.Version, text, configurer.SourcePeer)
 }
 
 // FromRequest maps a peer's call.
@@ -63,12 +121,3 @@
 	}
 	return a
 }
-
-// Told returns the instances that a newcomer is told of.
-func (s *Snapshot) Told() []*wire.Peer {
-	out := []*wire.Peer{toPeer(s.Self)}
-	for _, i := range s.Peers {
-		out = append(out, toPeer(i))
-	}
-	return out
-}
--- a/internal/gossiper/report.go
+++ b/internal/gossiper/report.go
@@ -78,7 +78,7 @@
 		// Origin is the instance that has the sign at first hand, Run its life,
 		// Number the number of the sign in that: the higher one counts.
 		Origin string
-		Run    uint64
+		Run    uint32
 		Number uint64
 		// Age is how long ago the origin gave it.
 		Age time.Duration
--- a/internal/gossiper/server.go
+++ b/internal/gossiper/server.go
@@ -50,7 +50,7 @@
 		// Announced takes a peer's news.
 		Announced func(context.Context, *wire.Announcement)
 		// Configuration returns the document in force.
-		Configuration func(newerThan int64) *wire.FetchReply
+		Configuration func(*wire.FetchRequest) *wire.FetchReply
 		// Cancel cancels a request of a caller of this instance; nil if none.
 		Cancel func(ctx context.Context, pid, secret uint32) error
 	}
@@ -61,6 +61,8 @@
 		hello  hello
 		secret Secret
 		proved chan struct{}
+		// sender is who the peer says it is; told once on a connection.
+		sender *wire.Peer
 	}
 )
 
@@ -196,6 +198,10 @@
 	if err := p.ready(); err != nil {
 		return nil, err
 	}
+	if r.Sender != nil {
+		p.sender = r.Sender
+	}
+	r.Sender = p.sender
 	return p.server.Exchange(ctx, r)
 }
 
@@ -213,7 +219,7 @@
 	if err := p.ready(); err != nil {
 		return nil, err
 	}
-	return p.server.Configuration(r.NewerThan), nil
+	return p.server.Configuration(r), nil
 }
 
 // Cancel implements wire.DRPCPeersServer.
--- a/internal/gossiper/slice.go
+++ b/internal/gossiper/slice.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/oriolegw/oriolegw/internal/commander"
 	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/controller"
 	"github.com/oriolegw/oriolegw/internal/drainer"
@@ -47,7 +48,7 @@
 
 	// maxDocuments is how many versions of the document are kept, to read the
 	// reports of peers that are a little ahead or behind.
-	maxDocuments = 8
+	maxDocuments = 4
 	// maxPeersTold is how many instances a newcomer is told of.
 	maxPeersTold = 32
 )
@@ -61,7 +62,7 @@
 	Slice struct {
 		Self lister.Instance
 		// Run is a random number of this life of the instance.
-		Run    uint64
+		Run    uint32
 		Random *rand.Rand
 		// Published is where the server of peers finds what to tell.
 		Published *atomic.Pointer[Snapshot]
@@ -73,6 +74,7 @@
 		documents map[int64]*configurer.Document
 		places    map[[2]string][2]int
 		members   []lister.Instance
+		told      []lister.Instance
 		used      [observer.Shards]bool
 		own       []*ownGroup
 		zones     [observer.Shards][]string
@@ -83,6 +85,7 @@
 		suspects  map[[2]string]bool
 
 		peers      map[string]*peer
+		sources    []*peer
 		newest     map[[2]string]time.Time
 		saved      float64
 		last       time.Time
@@ -151,6 +154,7 @@
 		return s.apply(e)
 	case lister.Changed:
 		s.members = e.Instances
+		s.choose()
 		s.plan()
 	case observer.Used:
 		s.use(e)
@@ -257,7 +261,7 @@
 		if s.zones[shard] == nil {
 			continue
 		}
-		sources, pause := s.sources(shard)
+		sources, pause := s.from(shard)
 		for _, i := range sources {
 			if shards[i.Name] == nil {
 				shards[i.Name], paces[i.Name] = map[uint32]bool{}, pause
@@ -269,8 +273,8 @@
 	s.setPeers(shards, paces)
 }
 
-// sources returns whom to ask for a shard, and how often.
-func (s *Slice) sources(shard uint32) ([]lister.Instance, time.Duration) {
+// from returns whom to ask for a shard, and how often.
+func (s *Slice) from(shard uint32) ([]lister.Instance, time.Duration) {
 	mine := observer.Of(shard, s.Self.Zone, s.members)
 	key := s.Self.Name + "/" + strconv.Itoa(int(shard))
 	if !lister.Holds(mine, s.Self.Name) {
@@ -305,7 +309,7 @@
 
 func (s *Slice) setPeers(shards map[string]map[uint32]bool, paces map[string]time.Duration) {
 	old := s.peers
-	s.peers = map[string]*peer{}
+	s.peers, s.sources = map[string]*peer{}, nil
 	for _, i := range s.members {
 		if i.Name == s.Self.Name {
 			continue
@@ -330,6 +334,9 @@
 		}
 		p.shards, p.pace = list, paces[i.Name]
 		s.peers[i.Name] = p
+		if len(list) > 0 {
+			s.sources = append(s.sources, p)
+		}
 	}
 }
 
@@ -349,17 +356,25 @@
 		s.change(m)
 		return
 	}
-	was := m.status
+	was, first := m.status, m.seen.IsZero()
 	m.seen = e.Started
 	s.newest[[2]string{e.Service, e.Member}] = e.Started
-	same := m.failures == 0 && was.Role == e.Status.Role && was.Term == e.Status.Term && was.Owner == e.Status.Owner &&
-		was.Received == e.Status.Received && was.Replayed == e.Status.Replayed
+	same := !first && m.failures == 0 && sameButOffsets(was, e.Status)
 	m.status, m.failures = e.Status, 0
-	if !same {
+	switch {
+	case !same:
 		s.change(m)
+	case was.Received != e.Status.Received || was.Replayed != e.Status.Replayed:
+		s.sequence++
+		m.moved = s.sequence
 	}
 }
 
+func sameButOffsets(a, b commander.Status) bool {
+	return a.Role == b.Role && a.Term == b.Term && a.Owner == b.Owner &&
+		a.Received.Term == b.Received.Term && a.Replayed.Term == b.Replayed.Term
+}
+
 // edit returns a member for a change, in a copy of its group; nil if the
 // document has none of the name.
 func (s *Slice) edit(name [2]string) *ownMember {
@@ -499,6 +514,13 @@
 	return lister.Instance{Name: w.GetName(), Kind: lister.KindEntry, Address: w.GetAddress(), Zone: w.GetZone(), State: lister.StateLive}
 }
 
+// choose picks the instances that a newcomer is told of.
+func (s *Slice) choose() {
+	s.told = slices.Clone(s.members)
+	s.shuffle(s.told)
+	s.told = s.told[:min(maxPeersTold, len(s.told))]
+}
+
 // publish lets the server of peers see what this instance now has to tell.
 func (s *Slice) publish() {
 	s.dirty = false
@@ -507,8 +529,6 @@
 	}
 	n := &Snapshot{Self: s.Self, Version: s.version, Run: s.Run, Sequence: s.sequence, Leaving: s.leaving, groups: slices.Clone(s.own)}
 	n.signs = s.held()
-	n.Peers = append(n.Peers, s.members...)
-	s.shuffle(n.Peers)
-	n.Peers = n.Peers[:min(maxPeersTold, len(n.Peers))]
+	n.Peers = s.told
 	s.Published.Store(n)
 }
--- a/internal/gossiper/snapshot.go
+++ b/internal/gossiper/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/gossiper/wire"
 	"github.com/oriolegw/oriolegw/internal/lister"
+	"github.com/oriolegw/oriolegw/internal/observer"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
@@ -18,7 +19,7 @@
 		Version int64
 		// Run tells one life of the instance from the next: sequences start
 		// anew in each.
-		Run      uint64
+		Run      uint32
 		Sequence uint64
 		Leaving  bool
 		// Peers are some that a new instance may ask.
@@ -43,16 +44,17 @@
 		failures  int
 		suspected bool
 		leaving   bool
-		// changed is the sequence at which anything but seen last changed.
-		changed uint64
+		// changed is the sequence at which anything but seen and the offsets
+		// last changed, moved that at which the offsets did.
+		changed, moved uint64
 	}
 
 	// heldReport is what a peer has told so far, by service and member index.
 	heldReport struct {
 		version  int64
-		run      uint64
+		run      uint32
 		sequence uint64
-		members  map[[2]uint32]*wire.Member
+		members  map[[2]uint32]MemberReport
 	}
 )
 
@@ -61,59 +63,79 @@
 const firstHand = 5 * time.Second
 
 // Report makes the answer to an exchange. Members are named by their place in
-// the document of the version, and those that have not changed since the report
-// that the peer holds are sent as an age: a member costs 6 bytes when idle,
-// where names and positions would cost 40.
+// the document of the version. Of those that have not changed since the report
+// that the peer holds, only the age is told, and of those that only moved on in
+// the log, how far they are behind the first of the group: some 8 bytes where
+// names, owner and positions would take 50.
 func (s *Snapshot) Report(now time.Time, r *wire.ExchangeRequest) *wire.Report {
-	out := &wire.Report{
-		Instance: s.Self.Name, Zone: s.Self.Zone, Address: s.Self.Address,
-		Version: s.Version, Run: s.Run, Sequence: s.Sequence, Leaving: s.Leaving,
+	out := &wire.Report{Version: s.Version, Run: s.Run, Sequence: s.Sequence, Leaving: s.Leaving}
+	since := r.Since
+	if r.Run != s.Run {
+		since, out.Instance = 0, s.Self.Name
 	}
 	for _, g := range s.signs {
 		g.Age = now.Sub(g.at)
 		out.Signs = append(out.Signs, signToWire(g.LeavingSign))
 	}
-	wanted := map[uint32]bool{}
+	var wanted [observer.Shards]bool
 	for _, n := range r.Shards {
-		wanted[n] = true
-	}
-	since := r.Since
-	if r.Run != s.Run {
-		since = 0
+		if n < observer.Shards {
+			wanted[n] = true
+		}
 	}
 	for i, g := range s.groups {
 		if g == nil || !wanted[g.shard] {
 			continue
 		}
-		w := &wire.Group{Service: uint32(i)}
-		for j, m := range g.members {
-			if m.tells(now) {
-				w.Members = append(w.Members, m.toWire(uint32(j), now, since))
-			}
-		}
-		if len(w.Members) > 0 {
+		if w := g.toWire(now, since); w != nil {
+			w.Service = uint32(i)
 			out.Groups = append(out.Groups, w)
 		}
 	}
 	return out
 }
 
+func (g *ownGroup) toWire(now time.Time, since uint64) *wire.Group {
+	w := &wire.Group{}
+	for i := range g.members {
+		if m := &g.members[i]; m.moves(since) {
+			w.Offset = max(w.Offset, m.status.Received.Offset)
+		}
+	}
+	for i := range g.members {
+		if m := &g.members[i]; m.tells(now) {
+			w.Members = append(w.Members, m.toWire(uint32(i), now, since, w.Offset))
+		}
+	}
+	if len(w.Members) == 0 {
+		return nil
+	}
+	return w
+}
+
 func (m *ownMember) tells(now time.Time) bool {
 	return m.leaving || (!m.asked.IsZero() && now.Sub(m.asked) < firstHand)
 }
 
-func (m *ownMember) toWire(index uint32, now time.Time, since uint64) *wire.Member {
+// moves tells whether only the offsets have changed since.
+func (m *ownMember) moves(since uint64) bool { return m.changed <= since && m.moved > since }
+
+func (m *ownMember) toWire(index uint32, now time.Time, since, offset uint64) *wire.Member {
 	w := &wire.Member{Member: index}
 	if !m.seen.IsZero() {
 		// Rounded up, so that an age is never told too small; 0 is never seen.
 		w.AgeMs = uint32(now.Sub(m.seen)/time.Millisecond) + 1
 	}
-	if m.changed <= since {
-		return w
-	}
-	w.Changed, w.Failures, w.Suspected, w.Leaving = true, uint32(m.failures), m.suspected, m.leaving
-	if !m.seen.IsZero() {
-		w.Status = statusToWire(m.status)
+	switch {
+	case m.moves(since):
+		w.Change = wire.Change_POSITION
+		w.ReceivedBehind = offset - m.status.Received.Offset
+		w.ReplayedBehind = offset - m.status.Replayed.Offset
+	case m.changed > since:
+		w.Change, w.Failures, w.Suspected, w.Leaving = wire.Change_EVERYTHING, uint32(m.failures), m.suspected, m.leaving
+		if !m.seen.IsZero() {
+			w.Status = statusToWire(m.status)
+		}
 	}
 	return w
 }
@@ -121,10 +143,10 @@
 // decode completes a report with what the peer told before, and gives members
 // their names back. It returns false for a report that can't be completed: the
 // next exchange then asks for the whole.
-func (h *heldReport) decode(w *wire.Report, d *configurer.Document) (Report, bool) {
-	out := Report{Instance: w.Instance, Zone: w.Zone, Version: w.Version}
+func (h *heldReport) decode(from lister.Instance, w *wire.Report, d *configurer.Document) (Report, bool) {
+	out := Report{Instance: from.Name, Zone: from.Zone, Version: w.Version}
 	if h.run != w.Run || h.version != w.Version || h.members == nil {
-		*h = heldReport{run: w.Run, version: w.Version, members: map[[2]uint32]*wire.Member{}}
+		*h = heldReport{run: w.Run, version: w.Version, members: map[[2]uint32]MemberReport{}}
 	}
 	for _, g := range w.Groups {
 		if int(g.Service) >= len(d.Services) {
@@ -137,14 +159,12 @@
 				return out, false
 			}
 			at := [2]uint32{g.Service, m.Member}
-			if m.Changed {
-				h.members[at] = m
-			}
-			held := h.members[at]
-			if held == nil {
+			n, ok := complete(h.members[at], v.Members[m.Member].Name, m, g.Offset)
+			if !ok {
 				return out, false
 			}
-			r.Members = append(r.Members, fromWire(v.Members[m.Member].Name, m.AgeMs, held))
+			h.members[at] = n
+			r.Members = append(r.Members, n)
 		}
 		out.Groups = append(out.Groups, r)
 	}
@@ -152,11 +172,21 @@
 	return out, true
 }
 
-func fromWire(name string, age uint32, m *wire.Member) MemberReport {
-	return MemberReport{
-		Member: name, Status: statusFromWire(m.Status), Age: time.Duration(age) * time.Millisecond,
-		Failures: int(m.Failures), Suspected: m.Suspected, Leaving: m.Leaving,
+// complete makes a member's report from the one before and what has changed.
+func complete(held MemberReport, name string, m *wire.Member, offset uint64) (MemberReport, bool) {
+	n := held
+	switch m.Change {
+	case wire.Change_EVERYTHING:
+		n = MemberReport{
+			Member: name, Status: statusFromWire(m.Status),
+			Failures: int(m.Failures), Suspected: m.Suspected, Leaving: m.Leaving,
+		}
+	case wire.Change_POSITION:
+		n.Status.Received.Offset = offset - m.ReceivedBehind
+		n.Status.Replayed.Offset = offset - m.ReplayedBehind
 	}
+	n.Age = time.Duration(m.AgeMs) * time.Millisecond
+	return n, n.Member == name
 }
 
 var roles = []string{"", commander.RolePrimary, commander.RoleReplica, commander.RoleFenced}
--- a/internal/gossiper/wire_test.go
+++ b/internal/gossiper/wire_test.go
@@ -10,8 +10,10 @@
 	"github.com/go-kit/log"
 	"github.com/oriolegw/oriolegw/internal/gossiper"
 	"github.com/oriolegw/oriolegw/internal/gossiper/wire"
+	"github.com/oriolegw/oriolegw/internal/standin/mesher"
 	"github.com/oriolegw/oriolegw/internal/standin/wirer"
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcconn"
 )
 
@@ -29,9 +31,9 @@
 			Address: serverAddress, Network: n.Host("10.0.0.1", "a"), Secrets: fleetKey, Versions: versions,
 			Log: log.NewNopLogger(), Count: func(string) {},
 			Exchange: func(_ context.Context, r *wire.ExchangeRequest) (*wire.Report, error) {
-				return &wire.Report{Instance: "server", Version: r.Version}, nil
+				return &wire.Report{Version: r.Version}, nil
 			},
-			Configuration: func(int64) *wire.FetchReply {
+			Configuration: func(*wire.FetchRequest) *wire.FetchReply {
 				return &wire.FetchReply{Version: 7, Document: make([]byte, 1<<20)}
 			},
 		}
@@ -155,7 +157,7 @@
 // A document of a megabyte, the most that the store holds, gets through.
 func TestLargestDocument(t *testing.T) {
 	serveIn(t, gossiper.CurrentVersions, func(t *testing.T, client *gossiper.Client, _ *wirer.Net, _ *wirer.Host) {
-		r, err := client.FetchConfiguration(t.Context(), serverAddress, 0)
+		r, err := client.FetchConfiguration(t.Context(), serverAddress, &wire.FetchRequest{})
 		must.NoError(t, err)
 		must.Eq(t, 1<<20, len(r.Document))
 	})
@@ -193,3 +195,16 @@
 		})
 	}
 }
+
+// The costs that docs/CAPACITY.md works out count an exchange as its two
+// messages and the overhead of their frames: that overhead is what the
+// connection really carries.
+func TestOverhead(t *testing.T) {
+	serveIn(t, gossiper.CurrentVersions, func(t *testing.T, client *gossiper.Client, _ *wirer.Net, _ *wirer.Host) {
+		mustServe(t, client) // the connection and its handshake
+		ask := &wire.ExchangeRequest{Version: 1 << 40, Run: 7, Since: 9, Shards: []uint32{1, 2, 3}}
+		answer, bytes, err := client.Exchange(t.Context(), serverAddress, ask)
+		must.NoError(t, err)
+		must.Eq(t, mesher.Overhead, int(bytes)-proto.Size(ask)-proto.Size(answer))
+	})
+}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -27,8 +27,13 @@
 	// core on questions alone (docs/CAPACITY.md). 9 instances before 3 groups
 	// of 3 members ask 90.
 	maxQuestions = 100
-	// usedShare is how many of maxQuestions go to groups that are in use.
-	usedShare = 75
+	// idleShare and fallbackShare are the most of maxQuestions that go to groups
+	// that nobody here uses, and to those that this instance asks although it
+	// is no observer. Without the second, an instance that is cut off from the
+	// observers of many groups would ask for all, and starve those that others
+	// rely on it to observe.
+	idleShare     = 25
+	fallbackShare = 15
 
 	// Shards is how many shards services fall into. A shard, not a service, has
 	// observers, so that an instance asks few peers for many groups: at 575
@@ -39,9 +44,11 @@
 	Observers = 3
 
 	// silence is how long an instance that relies on observers goes without
-	// news before it asks for itself: three reports' worth at the usual pace,
-	// and well below what a caller notices as stale.
-	silence = 1500 * time.Millisecond
+	// news before it asks for itself: several reports' worth at the usual pace,
+	// and well below what a caller notices as stale. Where the budget of bytes
+	// makes reports rarer, it is gapsMissed of the usual gap.
+	silence    = 1500 * time.Millisecond
+	gapsMissed = 3
 	// fallback is how long it then goes on asking, so that a group does not
 	// swing between the two ways while lists disagree.
 	fallback = 10 * time.Second
@@ -61,19 +68,23 @@
 		Instance string
 		Zone     string
 
-		services []configurer.Service
-		members  []lister.Instance
-		groups   map[string]*group
+		members []lister.Instance
+		groups  map[string]*group
+		// order has the groups as the document has them.
+		order []*group
 	}
 
 	group struct {
-		asked map[string]*question
+		service *configurer.Service
+		asked   map[string]*question
 		// observed says that this instance is one of the shard's observers.
 		observed bool
 		// heard is when an observation of another instance last came, or when
 		// waiting for the first began.
 		heard time.Time
-		used  time.Time
+		// gap is how far apart observations of others usually come.
+		gap  time.Duration
+		used time.Time
 		// fallback is until when this instance asks although it is no observer.
 		fallback time.Time
 	}
@@ -161,13 +172,15 @@
 // changes a day would double the questions in flight to a slow target.
 func (s *Slice) apply(now time.Time, d *configurer.Document) {
 	old := s.groups
-	s.services, s.groups = d.Services, map[string]*group{}
-	for _, v := range d.Services {
+	s.order, s.groups = nil, map[string]*group{}
+	for i := range d.Services {
+		v := &d.Services[i]
 		g := old[v.Name]
 		if g == nil {
 			g = &group{asked: map[string]*question{}, heard: now}
 		}
-		s.groups[v.Name] = g
+		g.service, s.groups[v.Name] = v, g
+		s.order = append(s.order, g)
 		for n := range g.asked {
 			if !v.Holds(n) {
 				delete(g.asked, n)
@@ -195,9 +208,7 @@
 		return
 	}
 	if e.From != "" {
-		if now.Sub(e.Started) < silence {
-			g.heard = now
-		}
+		g.hear(now)
 		return
 	}
 	if q := g.asked[e.Member]; q != nil {
@@ -205,6 +216,16 @@
 	}
 }
 
+// hear notes news from another instance. The gap follows slowly, so that one
+// late report does not pass for the usual.
+func (g *group) hear(now time.Time) {
+	const weight = 8
+	if d := now.Sub(g.heard); d > controller.DefaultInterval { // members of one report come together
+		g.gap += (d - g.gap) / weight
+	}
+	g.heard = now
+}
+
 // asks tells whether this instance asks the group's members itself.
 func (g *group) asks(now time.Time) bool {
 	if g.observed {
@@ -213,7 +234,7 @@
 	if !g.inUse(now) {
 		return false
 	}
-	if now.Sub(g.heard) >= silence {
+	if now.Sub(g.heard) >= max(silence, gapsMissed*g.gap) {
 		g.fallback = now.Add(fallback)
 	}
 	return now.Before(g.fallback)
@@ -221,20 +242,44 @@
 
 func (g *group) inUse(now time.Time) bool { return !g.used.IsZero() && now.Sub(g.used) < usedFor }
 
+// class is why a group is asked; each class has its share of the questions.
+type class int
+
+const (
+	classNone class = iota
+	classUsed
+	classFallback
+	classIdle
+	classes
+)
+
+func (g *group) class(now time.Time) class {
+	switch {
+	case !g.asks(now):
+		return classNone
+	case !g.observed:
+		return classFallback
+	case g.inUse(now):
+		return classUsed
+	}
+	return classIdle
+}
+
 func (s *Slice) due(now time.Time) []controller.Action {
-	usedInterval, otherInterval := s.intervals(now)
+	var count [classes]int
+	of := make([]class, len(s.order))
+	for i, g := range s.order {
+		of[i] = g.class(now)
+		count[of[i]] += len(g.service.Members)
+	}
+	pauses := intervals(count)
 	var out []controller.Action
-	for _, v := range s.services {
-		g := s.groups[v.Name]
-		if !g.asks(now) {
+	for i, g := range s.order {
+		if of[i] == classNone {
 			continue
 		}
-		pause := otherInterval
-		if g.inUse(now) {
-			pause = usedInterval
-		}
-		for _, m := range v.Members {
-			if a, ok := g.ask(now, pause, v.Name, m); ok {
+		for _, m := range g.service.Members {
+			if a, ok := g.ask(now, pauses[of[i]], g.service.Name, m); ok {
 				out = append(out, a)
 			}
 		}
@@ -257,25 +302,26 @@
 
 // intervals spreads maxQuestions over the members that are asked. While they
 // suffice, every member is asked each interval, used or not: a group that is
-// idle now is the one that a guest stands before at night. Past that, groups
-// that nobody here uses wait longer first.
-func (s *Slice) intervals(now time.Time) (used, other time.Duration) {
-	nUsed, nOther := 0, 0
-	for _, v := range s.services {
-		switch g := s.groups[v.Name]; {
-		case !g.asks(now):
-		case g.inUse(now):
-			nUsed += len(v.Members)
-		default:
-			nOther += len(v.Members)
-		}
+// idle now is the one that a guest stands before at night. Past that, what no
+// class needs of its share goes to the groups that are observed and in use.
+func intervals(count [classes]int) (out [classes]time.Duration) {
+	total := 0
+	for c := classUsed; c < classes; c++ {
+		total += count[c]
+		out[c] = interval
 	}
-	if time.Duration(nUsed+nOther)*time.Second <= maxQuestions*interval {
-		return interval, interval
+	if time.Duration(total)*time.Second <= maxQuestions*interval {
+		return out
 	}
-	const otherShare = maxQuestions - usedShare
-	other = max(idleInterval, time.Duration(nOther)*time.Second/otherShare)
-	return max(interval, time.Duration(nUsed)*time.Second/usedShare), other
+	perSecond := func(c class, share int, shortest time.Duration) int {
+		out[c] = max(shortest, time.Duration(count[c])*time.Second/time.Duration(share))
+		return int(time.Duration(count[c]) * time.Second / out[c])
+	}
+	left := maxQuestions
+	left -= perSecond(classIdle, idleShare, idleInterval)
+	left -= perSecond(classFallback, fallbackShare, interval)
+	perSecond(classUsed, left, interval)
+	return out
 }
 
 // Perform implements controller.Performer.
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -85,7 +85,7 @@
 		&observer.Slice{Instance: s.Name, Zone: s.Zone},
 		suspicions{},
 		&gossiper.Slice{
-			Self: self, Run: rand.Uint64(), Random: p.random("gossiper"), Published: &p.published, Seeds: p.instance.Seeds,
+			Self: self, Run: rand.Uint32(), Random: p.random("gossiper"), Published: &p.published, Seeds: p.instance.Seeds,
 		},
 		&uses{},
 		&reports{instance: p.instance},
@@ -123,15 +123,8 @@
 	return s.Report(time.Now(), r), nil
 }
 
-func (p *peers) configuration(newerThan int64) *wire.FetchReply {
-	out := &wire.FetchReply{}
-	if s := p.published.Load(); s != nil && newerThan == 0 {
-		out.Peers = s.Told()
-	}
-	if h := p.held.Load(); h != nil && h.Version > newerThan {
-		out.Version, out.Document = h.Version, h.Text
-	}
-	return out
+func (p *peers) configuration(r *wire.FetchRequest) *wire.FetchReply {
+	return gossiper.ToFetchReply(p.held.Load(), p.published.Load(), r)
 }
 
 // Step implements controller.Slice.
--- a/internal/standin/mesher/mesher.go
+++ b/internal/standin/mesher/mesher.go
@@ -123,9 +123,9 @@
 	Latency = 2 * time.Millisecond
 	// CallTimeout is after how long a call without answer fails.
 	CallTimeout = 500 * time.Millisecond
-	// overhead is what the frames of a call and its answer take beside the
-	// messages themselves, as TestOverhead of this package measures it.
-	overhead     = 48
+	// Overhead is what the frames of an exchange take beside the two
+	// messages themselves, as TestOverhead of package gossiper measures it.
+	Overhead     = 53
 	watchFor     = 10 * time.Second
 	usedEvery    = 500 * time.Millisecond
 	platformZone = "platform"
@@ -162,7 +162,7 @@
 		&configurer.Slice{Instance: name, Zone: zone, Random: random(), Held: &n.held},
 		&drainer.Slice{},
 		&observer.Slice{Instance: name, Zone: zone},
-		&gossiper.Slice{Self: self, Run: m.random.Uint64(), Random: random(), Published: &n.published, Seeds: seeds},
+		&gossiper.Slice{Self: self, Run: m.random.Uint32(), Random: random(), Published: &n.published, Seeds: seeds},
 		&recorder{node: n},
 	}
 	m.Nodes = append(m.Nodes, n)
--- a/internal/standin/mesher/performer.go
+++ b/internal/standin/mesher/performer.go
@@ -39,9 +39,9 @@
 		m.Counts.StoreWatches++
 		m.watch(n, a.Since)
 	case configurer.Fetch:
-		n.fetch(a.Address, a.NewerThan, func(o configurer.Offered, _ []lister.Instance) controller.Event { return o })
+		n.fetch(a.Address, a.NewerThan, a.Base, func(o configurer.Offered, _ []lister.Instance) controller.Event { return o })
 	case gossiper.Greet:
-		n.fetch(a.Address, 0, func(o configurer.Offered, peers []lister.Instance) controller.Event {
+		n.fetch(a.Address, 0, nil, func(o configurer.Offered, peers []lister.Instance) controller.Event {
 			return gossiper.Greeted{Offered: o, Peers: peers}
 		})
 	case gossiper.Exchange:
@@ -112,7 +112,7 @@
 }
 
 func (m *Mesh) carry(messages ...proto.Message) int64 {
-	b := int64(overhead)
+	b := int64(Overhead)
 	for _, p := range messages {
 		b += int64(proto.Size(p))
 	}
@@ -123,8 +123,13 @@
 func (n *Node) exchange(a gossiper.Exchange) {
 	m, asked := n.mesh, n.mesh.Now
 	m.Counts.Exchanges++
+	// The connection's other end remembers who calls.
+	sender := a.Request.Sender
+	if a.Request.Run != 0 {
+		a.Request.Sender = nil
+	}
 	n.reach(a.Peer.Address, func(to *Node) {
-		to.Give(gossiper.FromRequest(a.Request))
+		to.Give(gossiper.FromRequest(&wire.ExchangeRequest{Version: a.Request.Version, Sender: sender}))
 		s := to.published.Load()
 		if s == nil {
 			s = &gossiper.Snapshot{Self: to.Self()}
@@ -149,23 +154,17 @@
 	}, func() { n.Give(lister.Called{Name: a.Peer.Name}) })
 }
 
-func (n *Node) fetch(address string, newerThan int64, f func(configurer.Offered, []lister.Instance) controller.Event) {
+func (n *Node) fetch(address string, newerThan int64, base []byte, f func(configurer.Offered, []lister.Instance) controller.Event) {
 	m := n.mesh
 	m.Counts.Fetches++
 	n.reach(address, func(to *Node) {
-		w := &wire.FetchReply{}
-		if h := to.held.Load(); h != nil && h.Version > newerThan {
-			w.Version, w.Document = h.Version, h.Text
-		}
+		w := gossiper.ToFetchReply(to.held.Load(), to.published.Load(), &wire.FetchRequest{NewerThan: newerThan})
 		var peers []lister.Instance
 		if s := to.published.Load(); s != nil && newerThan == 0 {
 			peers = append(append(peers, to.Self()), s.Peers...)
 		}
 		m.Counts.FetchBytes += m.carry(w)
-		o := configurer.Offered{Source: configurer.SourcePeer}
-		if len(w.Document) > 0 {
-			o = configurer.Offer(w.Version, w.Document, configurer.SourcePeer)
-		}
+		o := gossiper.FromFetchReply(w, base)
 		m.after(Latency, func() { n.Give(f(o, peers)) })
 	}, func() { n.Give(f(configurer.Offered{Err: errCut, Source: configurer.SourcePeer}, nil)) })
 }
@@ -181,7 +180,7 @@
 		m.after(CallTimeout, func() { n.Give(o) })
 		return
 	}
-	p := orderer.Position{Term: 1, Offset: 1 + uint64(m.Now.Sub(m.start)/time.Millisecond)}
+	p := orderer.Position{Term: 1, Offset: 1<<40 + uint64(m.Now.Sub(m.start)/time.Millisecond)}
 	o.Status = commander.Status{Role: commander.RoleReplica, Term: 1, Owner: "entry-a-1", Received: p, Replayed: p}
 	if strings.HasSuffix(a.Member.Name, "-1") {
 		o.Status.Role = commander.RolePrimary
