Detector: the wait for a term without primary starts anew with each term

Cause: once peers' reports flow, instances agree at once.

Ruled out: the ranks of promoters (they were known to each other and 150 ms apart).

--- a/internal/detector/slice.go
+++ b/internal/detector/slice.go
@@ -59,10 +59,12 @@
 	group struct {
 		view *View
 		// opinions are the newest of each other availability zone.
-		opinions map[string]opinion
-		stall    stall
-		headless time.Time // since when the newest term has no primary
-		current  suspicion
+		opinions     map[string]opinion
+		stall        stall
+		// headless is since when headlessTerm, the newest, has no primary.
+		headless     time.Time
+		headlessTerm uint64
+		current      suspicion
 	}
 
 	// suspicion is the one that was last emitted.
--- a/internal/detector/weigh.go
+++ b/internal/detector/weigh.go
@@ -62,8 +62,11 @@
 		g.headless = time.Time{}
 		return EvidenceNone
 	}
-	if g.headless.IsZero() {
-		g.headless = now
+	// A promotion that has just fenced members for a newer term is given its time:
+	// without this, the wait of the term before counts for the new one, and each
+	// promoter is overtaken by the next within a tick.
+	if term := g.view.Term(); g.headless.IsZero() || g.headlessTerm != term {
+		g.headless, g.headlessTerm = now, term
 	}
 	if now.Sub(g.headless) < headlessAfter {
 		return EvidenceNone
