--- a/internal/configurer/slice_test.go
+++ b/internal/configurer/slice_test.go
@@ -93,6 +93,8 @@
 func TestCheckChange(t *testing.T) {
 	moved := service("m1", "m2", "m3")
 	moved.Members[0].Address = "10.9.9.9:5432"
+	leaving := service("m1", "m2", "m3")
+	leaving.Members[0].Leaving = true
 	for _, c := range []struct {
 		name     string
 		old, new configurer.Service
@@ -104,6 +106,7 @@
 		{"one removed", service("m1", "m2", "m3"), service("m1", "m2"), false},
 		{"one replaced", service("m1", "m2", "m3"), service("m1", "m2", "m4"), true},
 		{"two added", service("m1", "m2", "m3"), service("m1", "m2", "m3", "m4", "m5"), true},
+		{"one leaving", service("m1", "m2", "m3"), leaving, false},
 		{"one moved", service("m1", "m2", "m3"), moved, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -126,7 +126,7 @@
 				t = &target{signs: map[origin]time.Time{}}
 			}
 			s.targets[p] = t
-			out = append(out, s.take(now, Sign{Service: v.Name, Member: m.Name, Leaving: false, Source: SourceOperator})...)
+			out = append(out, s.take(now, Sign{Service: v.Name, Member: m.Name, Leaving: m.Leaving, Source: SourceOperator})...)
 		}
 	}
 	return out
--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -156,15 +156,18 @@
 	return out
 }
 
-// second hands an observation of another instance on, if it is newer than what
-// is known. The age is added on this instance's clock, from before it asked: the
-// observation is taken for older than it is, never for younger.
+// second hands an observation of another instance on, where this one makes none
+// of its own and it is newer than what is known. The age is added on this
+// instance's clock, from before it asked: the observation is taken for older than
+// it is, never for younger.
 func (s *Slice) second(now time.Time, r Report, at [2]string, m MemberReport, asked time.Time) []controller.Action {
+	if s.observes(now, at) {
+		// Whether a target answers here is not for others to say: a primary
+		// that only this zone is cut off from must look so here.
+		return nil
+	}
 	o := observer.Observed{Service: at[0], Member: at[1], Started: asked.Add(-m.Age), Status: m.Status, From: r.Instance}
 	if m.Failures > 0 {
-		if s.observes(now, at) {
-			return nil // whether a target answers here is not for others to say
-		}
 		o.Err = errors.Wrapf(errUnanswered, "%d times, says %s", m.Failures, r.Instance)
 		return []controller.Action{controller.Emit{Event: o}}
 	}
--- a/internal/gossiper/slice.go
+++ b/internal/gossiper/slice.go
@@ -19,9 +19,10 @@
 const (
 	// pace is how often a peer is asked while the budget of bytes allows.
 	pace = 200 * time.Millisecond
-	// idlePace is how often observers ask each other of groups that nobody here
-	// uses: what changes there is announced.
-	idlePace = time.Second
+	// observersPace is how often observers of different zones ask each other.
+	// They see the members themselves, and suspicions are announced: while one
+	// is on, the pace is full.
+	observersPace = time.Second
 	// strangerPace is how often an instance asks for groups that it neither
 	// observes nor uses: its first caller then meets a primary that is known.
 	strangerPace = 30 * time.Second
@@ -292,10 +293,10 @@
 		r := lister.Rank(key, observer.Of(shard, z, s.members))
 		out = append(out, r[:min(perZone, len(r))]...)
 	}
-	if s.used[shard] || s.suspecting(shard) {
+	if s.suspecting(shard) {
 		return out, pace
 	}
-	return out, idlePace
+	return out, observersPace
 }
 
 func (s *Slice) suspecting(shard uint32) bool {
--- a/internal/standin/mesher/slopes_test.go
+++ b/internal/standin/mesher/slopes_test.go
@@ -1,6 +1,8 @@
 package mesher_test
 
 import (
+	"bytes"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"runtime"
@@ -73,9 +75,9 @@
 	})
 	m.Run(30 * time.Second)
 	const span = 30 * time.Second
-	was, cpu, start := m.Counts, userSeconds(), time.Now()
+	was, cpu := m.Counts, userSeconds()
 	m.Run(span)
-	cpu, real := userSeconds()-cpu, time.Since(start)
+	cpu = userSeconds() - cpu
 	seconds, nodes := span.Seconds(), float64(s.instances())
 	each := func(n int) float64 { return float64(n) / seconds / nodes }
 	show := func(name string, value float64, unit string) {
@@ -100,7 +102,6 @@
 	runtime.KeepAlive(m)
 	m.Run(20 * time.Millisecond)
 	measureChange(m, d, show)
-	_ = real
 }
 
 func meanAge(m *mesher.Mesh) time.Duration {
@@ -122,7 +123,10 @@
 func measureChange(m *mesher.Mesh, d *configurer.Document, show func(string, float64, string)) {
 	nodes := float64(len(m.Nodes))
 	was, start := m.Counts, m.Now
-	v := m.Publish(d)
+	changed := *d
+	changed.Services = append([]configurer.Service(nil), d.Services...)
+	changed.Services[len(d.Services)/2].Connections++
+	v := m.Publish(&changed)
 	for behind := true; behind && m.Now.Sub(start) < time.Minute; {
 		m.Run(10 * time.Millisecond)
 		behind = false
@@ -160,5 +164,18 @@
 	}
 	cpu = userSeconds() - cpu
 	fmt.Printf("%-34s groups=%-4d %12d B\n", "configuration-document", groups, len(text))
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, text); err != nil {
+		panic(err)
+	}
+	fmt.Printf("%-34s groups=%-4d %12d B\n", "configuration-document-compact", groups, compact.Len())
+	next := document(groups)
+	next.Services[groups/2].Connections++
+	changed := configurer.Encode(next)
+	cpuDifference := userSeconds()
+	difference := configurer.Compare(text, changed)
+	cpuDifference = userSeconds() - cpuDifference
+	fmt.Printf("%-34s groups=%-4d %12d B\n", "configuration-difference", groups, difference.Size())
+	fmt.Printf("%-34s groups=%-4d %12.3f ms\n", "configuration-difference-cpu", groups, 1e3*cpuDifference)
 	fmt.Printf("%-34s groups=%-4d %12.3f ms\n", "configuration-decode-cpu", groups, 1e3*cpu/rounds)
 }
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -255,7 +255,7 @@
 			Name: e.Name, Zone: e.Zone, Callers: e.IP + ":5432", Peers: e.IP + ":7100", Platform: f.Platform.Address, Authentication: loader.Trust,
 			TokenKeys: []loader.TokenKey{{Number: 1, Secret: tokenKey}},
 		},
-		Seeds: f.seeds(),
+		Seeds:   f.seeds(),
 		Network: h, Store: store, List: list, Seed: f.Plan.Seed*1000 + f.starts, Events: e.Events, Metrics: e.Metrics, Log: log.With(f.Plan.Log, "instance", e.Name),
 	}
 	if f.Plan.Settings != nil {
