--- a/internal/detector/slice.go
+++ b/internal/detector/slice.go
@@ -59,8 +59,8 @@
 	group struct {
 		view *View
 		// opinions are the newest of each other availability zone.
-		opinions     map[string]opinion
-		stall        stall
+		opinions map[string]opinion
+		stall    stall
 		// headless is since when headlessTerm, the newest, has no primary.
 		headless     time.Time
 		headlessTerm uint64
