Measures on the two deployments: make measure

Cause: the two measures need one command, on virtual time, against baselines of the same run. Failover gap: against a lease in the store that agents renew (10 s, every 3 s).

--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,8 @@
 # slopes prints what control costs at several sizes; docs/CAPACITY.md uses it.
 slopes:
 	@go test ./internal/standin/mesher -run TestSlopes -slopes -v -timeout 20m | grep -E '=[0-9]|^ok|FAIL'
+
+# make measure prints one line per figure: name, value, unit, baseline.
+.PHONY: measure
+measure:
+	@go test ./internal/standin/measurer -count=1 -timeout 30m -v -measure | grep -E '^ *(measure |--- FAIL|FAIL|ok|panic)' | sed 's/^measure //'
--- /dev/null
+++ b/internal/standin/measurer/gaps.go
@@ -0,0 +1,116 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/drainer"
+	"github.com/oriolegw/oriolegw/internal/standin/failer"
+	"github.com/oriolegw/oriolegw/internal/standin/stager"
+	"github.com/oriolegw/oriolegw/internal/storer"
+)
+
+type (
+	// Failure is one way in which a primary ends.
+	Failure struct {
+		Name  string
+		Throw func(f *stager.Fleet, primary *stager.Target)
+		Heal  func(f *stager.Fleet, primary *stager.Target)
+	}
+
+	// Gaps collects the runs of one failure.
+	Gaps struct {
+		Gaps          []time.Duration
+		Baseline      []time.Duration
+		NotRun        int
+		Unknown       int
+		MoreTerms     int // runs in which the term rose more than once
+		Violations    []string
+		RefusalCounts map[string]int
+	}
+)
+
+// Failures returns the four ways.
+func Failures() []Failure {
+	return []Failure{
+		{
+			Name:  "crash",
+			Throw: func(f *stager.Fleet, p *stager.Target) { f.KillTarget(p) },
+			Heal:  func(f *stager.Fleet, p *stager.Target) { f.RestartTarget(p) },
+		},
+		{
+			Name:  "freeze",
+			Throw: func(_ *stager.Fleet, p *stager.Target) { p.Faults.Freeze() },
+			Heal:  func(_ *stager.Fleet, p *stager.Target) { p.Faults.Thaw() },
+		},
+		{
+			Name: "cut",
+			Throw: func(f *stager.Fleet, p *stager.Target) {
+				for _, z := range append([]string{"platform", "callers"}, f.Plan.Zones...) {
+					f.Net.Cut(p.IP, z)
+				}
+			},
+			Heal: func(f *stager.Fleet, _ *stager.Target) { f.Net.HealAll() },
+		},
+		{Name: "planned", Throw: leave},
+	}
+}
+
+// leave tells every instance that the primary is leaving, as an operator's order
+// does that has reached them all.
+func leave(f *stager.Fleet, p *stager.Target) {
+	for _, e := range f.Instances {
+		e.Events <- drainer.TargetLeaving{Service: p.Service, Member: p.Name, Leaving: true, Source: "operator"}
+	}
+}
+
+// Add plays a failure once, and its baseline once.
+func (g *Gaps) Add(ctx context.Context, p stager.Plan, w Failure, storeDown bool) error {
+	p.Services = p.Services[:1]
+	before := func(f *stager.Fleet) { f.Store.SetFaults(func(s *storer.Faults) { s.Down = storeDown }) }
+	r, err := failer.Run(ctx, failer.Scenario{Plan: p, Before: before, Fault: w.Throw, Heal: w.Heal})
+	if err != nil {
+		return err
+	}
+	if g.RefusalCounts == nil {
+		g.RefusalCounts = map[string]int{}
+	}
+	g.Gaps = append(g.Gaps, r.Gap)
+	g.NotRun += r.NotRun
+	g.Unknown += r.Unknown
+	for c, n := range r.Refusals {
+		g.RefusalCounts[c] += n
+	}
+	if r.Terms > 1 {
+		g.MoreTerms++
+	}
+	for _, v := range r.Violations {
+		g.Violations = append(g.Violations, fmt.Sprintf("seed %d: %s: %s", p.Seed, v.Promise, v.Detail))
+	}
+	b, err := baselineGap(ctx, p, w, storeDown)
+	if err != nil {
+		return err
+	}
+	g.Baseline = append(g.Baseline, b)
+	return nil
+}
+
+// Figures returns the lines of all runs of a failure.
+func (g *Gaps) Figures(deployment, failure, store string) []Figure {
+	suffix := "/" + deployment + "/" + failure + "/store-" + store
+	n := len(g.Gaps)
+	out := []Figure{
+		{"failover-gap-p50" + suffix, milliseconds(quantile(g.Gaps, 0.5)), "ms", milliseconds(quantile(g.Baseline, 0.5))},
+		{"failover-gap-p99" + suffix, milliseconds(quantile(g.Gaps, 0.99)), "ms", milliseconds(quantile(g.Baseline, 0.99))},
+		{"failover-gap-max" + suffix, milliseconds(quantile(g.Gaps, 1)), "ms", milliseconds(quantile(g.Baseline, 1))},
+		{"unknown-outcomes-per-failover" + suffix, fmt.Sprintf("%.2f", float64(g.Unknown)/float64(n)), "requests", "-"},
+		{"not-run-per-failover" + suffix, fmt.Sprintf("%.2f", float64(g.NotRun)/float64(n)), "requests", "-"},
+		{"failovers-with-more-than-one-term" + suffix, fmt.Sprint(g.MoreTerms), "of-" + fmt.Sprint(n), "-"},
+		{"failover-violations" + suffix, fmt.Sprint(len(g.Violations)), "violations", "-"},
+	}
+	for c, k := range g.RefusalCounts {
+		out = append(out, Figure{"failover-refusals" + suffix + "/" + c, fmt.Sprint(k), "requests", "-"})
+	}
+	return out
+}
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -107,7 +107,7 @@
 	if len(p.Zones) == 0 {
 		p.Zones = []string{"a", "b", "c"}
 	}
-	if p.PerZone == 0 {
+	if p.PerZone == 0 { // a negative number means none
 		p.PerZone = 1
 	}
 	if len(p.Services) == 0 {
