Replicas testify: they tell how long ago they heard their primary

Cause: without peers' reports, an instance that could not reach the primary waited 400 to 900 ms for another availability zone to speak, and then acted alone. A second fault of the same kind, found by TestIdlePrimaryBehindCut: an instance that started behind the cut had never seen the primary and took its term for one without primary.

Now a primary sends a heartbeat every 200 ms on its replication streams and a replica's status tells how long ago it last heard it. A replica speaks for its availability zone: hears, or deaf after 700 ms or when its stream broke. A stall is judged by what the primary's followers have confirmed to it, so a cut in one direction counts as well.

Ruled out: progress of the replicas' logs as the sign of life (an idle group shows none).

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -30,6 +30,9 @@
 		Followers map[string]orderer.Position
 		// Following is, on a replica, the address of the primary it follows.
 		Following string
+		// Heard is, on a replica, how long ago it last received anything from
+		// that primary, a heartbeat included; negative without a stream.
+		Heard time.Duration
 	}
 
 	// Commander gives orders to targets. An error other than ErrRefused means
--- a/internal/commander/postgres.go
+++ b/internal/commander/postgres.go
@@ -296,7 +296,7 @@
 	return conn, nil
 }
 
-const statusFields = 7
+const statusFields = 8
 
 func decode(row [][]byte) (Status, error) {
 	if len(row) != statusFields {
@@ -313,6 +313,11 @@
 	if s.Replayed, err = orderer.Parse(string(row[4])); err != nil {
 		return Status{}, errors.Wrap(err, "replayed")
 	}
+	heard, err := strconv.ParseInt(string(row[7]), 10, 64)
+	if err != nil {
+		return Status{}, errors.Wrap(err, "heard")
+	}
+	s.Heard = time.Duration(heard) * time.Millisecond
 	followers := map[string]string{}
 	if err := json.Unmarshal(row[5], &followers); err != nil {
 		return Status{}, errors.Wrap(err, "followers")
--- a/internal/detector/slice.go
+++ b/internal/detector/slice.go
@@ -8,7 +8,6 @@
 	"github.com/oriolegw/oriolegw/internal/controller"
 	"github.com/oriolegw/oriolegw/internal/gossiper"
 	"github.com/oriolegw/oriolegw/internal/observer"
-	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
 // The thresholds answer one pattern each. They are measured in
@@ -30,8 +29,12 @@
 	// headlessAfter leaves a running promotion the time to end, so that it is not
 	// overtaken by a second one.
 	headlessAfter = 700 * time.Millisecond
-	// aliveFor is how long a replica's progress speaks for a silent primary.
-	aliveFor = 500 * time.Millisecond
+	// deafAfter is how long a replica may miss its primary's heartbeat, which comes
+	// every 200 ms, before it counts as cut off.
+	deafAfter = 700 * time.Millisecond
+	// cutAfter is how long a majority of the replicas must stay so: a replica that
+	// opens its stream anew has none for some 100 ms.
+	cutAfter = 400 * time.Millisecond
 	// freshFor is how long what was seen or reported counts.
 	freshFor = 2 * time.Second
 	// refusedPatience and silentPatience are how long a suspicion waits for other
@@ -57,6 +60,7 @@
 	}
 
 	group struct {
+		zone string // the instance's own
 		view *View
 		// opinions are the newest of each other availability zone.
 		opinions map[string]opinion
@@ -78,9 +82,9 @@
 
 	// stall watches a position of the primary that no majority holds.
 	stall struct {
-		since    time.Time
-		progress orderer.Position
-		sum      uint64
+		since time.Time
+		sum   uint64 // of what the followers hold
+		cut   bool   // the replicas don't hear the primary
 	}
 
 	opinion struct {
@@ -120,7 +124,7 @@
 	for n, v := range s.views {
 		g := old[n]
 		if g == nil {
-			g = &group{opinions: map[string]opinion{}}
+			g = &group{zone: s.Zone, opinions: map[string]opinion{}}
 		}
 		g.view = v
 		s.groups[n] = g
--- a/internal/detector/view.go
+++ b/internal/detector/view.go
@@ -21,8 +21,6 @@
 		FailingSince time.Time
 		// Unreachable tells that the last of them was refused, not unanswered.
 		Unreachable bool
-		// Advanced is when the question was sent that last showed the log grown.
-		Advanced time.Time
 	}
 
 	// View is what is known of one group.
@@ -75,9 +73,6 @@
 		return
 	}
 	if e.Err == nil {
-		if !k.Seen.IsZero() && e.Status.Received.Compare(k.Status.Received) > 0 {
-			k.Advanced = e.Started
-		}
 		k.Status, k.Seen, k.Failures = e.Status, e.Started, 0
 		return
 	}
--- a/internal/detector/weigh.go
+++ b/internal/detector/weigh.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/commander"
-	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
 // weigh returns the strongest evidence against the primary at hand.
@@ -26,30 +25,34 @@
 		return EvidenceNone
 	case k.Unreachable && failing >= refusedAfter:
 		return EvidenceUnreachable
-	case failing >= silentAfter && !g.advancing(now, p):
+	case failing >= silentAfter:
 		return EvidenceSilent
 	}
 	return EvidenceNone
 }
 
-// advancing reports whether a replica has lately received entries of the
-// primary's term: then the primary lives, and only the way to it is cut.
-func (g *group) advancing(now time.Time, p int) bool {
-	since := g.view.Members[p].FailingSince
-	for i, k := range g.view.Members {
-		if i != p && k.Status.Received.Term == g.view.Term() && k.Advanced.After(since) && now.Sub(k.Advanced) < aliveFor {
-			return true
-		}
-	}
-	return false
+// deaf reports whether a replica has no sign of life from the primary; known is
+// false when the instance has no recent status of it as a replica of this term.
+func (g *group) deaf(now time.Time, i int) (deaf, known bool) {
+	k := &g.view.Members[i]
+	if k.Failures > 0 || k.Status.Role != commander.RoleReplica || k.Status.Term != g.view.Term() || now.Sub(k.Seen) > freshFor {
+		return false, false
+	}
+	return k.Status.Heard < 0 || k.Status.Heard >= deafAfter, true
 }
 
 // weighHeadless finds a term without primary: its promoter died, or the primary
 // died before this instance ever saw it.
 func (g *group) weighHeadless(now time.Time) Evidence {
 	seen := 0
-	for _, k := range g.view.Members {
+	for i, k := range g.view.Members {
+		deaf, known := g.deaf(now, i)
 		switch {
+		case known && !deaf:
+			// It hears a primary that this instance has never reached. Without
+			// this, an instance that starts behind a cut replaces a healthy one.
+			g.headless = time.Time{}
+			return EvidenceNone
 		case k.Failures >= minFailures:
 		case !k.Seen.IsZero() && now.Sub(k.Seen) < freshFor:
 			seen++
@@ -76,32 +79,43 @@
 
 // weighStall finds a primary that is cut off from its replicas: it takes writes,
 // none of which can be confirmed. Replicas that lag still move, so any progress
-// of theirs starts the wait again.
+// of theirs starts the wait again; replicas that don't even hear the primary show
+// the cut sooner, and before the first write meets it.
 func (g *group) weighStall(now time.Time, p int) Evidence {
-	want := g.view.Members[p].Status.Received
-	holders, lacking := 1, 0
-	var progress orderer.Position
+	primary := g.view.Members[p].Status
+	holders, lacking, deaf := 1, 0, 0
 	var sum uint64
-	for i, k := range g.view.Members {
-		switch {
-		case i == p:
+	for i, m := range g.view.Service.Members {
+		if i == p {
 			continue
-		case k.Status.Received.AtLeast(want):
+		}
+		held := primary.Followers[m.Name]
+		sum += held.Offset
+		if held.AtLeast(primary.Received) {
 			holders++
-		case k.Failures == 0 && k.Status.Role != commander.RoleFenced && now.Sub(k.Seen) < freshFor:
+		}
+		if d, known := g.deaf(now, i); known {
 			lacking++
+			if d {
+				deaf++
+			}
 		}
-		progress = orderer.Max(progress, k.Status.Received)
-		sum += k.Status.Received.Offset
 	}
-	if holders >= g.view.Service.Quorum() || lacking <= len(g.view.Members)-g.view.Service.Quorum() {
+	// With the others gone as well, no promotion could get a majority.
+	minority := len(g.view.Members) - g.view.Service.Quorum()
+	cut := deaf > minority
+	if lacking <= minority || (!cut && holders >= g.view.Service.Quorum()) {
 		g.stall = stall{}
 		return EvidenceNone
 	}
-	if g.stall.since.IsZero() || progress != g.stall.progress || sum != g.stall.sum {
-		g.stall = stall{since: now, progress: progress, sum: sum}
+	if g.stall.since.IsZero() || sum != g.stall.sum || cut != g.stall.cut {
+		g.stall = stall{since: now, sum: sum, cut: cut}
 	}
-	if now.Sub(g.stall.since) < stalledAfter {
+	after := stalledAfter
+	if cut {
+		after = cutAfter
+	}
+	if now.Sub(g.stall.since) < after {
 		return EvidenceNone
 	}
 	return EvidenceStalled
@@ -111,8 +125,9 @@
 // themselves show (a stall, a term without primary) is the same from everywhere.
 // That this instance can't reach the primary may be its own fault: then another
 // availability zone has to share the suspicion, and more of them than see the
-// primary alive. When none speaks up in time, the instance decides alone: it may
-// be the only one left.
+// primary alive. A zone speaks through its instances' reports and through its
+// replica, which either hears the primary or doesn't. When none speaks up in
+// time, the instance decides alone: it may be the only one left.
 func (g *group) agree(now time.Time) bool {
 	c := g.current
 	if c.evidence == EvidenceStalled || c.evidence == EvidenceHeadless {
@@ -123,24 +138,37 @@
 		return false
 	}
 	failing := g.view.Members[p].FailingSince
-	suspecting, alive := 1, 0
-	for _, o := range g.opinions {
+	suspecting, alive := map[string]bool{}, map[string]bool{}
+	for z, o := range g.opinions {
 		switch {
 		case o.term != c.term || now.Sub(o.heard) > freshFor:
 		case o.suspects:
-			suspecting++
+			suspecting[z] = true
 		case o.alive.After(failing) && now.Sub(o.alive) < freshFor:
-			alive++
+			alive[z] = true
 		}
 	}
-	if suspecting > 1 {
-		return suspecting > alive
+	for i, m := range g.view.Service.Members {
+		if i == p {
+			continue
+		}
+		deaf, known := g.deaf(now, i)
+		switch {
+		case known && !deaf && g.view.Members[i].Seen.After(failing):
+			alive[m.Zone] = true
+		case known && deaf && m.Zone != g.zone:
+			suspecting[m.Zone] = true
+		}
 	}
-	patience := silentPatience
-	if c.evidence == EvidenceUnreachable {
-		patience = refusedPatience
+	if len(alive) == 0 && len(suspecting) == 0 {
+		patience := silentPatience
+		if c.evidence == EvidenceUnreachable {
+			patience = refusedPatience
+		}
+		return now.Sub(c.since) >= patience
 	}
-	return alive == 0 && now.Sub(c.since) >= patience
+	suspecting[g.zone] = true
+	return len(suspecting) > max(1, len(alive))
 }
 
 // ordered returns the views by service name: a slice's answers to an event must
--- a/internal/standin/failer/failer.go
+++ b/internal/standin/failer/failer.go
@@ -30,7 +30,7 @@
 	// think is a caller's pause between two writes.
 	think = 20 * time.Millisecond
 	// patience is how long a caller waits for an answer before it leaves.
-	patience = time.Second
+	patience = 8 * time.Second
 	keys     = 4
 	table    = "ledger"
 )
--- a/internal/standin/replicator/control.go
+++ b/internal/standin/replicator/control.go
@@ -27,6 +27,7 @@
 	{"replayed", oidText},
 	{"followers", oidText},
 	{"following", oidText},
+	{"heard_ms", oidInt8},
 }
 
 func statusResult(s Status) result {
@@ -39,6 +40,7 @@
 		Columns: statusColumns,
 		Rows: [][]string{{
 			s.Role, strconv.FormatUint(s.Term, 10), s.Owner, s.Received.String(), s.Replayed.String(), string(text), s.Following,
+			strconv.FormatInt(s.Heard.Milliseconds(), 10),
 		}},
 		Tag: "SELECT 1",
 	}
--- a/internal/standin/replicator/member.go
+++ b/internal/standin/replicator/member.go
@@ -59,6 +59,7 @@
 		// them, and ends when the member follows another.
 		streamed uint64
 		draining bool
+		heard    time.Time         // replica: the last sign of the primary; zero without a stream
 		active   map[*session]bool // sessions with a transaction or statement under way
 		ledger   ledger
 		arrivals []time.Time                 // when the last entries were received
@@ -94,8 +95,11 @@
 		Followers map[string]orderer.Position
 		// Following is the address of the primary that a replica follows.
 		Following string
-		Sessions  int
-		Peak      int
+		// Heard is how long ago a replica last received anything, a heartbeat
+		// included, from its primary; negative without a stream.
+		Heard    time.Duration
+		Sessions int
+		Peak     int
 	}
 )
 
@@ -219,7 +223,10 @@
 	s := Status{
 		Name: m.Name, Role: m.role, Term: m.term, Owner: m.owner,
 		Received: m.ledger.received(), Replayed: m.ledger.replayedPosition(),
-		Following: m.primary, Sessions: len(m.sessions), Peak: m.peak,
+		Following: m.primary, Heard: -time.Millisecond, Sessions: len(m.sessions), Peak: m.peak,
+	}
+	if m.role == RoleReplica && !m.heard.IsZero() {
+		s.Heard = time.Since(m.heard)
 	}
 	if m.role == RolePrimary {
 		s.Followers = map[string]orderer.Position{}
