Terms on top of peers' reports: first-hand views, ranks among those that suspect

Cause: with peers' reports flowing, an observation that another instance made passed for this instance's own. It ended a suspicion, reset the count of failures, and lacks what a status tells of replication, so a relayed status read as a replica that just heard its primary. Views now take what was seen at first hand; whoever sees nothing at first hand neither suspects nor promotes. Ranks counted every peer, also those that never act; now those that observe the group, and for a suspected member those that suspect it.

--- a/internal/detector/view.go
+++ b/internal/detector/view.go
@@ -53,10 +53,12 @@
 }
 
 // Observe takes in an answer, or its absence. It returns nil for a group or a
-// member that the configuration doesn't know.
+// member that the configuration doesn't know, and for what another instance
+// observed: that says nothing of whether this one reaches the member, and lacks
+// what a status tells of replication.
 func (w Views) Observe(e observer.Observed) *View {
 	v := w[e.Service]
-	if v == nil {
+	if v == nil || e.From != "" {
 		return nil
 	}
 	i := v.Index(e.Member)
--- a/internal/promoter/slice.go
+++ b/internal/promoter/slice.go
@@ -58,15 +58,21 @@
 
 		views    detector.Views
 		groups   map[string]*group
-		peers    map[string]time.Time
 		attempts uint64
 	}
 
+	peer struct {
+		heard    time.Time
+		suspects bool
+	}
+
 	group struct {
 		slice   *Slice
 		view    *detector.View
 		agreed  *detector.Agreed
 		leaving map[string]bool
+		// peers are the instances that observe the group as well, by name.
+		peers map[string]peer
 		// floor is the newest term that the store showed.
 		floor uint64
 		// due is when the next attempt begins; zero while there is no reason.
@@ -127,7 +133,7 @@
 	for n, v := range s.views {
 		g := old[n]
 		if g == nil {
-			g = &group{slice: s, leaving: map[string]bool{}, repairs: map[string]time.Time{}, chased: map[string]bool{}}
+			g = &group{slice: s, peers: map[string]peer{}, leaving: map[string]bool{}, repairs: map[string]time.Time{}, chased: map[string]bool{}}
 		}
 		if g.view != nil && len(g.view.Members) != len(v.Members) {
 			g.attempt = nil // its members are counted by place
@@ -138,10 +144,17 @@
 }
 
 func (s *Slice) hear(now time.Time, e gossiper.Heard) {
-	if s.peers == nil {
-		s.peers = map[string]time.Time{}
+	for _, r := range e.Report.Groups {
+		g := s.groups[r.Service]
+		if g == nil || len(r.Members) == 0 {
+			continue
+		}
+		p := peer{heard: now}
+		for _, m := range r.Members {
+			p.suspects = p.suspects || m.Suspected
+		}
+		g.peers[e.Report.Instance] = p
 	}
-	s.peers[e.Report.Instance] = now
 }
 
 func (s *Slice) tick(now time.Time) []controller.Action {
@@ -161,11 +174,17 @@
 	return out
 }
 
-// delay is how long this instance lets others go first.
-func (s *Slice) delay(now time.Time, service string, term uint64) time.Duration {
-	own, rank := weight(service, term, s.Name), 0
-	for n, heard := range s.peers {
-		if n != s.Name && now.Sub(heard) < peerFresh && weight(service, term, n) < own {
+// delay is how long this instance lets others go first. Of a suspected member,
+// only those count that suspect it: the others may be cut off, or will not act.
+func (g *group) delay(now time.Time) time.Duration {
+	s := g.slice
+	suspected := g.agreed != nil && g.agreed.Member != ""
+	own, rank := weight(g.view.Service.Name, g.view.Term(), s.Name), 0
+	for n, p := range g.peers {
+		if n == s.Name || now.Sub(p.heard) >= peerFresh || (suspected && !p.suspects) {
+			continue
+		}
+		if weight(g.view.Service.Name, g.view.Term(), n) < own {
 			rank++
 		}
 	}
@@ -202,7 +221,7 @@
 		if g.notBefore.After(from) {
 			from = g.notBefore
 		}
-		g.due = from.Add(g.slice.delay(now, g.view.Service.Name, g.view.Term()))
+		g.due = from.Add(g.delay(now))
 	}
 	if now.Before(g.due) {
 		return nil
