--- a/internal/detector/view.go
+++ b/internal/detector/view.go
@@ -21,8 +21,6 @@
 		FailingSince time.Time
 		// Unreachable tells that the last of them was refused, not unanswered.
 		Unreachable bool
-		// Advanced is when the question was sent that last showed the log grown.
-		Advanced time.Time
 	}
 
 	// View is what is known of one group.
@@ -55,10 +53,12 @@
 }
 
 // Observe takes in an answer, or its absence. It returns nil for a group or a
-// member that the configuration doesn't know.
+// member that the configuration doesn't know, and for what another instance
+// observed: that says nothing of whether this one reaches the member, and lacks
+// what a status tells of replication.
 func (w Views) Observe(e observer.Observed) *View {
 	v := w[e.Service]
-	if v == nil {
+	if v == nil || e.From != "" {
 		return nil
 	}
 	i := v.Index(e.Member)
@@ -75,9 +75,6 @@
 		return
 	}
 	if e.Err == nil {
-		if !k.Seen.IsZero() && e.Status.Received.Compare(k.Status.Received) > 0 {
-			k.Advanced = e.Started
-		}
 		k.Status, k.Seen, k.Failures = e.Status, e.Started, 0
 		return
 	}
