--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -90,10 +90,10 @@
 	for _, reason := range refuser.Reasons {
 		must.StrContains(t, string(r.Page()), reporter.PageName(reporter.RefusalMetric(reason))+`{instance="entry-a"} 0`+"\n")
 	}
-	s.Counter("retry.read").Inc(3)
+	s.Counter("retry.write").Inc(3)
 	r.Watch("callers.open", map[string]string{"instance": "entry-a"}, func() float64 { return 2 })
 	must.NoError(t, closer.Close())
-	must.StrContains(t, string(r.Page()), `oriolegw_retry_read{instance="entry-a"} 3`+"\n")
+	must.StrContains(t, string(r.Page()), `oriolegw_retry_write{instance="entry-a"} 3`+"\n")
 	must.StrContains(t, string(r.Page()), `oriolegw_callers_open{instance="entry-a"} 2`+"\n")
 }
 
