Publishing refuses a document that must not follow the one in force

Cause: CheckChange was there and nothing called it: a document that replaced two members at once was accepted, and a majority of the new members could promote without a write that the old ones hold.

Publish reads the version seen where the operator gave only its number, compares, then swaps. Without the call TestUnsafeChange fails.

Left: a service removed in one version and added in a later one is not compared.

--- a/internal/editor/pages.go
+++ b/internal/editor/pages.go
@@ -126,6 +126,8 @@
 	switch {
 	case errors.As(err, &problems):
 		p.show(w, r, http.StatusUnprocessableEntity, view{Copy: c, Open: r.FormValue("open")})
+	case errors.Is(err, configurer.ErrUnsafeChange):
+		p.show(w, r, http.StatusUnprocessableEntity, view{Copy: c, Open: r.FormValue("open"), Notice: "Nothing was changed: " + err.Error() + "."})
 	case result.Outcome == publisher.Accepted:
 		p.log("Document was published.", result.Now.Version)
 		p.show(w, r, http.StatusOK, view{
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -76,13 +76,34 @@
 	return Published{Version: pair.Revision, Text: pair.Value, Document: d}, nil
 }
 
-// Publish checks a document and swaps it in if the version is still the one
-// seen; 0 means that none was published. Problems of the document come as an
-// error, and nothing is changed.
+// Publish checks a document, also whether it may follow the one seen, and swaps
+// it in if the version is still the one seen; Version 0 means that none was
+// published. Of seen, the version is enough: the document is then read. Problems
+// and configurer.ErrUnsafeChange come as an error, and nothing is changed.
 func (p *Publisher) Publish(ctx context.Context, seen Published, file string, text []byte) (Result, error) {
-	if _, problems := configurer.Check(file, text); len(problems) > 0 {
+	next, problems := configurer.Check(file, text)
+	if len(problems) > 0 {
 		return Result{}, problems
 	}
+	if seen.Version != 0 && seen.Document == nil {
+		now, err := p.Current(ctx)
+		if err != nil {
+			return Result{}, err
+		}
+		if now.Version != seen.Version {
+			return raced(seen, now), nil
+		}
+		seen = now
+	}
+	if seen.Document != nil {
+		if err := configurer.CheckChange(seen.Document, next); err != nil {
+			return Result{}, err
+		}
+	}
+	return p.swap(ctx, seen, text)
+}
+
+func (p *Publisher) swap(ctx context.Context, seen Published, text []byte) (Result, error) {
 	want := storer.Pair{Key: configurer.Key, Value: text, Revision: seen.Version}
 	pair, ok, err := p.Store.Swap(ctx, want, 0)
 	if err != nil {
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -99,6 +99,21 @@
 	})
 }
 
+// A document that replaces the group's only two members at once would let a
+// majority of the new ones promote without a write that the old ones hold.
+func TestUnsafeChange(t *testing.T) {
+	try(t, func(s *stage, seen publisher.Published) {
+		text := []byte(strings.NewReplacer("10.0.0.1", "10.0.0.7", "10.0.0.2", "10.0.0.8").Replace(first))
+		for _, base := range []publisher.Published{seen, {Version: seen.Version}} {
+			_, err := s.p.Publish(s.ctx, base, "d.json", text)
+			must.ErrorIs(t, err, configurer.ErrUnsafeChange)
+		}
+		now, err := s.p.Current(s.ctx)
+		must.NoError(t, err)
+		must.Eq(t, seen.Version, now.Version)
+	})
+}
+
 func TestMistakesAreNotPublished(t *testing.T) {
 	try(t, func(s *stage, seen publisher.Published) {
 		_, err := s.p.Publish(s.ctx, seen, "d.json", edit("20", "0"))
