--- a/internal/relayer/fate_test.go
+++ b/internal/relayer/fate_test.go
@@ -76,6 +76,10 @@
 	run(t, plan(), func(s *stage) {
 		a := s.open(0, nil)
 		s.exec(a, "INSERT INTO ledger VALUES ('a', '0')")
+		time.Sleep(time.Second)
+		for _, m := range s.Members {
+			m.Faults.SetReplayLag(time.Minute)
+		}
 		s.Target("1").Faults.LoseNextAnswer()
 		_, err := a.Exec(s.ctx, increment)
 		s.refused(err, refuser.ConnectionLost)
@@ -89,7 +93,7 @@
 // its answer is lost: that is no read that changed nothing.
 func TestLostAnswerOfAFunction(t *testing.T) {
 	run(t, plan(), func(s *stage) {
-		a := s.open(0, nil)
+		a := s.open(0, map[string]string{"oriole.kind": "strict"})
 		s.exec(a, "INSERT INTO ledger VALUES ('a', '0')")
 		s.Target("1").Faults.LoseNextAnswer()
 		_, err := a.Exec(s.ctx, "SELECT release_locker('a')", pgx.QueryExecModeSimpleProtocol)
@@ -105,7 +109,7 @@
 	run(t, plan(), func(s *stage) {
 		a := s.open(1, nil)
 		s.exec(a, "INSERT INTO ledger VALUES ('a', '0')")
-		s.KillTarget(s.Target("1"))
+		s.StopTarget(s.Target("1"))
 		s.RestartTarget(s.Target("1"))
 		s.exec(a, increment)
 		must.Eq(t, 1, s.ran(increment))
@@ -159,7 +163,6 @@
 		sum.notRun += one.notRun
 		sum.unknown += one.unknown
 	}
-	s.Net.HealAll()
 	time.Sleep(5 * time.Second)
 	value, err := strconv.Atoi(s.get(s.open(1, nil), "SELECT value FROM ledger WHERE key = 'a'"))
 	must.NoError(s.T, err)
@@ -204,7 +207,7 @@
 			primary = m
 		}
 	}
-	switch r.IntN(5) {
+	switch r.IntN(6) {
 	case 0:
 		primary.Faults.LoseNextAnswer()
 	case 1:
@@ -219,5 +222,17 @@
 		primary.Faults.Thaw()
 	case 4:
 		s.promote("10.0.9.9", "b")
+	case 5: // the primary goes on answering callers of its own zone
+		other := ""
+		for _, zone := range []string{"a", "b", "c"} {
+			if zone != primary.Zone {
+				s.Net.Cut(primary.Zone, zone)
+				other = zone
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		s.promote("10.0.8."+strconv.Itoa(int(other[0])), other)
+		time.Sleep(300 * time.Millisecond)
+		s.Net.HealAll()
 	}
 }
--- a/internal/relayer/session_test.go
+++ b/internal/relayer/session_test.go
@@ -69,8 +69,12 @@
 		// The tag of the answer shows it: the connection is destroyed.
 		run(t, plan(), func(s *stage) {
 			a, b := s.open(0, nil), s.open(0, nil)
-			s.exec(a, "SELECT * FROM remember('x')")
-			must.Eq(t, "", s.get(b, "SHOW remembered"))
+			for range 4 { // on each replica
+				s.exec(a, "SELECT * FROM remember('x')")
+			}
+			for range 4 {
+				must.Eq(t, "", s.get(b, "SHOW remembered"))
+			}
 		})
 	})
 	t.Run("the proxy's own settings", func(t *testing.T) {
--- a/internal/relayer/share_test.go
+++ b/internal/relayer/share_test.go
@@ -96,22 +96,26 @@
 // crew is one caller: one in ten rounds lodges a sheet and reads it back.
 func (s *stage) crew(i, rounds int) (times []time.Duration) {
 	c, err := s.Connect(s.ctx, s.Instances[i%3], service, nil)
-	must.NoError(s.T, err)
+	if err != nil {
+		s.Error(err)
+		return []time.Duration{0}
+	}
 	r := rand.New(rand.NewPCG(uint64(i), 3))
 	for n := range rounds {
 		time.Sleep(time.Duration(r.IntN(40)) * time.Millisecond)
 		sql, key := "/* kind=look-up */ SELECT value FROM ledger WHERE key = 'x'", strconv.Itoa(i)+"-"+strconv.Itoa(n)
 		own := n%10 == 0
 		if own {
-			s.exec(c, "INSERT INTO ledger VALUES ('"+key+"', 'lodged')")
+			if _, err := c.Exec(s.ctx, "INSERT INTO ledger VALUES ('"+key+"', 'lodged')"); err != nil {
+				s.Error(err)
+			}
 			sql = "/* kind=own */ SELECT value FROM ledger WHERE key = '" + key + "'"
 		}
 		started := time.Now()
 		tag, err := c.Exec(s.ctx, sql, pgx.QueryExecModeExec)
-		must.NoError(s.T, err)
 		times = append(times, time.Since(started))
-		if own {
-			must.Eq(s.T, int64(1), tag.RowsAffected())
+		if err != nil || (own && tag.RowsAffected() != 1) {
+			s.Errorf("%s: %d rows, %v", sql, tag.RowsAffected(), err)
 		}
 	}
 	return times
