Caller streams fuzzed; a BEGIN doesn't wait for a question of its own

Cause: each BEGIN waited for a watermark taken after it, up to 20 ms and a round trip. Reads in a transaction aren't checked one by one anyway, so the bound at its BEGIN is now the kind's age, at most 1 s: the observer's rounds meet it without waiting. Kinds that accept no age still ask. A refusal within a session was sent as FATAL while the session went on.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -291,7 +291,7 @@
 	return endAnswered, true
 }
 
-// witness waits until a majority, asked after the request began, has named no
+// witness waits until a majority, asked late enough, has named no
 // newer term. Without it a primary that was replaced, and does not know yet,
 // would show old data as the newest. The question was sent together with the
 // request, so this rarely waits for more than its own round trip.
@@ -307,7 +307,7 @@
 		if g.Term > x.conn.Place.Term {
 			return errOutdated
 		}
-		if w, ok := g.After(x.started); ok && w.Position.Term <= x.conn.Place.Term {
+		if w, ok := g.After(x.witnessed); ok && w.Position.Term <= x.conn.Place.Term {
 			return nil
 		}
 		left := time.Until(limit)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -17,6 +17,10 @@
 	// caller's own work ends. One question and its answer take a few
 	// milliseconds; beyond a second no majority is there.
 	floorWait = time.Second
+	// beginAge bounds how old the state may be that a transaction begins with,
+	// when its kind accepts as much. The observer asks ten times a second, so
+	// that no BEGIN waits while a majority answers.
+	beginAge = time.Second
 )
 
 // try is a request on its way to a target.
@@ -98,9 +102,10 @@
 		return false, nil
 	}
 	x := newExchange(s, c, t.request, false)
-	x.need, x.await, x.strict = t.choice.Need, t.choice.Await, t.strict()
-	x.held, x.alert = x.strict, t.alert
-	if x.strict {
+	x.need, x.await, x.alert = t.choice.Need, t.choice.Await, t.alert
+	x.witnessed, x.strict = t.witnessed(x.started)
+	x.held = x.strict
+	if x.strict && x.witnessed.Equal(x.started) {
 		s.want()
 	}
 	s.out = s.out[:0]
@@ -190,10 +195,19 @@
 	return age
 }
 
-// strict reports whether the answer must be shown to be the newest: a read
-// that accepts no age, or a transaction that may read.
-func (t *try) strict() bool {
-	return (t.request.read && t.age() == 0) || t.request.begins
+// witnessed tells since when a majority must have named no newer term before
+// the answer is given out; strict is false when that isn't needed. A read that
+// accepts no age needs it since it began. A transaction may read, too, and its
+// reads are not checked one by one: it needs it of late at its BEGIN.
+func (t *try) witnessed(started time.Time) (since time.Time, strict bool) {
+	age := t.age()
+	switch {
+	case t.request.begins:
+		return started.Add(-min(age, beginAge)), true
+	case t.request.read && age == 0:
+		return started, true
+	}
+	return time.Time{}, false
 }
 
 func (t *try) noTarget() *refuser.Refusal {
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -26,11 +26,13 @@
 		facts   facts
 
 		// need is the position that the answer must show; await is how long the
-		// target may take to reach it. strict answers are also proved newest.
-		need    orderer.Position
-		await   time.Duration
-		strict  bool
-		started time.Time
+		// target may take to reach it. strict answers are given out only when a
+		// majority, asked after witnessed, has named no newer term.
+		need      orderer.Position
+		await     time.Duration
+		strict    bool
+		witnessed time.Time
+		started   time.Time
 
 		silence silence
 		// alert is set after another connection was found silent: whatever lost
--- a/internal/relayer/local.go
+++ b/internal/relayer/local.go
@@ -43,9 +43,13 @@
 			return
 		}
 	}
-	if !r.flush {
-		s.emit(&pgproto3.ReadyForQuery{TxStatus: s.status})
+	if r.flush {
+		return
+	}
+	if s.status == 'I' {
+		clear(s.portals)
 	}
+	s.emit(&pgproto3.ReadyForQuery{TxStatus: s.status})
 }
 
 // localStep answers one message of the extended protocol.
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -53,6 +53,9 @@
 	}
 )
 
+// stepSize is what a step takes beside its data, in bytes.
+const stepSize = 128
+
 // missingPrefix goes before names that the caller never prepared, so that no
 // such name is one that a target knows.
 const missingPrefix = "missing_"
@@ -76,7 +79,7 @@
 // add takes a step, with what its statement may do, into the request.
 func (r *request) add(t step) {
 	r.steps = append(r.steps, t)
-	r.bytes += len(t.data)
+	r.bytes += len(t.data) + stepSize
 	if t.statement == nil {
 		return
 	}
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -81,6 +81,7 @@
 		seen      orderer.Position // the newest position that reads have shown
 		out       []byte           // answer not yet sent to the caller
 		sent      bool             // part of the answer has been sent
+		ended     bool             // the service is gone, and the session with it
 	}
 )
 
@@ -93,21 +94,29 @@
 
 // Run serves the caller until it leaves or the context ends.
 func (s *Session) Run(ctx context.Context) error {
-	s.statements, s.portals, s.status = map[string]*statement{}, map[string]*statement{}, 'I'
-	s.floorKnown = s.HasToken
-	s.Backend.SetMaxBodyLen(maxRequest)
+	s.begin()
 	stop := context.AfterFunc(ctx, func() { _ = s.Conn.Close() })
 	defer stop()
 	if s.Ended != nil {
 		defer s.Ended()
 	}
 	defer s.drop()
+	return s.loop(ctx)
+}
+
+func (s *Session) begin() {
+	s.statements, s.portals, s.status = map[string]*statement{}, map[string]*statement{}, 'I'
+	s.floorKnown = s.HasToken
+	s.Backend.SetMaxBodyLen(maxRequest)
+}
+
+func (s *Session) loop(ctx context.Context) error {
 	for {
 		r, err := s.collect()
 		if err != nil || r == nil {
 			return err
 		}
-		if err := s.serve(ctx, r); err != nil {
+		if err := s.serve(ctx, r); err != nil || s.ended {
 			return err
 		}
 	}
@@ -187,7 +196,7 @@
 		s.uncertain = true
 	}
 	severity := "ERROR"
-	if f.Reason.Fatal {
+	if s.ended = f.Reason == refuser.NoService; s.ended {
 		severity = "FATAL"
 	}
 	s.emit(&pgproto3.ErrorResponse{
