Drain of an instance, cancels between instances, configuration over the real stack

Cause: SIGTERM closed every caller at once, in the middle of transactions; a cancel died on the wrong instance; and what reaches instances through peers was shown on the slices alone.

- drainer.Leaver decides: not ready for 2 s while callers are still accepted, then no new callers, then an end when the last has gone or at the limit of the settings. relayer.Leaver ends sessions between transactions: after 100 ms of rest, or after 3 s behind any answer, with 57P01 (OR104), on which drivers connect anew.
A second signal stops at once.
- Operators' mark of a target now keeps what is known of it (members were compared as a whole, so the mark made the group's primary unknown for a moment).
- peer-seeds in the settings: whom an instance asks that starts while the platform is down.
- Staged fleets over drpc, the store's protocol and pgx: drain, leaving targets and primaries by list and by document, configuration under store faults, a racing operator, a replaced instance with the platform down, a cancel through another instance.

In the network in memory a write on a closed connection fails at once, so callers there also see "closed before anything was sent" in place of 57P01; the tests take both.

--- a/cmd/oriolegw/main.go
+++ b/cmd/oriolegw/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/go-kit/log"
+	"github.com/oriolegw/oriolegw/internal/controller"
+	"github.com/oriolegw/oriolegw/internal/drainer"
 	"github.com/oriolegw/oriolegw/internal/lister"
 	"github.com/oriolegw/oriolegw/internal/loader"
 	"github.com/oriolegw/oriolegw/internal/networker"
@@ -34,13 +36,30 @@
 		fmt.Fprintln(os.Stderr, "oriolegw:", err)
 		os.Exit(2)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	os.Exit(run(s))
+}
+
+// run serves until the instance has left, and returns the exit code.
+func run(s *loader.Settings) int {
+	ctx, stop := context.WithCancel(context.Background())
+	events := make(chan controller.Event, 1)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		leaveOnSignal(ctx, signals, events, stop)
+	}()
+	defer func() {
+		stop()
+		<-ended
+	}()
 	n := networker.TCP{}
 	register := &reporter.Register{}
 	metrics, closer := register.Open(map[string]string{reporter.TagInstance: s.Name})
 	defer closer.Close()
 	i := &runner.Instance{
+		Events:   events,
 		Settings: s, Network: n, Metrics: metrics, Register: register,
 		Log:   log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC),
 		Store: (&storer.Gateway{Address: s.Platform, Network: n}).Open(),
@@ -48,6 +67,23 @@
 	}
 	if err := i.Run(ctx); err != nil && ctx.Err() == nil {
 		fmt.Fprintln(os.Stderr, "oriolegw:", err)
-		os.Exit(1)
+		return 1
+	}
+	return 0
+}
+
+// leaveOnSignal has the instance leave on the first signal, and stops it at once
+// on the second.
+func leaveOnSignal(ctx context.Context, signals <-chan os.Signal, events chan<- controller.Event, stop context.CancelFunc) {
+	select {
+	case <-signals:
+		events <- drainer.InstanceLeaving{}
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-signals:
+		stop()
+	case <-ctx.Done():
 	}
 }
--- a/internal/detector/view.go
+++ b/internal/detector/view.go
@@ -44,7 +44,7 @@
 		v := &View{Service: s, Members: make([]Known, len(s.Members))}
 		if old := w[s.Name]; old != nil {
 			for j, m := range s.Members {
-				if k := old.Index(m.Name); k >= 0 && old.Service.Members[k] == m {
+				if k := old.Index(m.Name); k >= 0 && old.Service.Members[k].Address == m.Address {
 					v.Members[j] = old.Members[k]
 				}
 			}
--- a/internal/gossiper/slice.go
+++ b/internal/gossiper/slice.go
@@ -157,6 +157,7 @@
 		s.members = e.Instances
 		s.choose()
 		s.plan()
+		s.publish()
 	case observer.Used:
 		s.use(e)
 	case observer.Observed:
@@ -530,6 +531,6 @@
 	}
 	n := &Snapshot{Self: s.Self, Version: s.version, Run: s.Run, Sequence: s.sequence, Leaving: s.leaving, groups: slices.Clone(s.own)}
 	n.signs = s.held()
-	n.Peers = s.told
+	n.Members, n.Peers = s.members, s.told
 	s.Published.Store(n)
 }
--- a/internal/gossiper/snapshot.go
+++ b/internal/gossiper/snapshot.go
@@ -22,6 +22,8 @@
 		Run      uint32
 		Sequence uint64
 		Leaving  bool
+		// Members are all live instances that this one knows.
+		Members []lister.Instance
 		// Peers are some that a new instance may ask.
 		Peers []lister.Instance
 		// groups are by service; nil where nothing was observed here.
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -20,6 +20,9 @@
 		// Status where the HTTP pages are; each "ip:port". An empty Status
 		// means no pages.
 		Callers, Peers, Status string
+		// Seeds are where some other instances listen for instances. An instance
+		// that starts while the platform is down asks them for the configuration.
+		Seeds []string
 		// Platform is the address of the platform's service.
 		Platform  string
 		TokenKeys []TokenKey
@@ -84,6 +87,7 @@
 	maxCallers   = 1000000
 	maxStartUp   = time.Minute
 	maxDrain     = time.Hour
+	maxSeeds     = 100
 	minSecret    = 16
 	maxTokenKeys = 8
 )
@@ -116,6 +120,9 @@
 			inspector.Need("availability-zone", func(n inspector.Node) { s.Zone = n.Name() }),
 			inspector.Need("callers-address", own(&s.Callers)),
 			inspector.Need("peers-address", own(&s.Peers)),
+			inspector.May("peer-seeds", func(n inspector.Node) {
+				n.Each(0, maxSeeds, func(n inspector.Node) { s.Seeds = append(s.Seeds, n.Address()) })
+			}),
 			inspector.May("status-address", own(&s.Status)),
 			inspector.Need("platform-address", func(n inspector.Node) { s.Platform = n.Address() }),
 			inspector.Need("token-keys", func(n inspector.Node) { s.TokenKeys = readKeys(n) }),
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -58,6 +58,8 @@
 		Ended func()
 		// Prober finds silent connections; nil: they are waited for.
 		Prober *prober.Prober
+		// Leaver ends the session when the instance leaves; nil: nobody does.
+		Leaver *Leaver
 		// Explainer is told where each request went; nil: nobody.
 		Explainer *router.Explainer
 		Log       log.Logger
@@ -102,8 +104,13 @@
 		defer s.Ended()
 	}
 	defer s.drop()
+	defer s.Leaver.end(s)
 	for {
+		s.Leaver.rest(s)
 		r, err := s.collect()
+		if s.Leaver.wake(s, err) {
+			return s.farewell()
+		}
 		if err != nil || r == nil {
 			return err
 		}
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -81,6 +81,7 @@
 	{"cancels.failed", KindCounter, "Cancel requests that found no request to cancel, or could not be passed on."},
 	{"configuration-rejected", KindCounter, "Published versions that the instance could not read; the version in force stayed."},
 	{GaugeVersion, KindGauge, "Version of the configuration in force; 0 is none."},
+	{"drain.cut", KindCounter, "Callers cut off because they were in a transaction at the limit of the instance's drain."},
 	{"given-up.silent", KindCounter, "Requests given up because their connection to the target had gone silent and a fresh one had not."},
 	{"peer-failed.exchange", KindCounter, "Exchanges with another instance that failed."},
 	{"peer-refused.connections", KindCounter, "Peer connections refused because there were too many."},
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -136,7 +136,7 @@
 			g.Term, g.Watermarks = o.Term, o.Watermarks
 			for j, m := range v.Members {
 				for k, n := range o.Service.Members {
-					if m == n {
+					if m.Name == n.Name && m.Address == n.Address {
 						g.Members[j] = o.Members[k]
 					}
 				}
--- a/internal/runner/callers.go
+++ b/internal/runner/callers.go
@@ -28,7 +28,7 @@
 
 // state is what the instance shows of itself.
 func (i *Instance) state() reporter.State {
-	s := reporter.State{Instance: i.Settings.Name, Zone: i.Settings.Zone}
+	s := reporter.State{Instance: i.Settings.Name, Zone: i.Settings.Zone, Leaving: i.drain.leaving.Load()}
 	if t := i.table.Load(); t != nil {
 		s.Version, s.Groups = t.Version, reporter.Describe(t, time.Now())
 	}
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/canceller"
 	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/controller"
 	"github.com/oriolegw/oriolegw/internal/detector"
@@ -37,7 +39,11 @@
 	countUses struct{}
 
 	// reports counts and logs what the slices find wrong.
-	reports struct{ instance *Instance }
+	reports struct {
+		instance *Instance
+		// told are the peers whose refusal has been logged.
+		told map[string]bool
+	}
 )
 
 // useInterval is how soon a service's first caller makes its observations
@@ -85,7 +91,7 @@
 		&observer.Slice{Instance: s.Name, Zone: s.Zone},
 		suspicions{},
 		&gossiper.Slice{
-			Self: self, Run: rand.Uint32(), Random: p.random("gossiper"), Published: &p.published, Seeds: p.instance.Seeds,
+			Self: self, Run: rand.Uint32(), Random: p.random("gossiper"), Published: &p.published, Seeds: s.Seeds,
 		},
 		&uses{},
 		&reports{instance: p.instance},
@@ -110,7 +116,9 @@
 		Exchange:      p.exchange,
 		Announced:     func(ctx context.Context, w *wire.Announcement) { p.post(ctx, gossiper.FromAnnouncement(w)) },
 		Configuration: p.configuration,
-		Cancel:        i.Cancel,
+		Cancel: func(ctx context.Context, pid, secret uint32) error {
+			return i.sessions.cancels.CancelLocal(ctx, canceller.Key{PID: pid, Secret: secret})
+		},
 	}
 }
 
@@ -127,6 +135,25 @@
 	return gossiper.ToFetchReply(p.held.Load(), p.published.Load(), r)
 }
 
+// ForwardCancel implements canceller.Forwarder. Tags are short, so several
+// instances may carry one: each is asked, and the secret decides.
+func (p *peers) ForwardCancel(ctx context.Context, instance uint16, pid, secret uint32) error {
+	err := errors.Wrap(canceller.ErrUnknown, "no instance has the tag")
+	s := p.published.Load()
+	if s == nil {
+		return err
+	}
+	for _, i := range s.Members {
+		if i.Name == s.Self.Name || canceller.Tag(i.Name) != instance {
+			continue
+		}
+		if err = p.client.Cancel(ctx, i.Address, pid, secret); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 // Step implements controller.Slice.
 func (suspicions) Step(_ time.Time, e controller.Event) []controller.Action {
 	d, ok := e.(detector.Suspected)
@@ -166,7 +193,6 @@
 	i := r.instance
 	switch e := e.(type) {
 	case configurer.InForce:
-		i.Metrics.Gauge("configuration-version").Update(float64(e.Version))
 		_ = i.Log.Log("part", "configuration", "msg", "Document is in force.", "version", e.Version)
 	case configurer.Rejected:
 		i.Metrics.Counter("configuration-rejected").Inc(1)
@@ -175,9 +201,26 @@
 		i.Metrics.Counter("target-leaving." + e.Source).Inc(1)
 		_ = i.Log.Log("part", "drain", "msg", "Leaving state of a target has changed.", "service", e.Service, "member", e.Member, "leaving", e.Leaving, "source", e.Source)
 	case gossiper.Exchanged:
-		if e.Err != nil {
-			i.Metrics.Counter("peer-failed.exchange").Inc(1)
-		}
+		r.exchanged(e)
 	}
 	return nil
 }
+
+// exchanged counts failures, and logs once for each peer those that no retry
+// mends: a fleet whose keys or versions do not fit needs an operator.
+func (r *reports) exchanged(e gossiper.Exchanged) {
+	if e.Err == nil {
+		delete(r.told, e.Peer.Name)
+		return
+	}
+	r.instance.Metrics.Counter("peer-failed.exchange").Inc(1)
+	final := errors.Is(e.Err, gossiper.ErrForeign) || errors.Is(e.Err, gossiper.ErrWireVersion)
+	if !final || r.told[e.Peer.Name] {
+		return
+	}
+	if r.told == nil {
+		r.told = map[string]bool{}
+	}
+	r.told[e.Peer.Name] = true
+	_ = r.instance.Log.Log("part", "peers", "msg", "Peer refuses this instance, or is refused.", "peer", e.Peer.Name, "address", e.Peer.Address, "cause", e.Err)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -44,15 +44,10 @@
 	// Events are taken over by control at its next tick, for a program or a test
 	// around the instance; nil for none.
 	Events <-chan controller.Event
-	// Seeds are addresses of peers to ask while the platform, which has the
-	// list of instances, is down.
-	Seeds []string
-	// Cancel cancels a request of a caller of this instance that a peer was
-	// asked to cancel.
-	Cancel func(ctx context.Context, pid, secret uint32) error
 
 	table  atomic.Pointer[router.Table]
 	sealer *sealer.Sealer
+	drain  drain
 
 	sessions sessions
 
@@ -86,10 +81,13 @@
 	control.Performers = append(control.Performers, promotions)
 	control.Open()
 	i.sessions.open(i, func(e controller.Event) { control.Post(ctx, e) })
+	i.sessions.cancels.Forwarder = p
 	callers, err := i.greeter()
 	if err != nil {
 		return err
 	}
+	control.Slices = append(control.Slices, i.drain.open(i, callers, cancel), &i.drain)
+	control.Performers = append(control.Performers, &i.drain)
 	ended := make(chan error, 4)
 	go func() { ended <- errors.Wrap(control.Run(ctx), "control") }()
 	go func() { ended <- errors.Wrap(callers.Run(ctx), "callers") }()
@@ -102,6 +100,9 @@
 	<-ended
 	<-ended
 	i.closePools()
+	if i.drain.drained.Load() {
+		return nil
+	}
 	return first
 }
 
--- a/internal/runner/sessions.go
+++ b/internal/runner/sessions.go
@@ -34,6 +34,7 @@
 func (i *Instance) equip(s *relayer.Session, parameters map[string]string) *refuser.Refusal {
 	s.Connected = time.Now()
 	s.HasToken = parameters[relayer.ParameterToken] != ""
+	s.Leaver = &i.drain.leaver
 	s.Explainer, s.Prober = &i.sessions.explainer, &i.sessions.prober
 	s.Want = func(service string) { i.sessions.post(router.Wanted{Service: service}) }
 	k, err := i.sessions.cancels.Add(s)
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -255,9 +255,8 @@
 	i := &runner.Instance{
 		Settings: &loader.Settings{
 			Name: e.Name, Zone: e.Zone, Callers: e.IP + ":5432", Peers: e.IP + ":7100", Platform: f.Platform.Address, Authentication: loader.Trust,
-			TokenKeys: []loader.TokenKey{{Number: 1, Secret: tokenKey}},
+			TokenKeys: []loader.TokenKey{{Number: 1, Secret: tokenKey}}, Seeds: f.seeds(),
 		},
-		Seeds:   f.seeds(),
 		Network: h, Store: store, List: list, Seed: f.Plan.Seed*1000 + f.starts, Events: e.Events, Metrics: e.Metrics, Log: log.With(f.Plan.Log, "instance", e.Name),
 	}
 	if f.Plan.Settings != nil {
@@ -293,6 +292,13 @@
 	e.cancel = nil
 }
 
+// AwaitInstance waits until an instance has ended of itself.
+func (f *Fleet) AwaitInstance(e *Entry) {
+	<-e.ended
+	e.cancel()
+	e.cancel = nil
+}
+
 // KillInstance ends an instance as a crash does.
 func (f *Fleet) KillInstance(e *Entry) {
 	f.Net.Kill(e.IP)
--- a/pkg/refuser/reasons.go
+++ b/pkg/refuser/reasons.go
@@ -14,6 +14,11 @@
 		Title: "no configuration yet",
 		Text:  "The instance has just started and knows no configuration yet, from the store or from a peer.",
 	}
+	InstanceLeaving = &Reason{
+		Code: "OR104", Name: "instance-leaving", Since: "0.1", SQLState: "57P01", Outcome: NotRun, Fatal: true,
+		Title: "the instance is leaving",
+		Text:  "The instance is being shut down and ends the connection between two transactions. Connect again: the balancer leads to another instance. A request sent as this arrives was not run.",
+	}
 	NoPrimary = &Reason{
 		Code: "OR201", Name: "no-primary", Since: "0.1", SQLState: "57P03", Outcome: NotRun, RetryAfter: 500 * time.Millisecond,
 		Title: "no primary to send the request to",
@@ -128,7 +133,7 @@
 
 // Reasons lists them all, in the order of their codes.
 var Reasons = []*Reason{
-	NoService, NoConfiguration, TooManySessions,
+	NoService, NoConfiguration, TooManySessions, InstanceLeaving,
 	NoPrimary, NoTarget, NoConnection, FloorUnknown, Cancelled,
 	ConnectionLost, NotConfirmed, TransactionLost, ReadLost, TransactionAborted, AnswerTooLarge,
 	BadToken, Unsupported, SessionState, RequestTooLarge,
