make bench: the proxy against direct connections, in turns

Cause: the proxy's own cost needs one run with both ways in turns, so that what else the machine does meets both. Shares are counted by what the primary did not answer: replicas' records also hold answers thrown away (they gave 102.9%). The cut now cuts the baseline's agents too (they had an infinite view: 90 ms).

--- a/Makefile
+++ b/Makefile
@@ -59,3 +59,9 @@
 .PHONY: measure
 measure:
 	@go test ./internal/standin/measurer -count=1 -timeout 30m -v -measure | grep -E '^ *(measure |--- FAIL|FAIL|ok|panic)' | sed 's/^measure //'
+
+# make bench prints the proxy's own cost on loopback: name, value through the
+# proxy, unit, value of a direct connection to the stand-in in the same run.
+.PHONY: bench
+bench: build
+	$(BUILD)/oriolegw-fleet -programs $(BUILD) -work $(BUILD)/bench -first-port 18000 -bench
--- a/cmd/oriolegw-fleet/main.go
+++ b/cmd/oriolegw-fleet/main.go
@@ -20,6 +20,8 @@
 	describe string
 	// kill ends the primary once during the sessions.
 	kill bool
+	// bench compares the proxy with direct connections.
+	bench bool
 }
 
 func main() {
@@ -30,6 +32,7 @@
 	flag.BoolVar(&o.keep, "keep", false, "keep the fleet up until interrupted, and run no sessions")
 	flag.StringVar(&o.describe, "describe", "build/fleet.json", "the `file` for addresses and faults, with -keep")
 	flag.BoolVar(&o.kill, "kill", false, "kill the primary once and wait for the next one")
+	flag.BoolVar(&o.bench, "bench", false, "compare the proxy with direct connections to a target, and print the figures")
 	flag.Usage = func() {
 		fmt.Fprint(flag.CommandLine.Output(), "oriolegw-fleet starts a small fleet on loopback and runs sessions through it.\n\nUsage: oriolegw-fleet [FLAGS]\n\n")
 		flag.PrintDefaults()
@@ -55,6 +58,9 @@
 	if o.keep {
 		return keep(ctx, o)
 	}
+	if o.bench {
+		return (&bench{fleet: &o.fleet}).run(ctx)
+	}
 	d := &demonstration{fleet: &o.fleet, kill: o.kill}
 	return d.run(ctx)
 }
--- a/internal/standin/measurer/baseline.go
+++ b/internal/standin/measurer/baseline.go
@@ -23,6 +23,7 @@
 	writePause   = 20 * time.Millisecond
 	baselineRun  = 45 * time.Second
 	leaseKey     = "baseline/leader"
+	agentsZone   = "agents"
 )
 
 // baseline is a group with a lease-holding agent, without instances.
@@ -43,7 +44,7 @@
 		return 0, err
 	}
 	defer f.Close()
-	b := &baseline{fleet: f, host: f.Net.Host("10.9.9.9", "agents"), targets: f.Members}
+	b := &baseline{fleet: f, host: f.Net.Host("10.9.9.9", agentsZone), targets: f.Members}
 	b.orders = &commander.Postgres{Network: b.host, Application: "baseline", Timeout: agentTimeout}
 	defer b.orders.Close()
 	ctx, cancel := context.WithTimeout(ctx, baselineRun)
--- a/internal/standin/measurer/gaps.go
+++ b/internal/standin/measurer/gaps.go
@@ -47,7 +47,7 @@
 		{
 			Name: "cut",
 			Throw: func(f *stager.Fleet, p *stager.Target) {
-				for _, z := range append([]string{"platform", "callers"}, f.Plan.Zones...) {
+				for _, z := range append([]string{"platform", "callers", agentsZone}, f.Plan.Zones...) {
 					f.Net.Cut(p.IP, z)
 				}
 			},
--- a/internal/standin/measurer/shares.go
+++ b/internal/standin/measurer/shares.go
@@ -123,7 +123,7 @@
 	}
 	close(stop)
 	<-ended
-	s.Replica = answeredByReplicas(f)
+	s.Replica = s.Reads - answeredByPrimary(f)
 	return s, err
 }
 
@@ -143,17 +143,14 @@
 	}
 }
 
-// answeredByReplicas counts by the targets' own records.
-func answeredByReplicas(f *stager.Fleet) int {
+// answeredByPrimary counts by the primary's own record. What it did not answer, a
+// replica did; the replicas' records also hold answers that were thrown away
+// because the replica turned out to be behind.
+func answeredByPrimary(f *stager.Fleet) int {
 	n := 0
-	for _, t := range f.Members {
-		if t.Status().Role != replicator.RoleReplica {
-			continue
-		}
-		for _, r := range t.Journal() {
-			if r.Code == "" && strings.Contains(r.Statement, "SELECT value FROM") {
-				n++
-			}
+	for _, r := range f.Primary(f.Document.Services[0].Name).Journal() {
+		if r.Code == "" && strings.Contains(r.Statement, "SELECT value FROM") {
+			n++
 		}
 	}
 	return n
