--- a/internal/standin/failer/failer_test.go
+++ b/internal/standin/failer/failer_test.go
@@ -123,7 +123,7 @@
 		{"cut from replicas only", nil, cutReplicas, heal, 4 * time.Second},
 		{"availability zone cut", nil, cutZone, heal, 4 * time.Second},
 		{"crash with the store down", store(down), kill, restart, 2 * time.Second},
-		{"crash with the store slow", store(slow), kill, restart, 2 * time.Second},
+		{"crash with the store slow", store(slow), kill, restart, 800 * time.Millisecond},
 		{"crash with the store's answers lost", store(lose), kill, restart, 2 * time.Second},
 		{"freeze with the store down", store(down), freeze, thaw, 4 * time.Second},
 	}
