--- a/internal/relayer/cancel_test.go
+++ b/internal/relayer/cancel_test.go
@@ -1,12 +1,14 @@
 package relayer_test
 
 import (
+	"io"
 	"testing"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
 	"github.com/shoenig/test/must"
 )
@@ -40,6 +42,27 @@
 	})
 }
 
+// The balancer sends the cancel to another instance than the one that serves the
+// caller. It is passed on to the one that the key names.
+func TestCancelElsewhere(t *testing.T) {
+	run(t, plan(), func(s *stage) {
+		c := s.open(0, nil)
+		time.Sleep(2 * time.Second) // the instances have met
+		done := s.start(c, "SELECT pg_sleep(60)")
+		conn, err := s.Net.Host("10.0.9.1", "callers").Dial(s.ctx, s.Instances[1].IP+":5432")
+		must.NoError(t, err)
+		m, err := (&pgproto3.CancelRequest{ProcessID: c.PgConn().PID(), SecretKey: c.PgConn().SecretKey()}).Encode(nil)
+		must.NoError(t, err)
+		_, err = conn.Write(m)
+		must.NoError(t, err)
+		_, err = io.Copy(io.Discard, conn)
+		must.NoError(t, err)
+		var e *pgconn.PgError
+		must.True(t, errors.As(<-done, &e))
+		must.Eq(t, "57014", e.Code)
+	})
+}
+
 // Two of three members are gone, so that nobody can be promoted. The request
 // still waits for a primary when it is cancelled: it has not run.
 func TestCancelWhileHeld(t *testing.T) {
