Start-ups don't take the processors from those who are connected

Cause: in a wave of start-ups (failover, change at the balancer) every signature for TLS and every password check was runnable at once, passwords bounded only to half of the processors. A request of a connected caller waited behind them at each of its hops.

A start-up whose time is up gives its turn up. Key exchange is not bounded.

--- a/internal/greeter/authenticate.go
+++ b/internal/greeter/authenticate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/oriolegw/oriolegw/internal/loader"
@@ -10,17 +9,9 @@
 	"github.com/oriolegw/oriolegw/pkg/verifier"
 )
 
-var (
-	// checks bounds the passwords that are checked at once. Each costs about a
-	// millisecond of processor time by design; when all callers come back after
-	// a failover, unbounded checks would take the processors from the requests
-	// of those that are connected. Half of the processors stay for them.
-	checks = make(chan struct{}, max(1, runtime.GOMAXPROCS(0)/2))
-
-	// nobody is checked in place of a user that does not exist, so that the
-	// time taken doesn't tell which users do.
-	nobody = verifier.Verifier{Iterations: verifier.DefaultIterations, Salt: []byte("no such user"), StoredKey: []byte{0}}
-)
+// nobody is checked in place of a user that does not exist, so that the time
+// taken doesn't tell which users do.
+var nobody = verifier.Verifier{Iterations: verifier.DefaultIterations, Salt: []byte("no such user"), StoredKey: []byte{0}}
 
 // authenticate makes the caller prove who it is.
 func (s *start) authenticate(ctx context.Context, user string) *refuser.Refusal {
@@ -59,15 +50,11 @@
 }
 
 func (s *start) matches(ctx context.Context, user, password string) bool {
-	select {
-	case checks <- struct{}{}:
-		defer func() { <-checks }()
-	case <-ctx.Done():
-		return false
-	}
 	v, err := verifier.Parse(s.greeter.Verifier(user))
 	if err != nil {
 		v = nobody
 	}
-	return v.Matches(password) && err == nil
+	matches := false
+	startWork.do(ctx, func() { matches = v.Matches(password) })
+	return matches && err == nil
 }
--- a/internal/greeter/greeter.go
+++ b/internal/greeter/greeter.go
@@ -198,7 +198,9 @@
 	_ = conn.SetDeadline(time.Now().Add(g.Limits.StartUp))
 	s := &start{greeter: g, conn: conn, full: place > g.Limits.Callers}
 	defer func() { _ = s.conn.Close() }() // ends TLS in form, where it was begun
-	session, err := s.run(ctx)
+	limited, cancel := context.WithTimeout(ctx, g.Limits.StartUp)
+	defer cancel()
+	session, err := s.run(limited)
 	if err != nil || session == nil {
 		return err
 	}
--- a/internal/runner/callers.go
+++ b/internal/runner/callers.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "load the certificate for callers")
 	}
-	g.TLS = &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}
+	g.TLS = &tls.Config{GetCertificate: greeter.Certificate(pair), MinVersion: tls.VersionTLS12}
 	return g, nil
 }
 
