An instance takes over a document with keys of a newer version

Cause: instances refused a document with a key that they don't know. During an upgrade, an operator with the newer program would have left all older instances on the old document for everything: a target marked as leaving goes on getting work.

Ruled out: passing over unknown keys when publishing as well: there they are slips of the hand. So Check stays strict and Decode, which instances use, passes them over.

TestKeyOfANewerVersion failed before (the document was refused), passes after.

--- a/internal/configurer/check_test.go
+++ b/internal/configurer/check_test.go
@@ -68,6 +68,20 @@
 	must.Len(t, 3, problems)
 }
 
+// An operator who publishes with a newer program uses a key that this instance
+// does not know. It takes over everything else, the mark of a leaving target for
+// one; publishing with this version refuses the key.
+func TestKeyOfANewerVersion(t *testing.T) {
+	text := []byte(strings.Replace(minimal, `"slots"`, `"burst": {"size": 9}, "slots"`, 1))
+	_, problems := configurer.Check("d.json", text)
+	must.Len(t, 1, problems)
+	d, err := configurer.Decode(text)
+	must.NoError(t, err)
+	must.Eq(t, 3, d.Services[0].Slots)
+	_, err = configurer.Decode([]byte(strings.Replace(minimal, "20", "0", 1)))
+	must.Error(t, err)
+}
+
 func TestMinimal(t *testing.T) {
 	d, problems := configurer.Check("d.json", []byte(minimal))
 	must.NoError(t, problems.Err())
--- a/internal/configurer/wire.go
+++ b/internal/configurer/wire.go
@@ -44,10 +44,14 @@
 	}
 )
 
-// Decode reads a document that was published: JSON with comments.
+// Decode reads a document that was published: JSON with comments. Keys that are
+// not known here are passed over. They were known to the program that published
+// the document, so they are of a newer version: during an upgrade, an instance
+// that refused them would stay with the old document for everything else, and
+// send work to a target that has long been marked as leaving.
 func Decode(text []byte) (*Document, error) {
 	d, problems := Check("document", text)
-	if err := problems.Err(); err != nil {
+	if err := problems.Known().Err(); err != nil {
 		return nil, err
 	}
 	return d, nil
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -18,6 +18,7 @@
 	"bytes"
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 	"unicode/utf8"
 
@@ -34,6 +35,9 @@
 		Path string
 		// Found says what stands there, Allowed what may.
 		Found, Allowed string
+		// Unknown marks a key that is not known here, which may be one of a
+		// newer version.
+		Unknown bool
 	}
 
 	// Problems are all mistakes of one text, in the order of their places. It
@@ -89,6 +93,11 @@
 	return p
 }
 
+// Known leaves out the keys that are not known here.
+func (p Problems) Known() Problems {
+	return slices.DeleteFunc(slices.Clone(p), func(q Problem) bool { return q.Unknown })
+}
+
 // Read parses a text and gives its outermost value to read. What read took from
 // the text is only good when no problems are returned.
 func Read(file string, text []byte, read func(Node)) Problems {
@@ -143,7 +152,11 @@
 }
 
 func (r *report) add(offset int, path, found, allowed string) {
-	p := Problem{File: r.file, Path: path, Found: found, Allowed: allowed}
+	r.put(offset, Problem{Path: path, Found: found, Allowed: allowed})
+}
+
+func (r *report) put(offset int, p Problem) {
+	p.File = r.file
 	p.Line, p.Column = r.place(offset)
 	r.problems = append(r.problems, p)
 }
--- a/internal/inspector/node.go
+++ b/internal/inspector/node.go
@@ -93,7 +93,7 @@
 			return
 		}
 	}
-	n.report.add(at, n.path, "unknown key "+strconv.Quote(key), keys(fields))
+	n.report.put(at, Problem{Path: n.path, Found: "unknown key " + strconv.Quote(key), Allowed: keys(fields), Unknown: true})
 }
 
 func keys(fields []Field) string {
