Read-only transactions go to replicas

Cause: a look-up inside BEGIN READ ONLY, as many mappers send it, went to the primary. The position that it must show is proved at its BEGIN, as for a read; a write in it fails with 25006 as on any standby.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -239,7 +239,7 @@
 	case m.Code == codeFenced:
 		x.facts.refused = true
 		return x.lost(errFenced), true
-	case m.Code == codeReadOnly && x.facts.replica:
+	case m.Code == codeReadOnly && x.facts.replica && !x.facts.inTransaction:
 		x.writeMet = true
 		return x.lost(errReadOnly), true
 	case strings.EqualFold(m.Severity, "FATAL"), strings.EqualFold(m.Severity, "PANIC"):
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -202,6 +202,7 @@
 func (t *try) witnessed(started time.Time) (since time.Time, strict bool) {
 	age := t.age()
 	switch {
+	case t.choice.Replica: // the position that it must show proves as much
 	case t.request.begins:
 		return started.Add(-min(age, beginAge)), true
 	case t.request.read && age == 0:
--- a/internal/relayer/classify.go
+++ b/internal/relayer/classify.go
@@ -22,6 +22,8 @@
 		ends bool
 		// block is set for a SET that ends with its transaction.
 		block bool
+		// readOnly is set for a BEGIN of a transaction that can't write.
+		readOnly bool
 		// why says why a statement of kind statementRefused is refused.
 		why string
 	}
@@ -128,7 +130,7 @@
 		}
 		return class{kind: statementRead, pure: w.pure()}
 	case first == "BEGIN" || first == "START":
-		return class{kind: statementBegin, pure: true}
+		return class{kind: statementBegin, pure: true, readOnly: w.follows("READ", "ONLY")}
 	case ends[first]:
 		return class{kind: statementEnd, mayCommit: first == "COMMIT" || first == "END", ends: w.ends()}
 	case first == "SHOW":
--- a/internal/relayer/consistency_test.go
+++ b/internal/relayer/consistency_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/oriolegw/oriolegw/internal/commander"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
@@ -125,6 +127,38 @@
 	}
 }
 
+// A transaction that says it only reads goes to a replica, and shows the caller's
+// own work like any read. A write in it fails as PostgreSQL fails it; what is
+// lost with its replica has not run.
+func TestReadOnlyTransaction(t *testing.T) {
+	run(t, plan(), func(s *stage) {
+		c := s.open(0, nil)
+		s.exec(c, "INSERT INTO ledger VALUES ('a', '1')")
+		const sql = "SELECT value FROM ledger WHERE key = 'a'"
+		for _, m := range s.Members[1:] {
+			m.Faults.SetReplayLag(20 * time.Millisecond)
+		}
+		s.exec(c, "UPDATE ledger SET value = '2' WHERE key = 'a'")
+		s.exec(c, "BEGIN READ ONLY")
+		must.Eq(t, "2", s.get(c, sql))
+		_, err := c.Exec(s.ctx, "UPDATE ledger SET value = '3' WHERE key = 'a'")
+		var e *pgconn.PgError
+		must.True(t, errors.As(err, &e))
+		must.Eq(t, "25006", e.Code)
+		must.Eq(t, 'E', rune(c.PgConn().TxStatus()))
+		s.exec(c, "ROLLBACK")
+		must.Eq(t, 0, s.ranOn(0, sql))
+
+		s.exec(c, "BEGIN READ ONLY")
+		for _, m := range s.Members[1:] {
+			s.KillTarget(s.Target(m.Name))
+		}
+		_, err = c.Exec(s.ctx, sql)
+		s.refused(err, refuser.TransactionLost)
+		s.exec(c, "ROLLBACK")
+	})
+}
+
 // An availability zone with the primary is cut off; the others promote another
 // and go on. Callers inside can't be shown their newest work: those with no
 // token are told so, those with one of before the cut are served as long as the
--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -85,14 +85,20 @@
 	must.Eq(s.T, r.SQLState, e.Code)
 }
 
-// ran counts how often a target recorded a statement that it did not refuse.
+// ran counts how often targets recorded a statement that they did not refuse.
 func (s *stage) ran(sql string) int {
 	n := 0
-	for _, m := range s.Members {
-		for _, r := range m.Journal() {
-			if r.Statement == sql && r.Code == "" {
-				n++
-			}
+	for i := range s.Members {
+		n += s.ranOn(i, sql)
+	}
+	return n
+}
+
+func (s *stage) ranOn(member int, sql string) int {
+	n := 0
+	for _, r := range s.Members[member].Journal() {
+		if r.Statement == sql && r.Code == "" {
+			n++
 		}
 	}
 	return n
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -118,7 +118,7 @@
 	case statementRead, statementSet:
 		r.remote = true
 	case statementBegin:
-		r.remote, r.read, r.begins = true, false, true
+		r.remote, r.read, r.begins = true, r.read && c.readOnly, true
 	default:
 		r.remote, r.read = true, false
 	}
