--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -70,37 +70,65 @@
 
 // once makes one try; done is false when another may follow.
 func (t *try) once(ctx context.Context) (done bool, refusal *refuser.Refusal) {
+	if refusal := t.choose(); refusal != nil || t.choice.Member < 0 {
+		return refusal != nil, refusal
+	}
+	c, refusal := t.connect()
+	if c == nil {
+		return refusal != nil, refusal
+	}
+	return t.send(ctx, c)
+}
+
+// choose decides where the request goes now. When that is nowhere, it waits until
+// something has changed.
+func (t *try) choose() *refuser.Refusal {
 	s := t.session
+	t.choice.Member = -1
 	if refusal := t.look(); refusal != nil {
-		return true, refusal
+		return refusal
 	}
 	left := hold(t.group) - time.Since(t.started)
 	if left <= 0 {
-		return true, t.noTarget()
+		return t.noTarget()
 	}
-	if wait, refusal := t.needFloor(); refusal != nil || wait {
-		s.wait(t.wait, t.table, min(left, floorWait))
-		return refusal != nil, refusal
+	missing, refusal := t.needFloor()
+	switch {
+	case refusal != nil:
+		return refusal
+	case missing:
+		s.wait(t.wait, t.table, min(left, floorWait-time.Since(t.started)))
+		return nil
 	}
 	t.choice = t.group.Choose(time.Now(), t.question())
 	if t.choice.Member < 0 {
 		t.avoid = nil
 		s.wait(t.wait, t.table, left)
-		return false, nil
-	}
-	c, err := s.borrow(t.wait, t.group, t.choice, left)
-	if err != nil && t.wait.Err() != nil {
-		return false, nil
-	}
-	if errors.Is(err, pooler.ErrBusy) {
-		return true, refuser.New(refuser.NoConnection, "service %q", s.Service)
-	}
-	if err != nil {
-		s.Count("retry.connect")
-		t.avoid = append(t.avoid, t.choice.Member)
-		s.wait(t.wait, t.table, redoPause)
-		return false, nil
 	}
+	return nil
+}
+
+// connect borrows a connection to the chosen target, nil when there is none.
+func (t *try) connect() (*pooler.Conn, *refuser.Refusal) {
+	s := t.session
+	c, err := s.borrow(t.wait, t.group, t.choice, hold(t.group)-time.Since(t.started))
+	switch {
+	case err == nil:
+		return c, nil
+	case t.wait.Err() != nil: // cancelled, or the instance is stopping
+		return nil, nil
+	case errors.Is(err, pooler.ErrBusy):
+		return nil, refuser.New(refuser.NoConnection, "service %q", s.Service)
+	}
+	s.Count("retry.connect")
+	t.avoid = append(t.avoid, t.choice.Member)
+	s.wait(t.wait, t.table, redoPause)
+	return nil, nil
+}
+
+// send runs the request on a connection.
+func (t *try) send(ctx context.Context, c *pooler.Conn) (done bool, refusal *refuser.Refusal) {
+	s := t.session
 	x := newExchange(s, c, t.request, false)
 	x.need, x.await, x.alert = t.choice.Need, t.choice.Await, t.alert
 	x.witnessed, x.strict = t.witnessed(x.started)
@@ -109,11 +137,11 @@
 		s.want()
 	}
 	s.out = s.out[:0]
-	return t.judge(ctx, x, x.run(ctx, t.request))
+	return t.judge(x, x.run(ctx, t.request))
 }
 
 // judge decides whether the request may be tried again.
-func (t *try) judge(ctx context.Context, x *exchange, e end) (done bool, refusal *refuser.Refusal) {
+func (t *try) judge(x *exchange, e end) (done bool, refusal *refuser.Refusal) {
 	s := t.session
 	again := e == endBehind || (e == endLost && !s.sent && x.facts.outcome() == refuser.NotRun)
 	if !again {
@@ -155,7 +183,7 @@
 // needFloor finds the floor of a session that came without a token: a watermark
 // taken after it connected is at or past each write acknowledged before, on
 // whatever instance. All sessions that connected meanwhile share the question.
-func (t *try) needFloor() (wait bool, refusal *refuser.Refusal) {
+func (t *try) needFloor() (missing bool, refusal *refuser.Refusal) {
 	s := t.session
 	if s.floorKnown || (!t.request.read && !t.request.begins) {
 		return false, nil
--- a/internal/relayer/consistency_test.go
+++ b/internal/relayer/consistency_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/oriolegw/oriolegw/internal/commander"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
@@ -176,8 +177,12 @@
 		time.Sleep(time.Second)
 
 		must.Eq(t, "1", s.get(early, "SELECT value FROM ledger WHERE key = 'a'"))
-		_, err := s.open(0, nil).Exec(s.ctx, "SELECT value FROM ledger WHERE key = 'a'")
+		late := s.open(0, nil)
+		started := time.Now()
+		_, err := late.Exec(s.ctx, "SELECT value FROM ledger WHERE key = 'a'", pgx.QueryExecModeSimpleProtocol)
 		s.refused(err, refuser.FloorUnknown)
+		// Given up after a second, and answered at once.
+		must.LessEq(t, 1010*time.Millisecond, time.Since(started))
 		_, err = s.open(0, map[string]string{"oriole.token": token}).Exec(s.ctx, "SELECT value FROM ledger WHERE key = 'a'")
 		s.refused(err, refuser.NoTarget)
 		_, err = s.open(0, map[string]string{"oriole.token": early.PgConn().ParameterStatus("oriole.token")}).Exec(s.ctx, "BEGIN")
