--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -13,6 +13,9 @@
 const (
 	// redoPause spaces the tries of a request that was not run.
 	redoPause = 20 * time.Millisecond
+	// spoiledLimit is how many idle connections a request passes by without a
+	// pause; an instance's share of a group is rarely larger.
+	spoiledLimit = 8
 	// floorWait is how long a read waits for a majority to say where the
 	// caller's own work ends. One question and its answer take a few
 	// milliseconds; beyond a second no majority is there.
@@ -34,6 +37,7 @@
 	group   *router.Group
 	choice  router.Choice
 	alert   bool // a connection was silent
+	spoiled int  // connections that were not quiet
 }
 
 // attempt tries a request until it is answered, or must be refused.
@@ -156,6 +160,13 @@
 		// A replica met a write that its words did not show.
 		s.Count("retry.write")
 		t.request.read, t.request.pure = false, false
+	case errors.Is(x.err, errNotQuiet):
+		s.Count("retry.not-quiet")
+		// After a restart of the target all idle ones have ended: they are passed
+		// by at once. A target whose new ones are no better is not hammered.
+		if t.spoiled++; t.spoiled > spoiledLimit {
+			s.wait(t.wait, t.table, redoPause)
+		}
 	default:
 		s.Count("retry.not-run")
 		if errors.Is(x.err, errSilent) {
--- a/internal/relayer/exchange_test.go
+++ b/internal/relayer/exchange_test.go
@@ -38,6 +38,24 @@
 	}
 }
 
+// The same, long before the next request: it is seen before anything is sent. So
+// the connections of a pool, whatever they wrap, can be looked at.
+func TestStrayAnswerOnAnIdleConnection(t *testing.T) {
+	run(t, plan(), func(s *stage) {
+		c := s.open(0, nil)
+		s.exec(c, "INSERT INTO ledger VALUES ('a', '1')")
+		time.Sleep(time.Second)
+		for _, m := range s.Members {
+			m.Faults.StrayNext(10 * time.Millisecond)
+		}
+		for range 6 {
+			must.Eq(t, "1", s.get(c, "SELECT value FROM ledger WHERE key = 'a'"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.GreaterEq(t, int64(1), s.counted(0, "retry.not-quiet"))
+	})
+}
+
 // The connection breaks off in the middle of an answer. While none of it has
 // gone to the caller, a read is answered from elsewhere; later the caller is
 // told, and never gets two halves.
--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -85,6 +85,16 @@
 	must.Eq(s.T, r.SQLState, e.Code)
 }
 
+// counted reads a counter of instance i.
+func (s *stage) counted(i int, name string) int64 {
+	for _, c := range s.Instances[i].Metrics.Snapshot().Counters() {
+		if c.Name() == name {
+			return c.Value()
+		}
+	}
+	return 0
+}
+
 // ran counts how often targets recorded a statement that they did not refuse.
 func (s *stage) ran(sql string) int {
 	n := 0
--- a/internal/reporter/metrics.go
+++ b/internal/reporter/metrics.go
@@ -92,6 +92,7 @@
 	{"probe", KindCounter, "Probes on fresh connections to targets, sent because an open one had been silent."},
 	{"retry.behind", KindCounter, "Reads tried elsewhere because the replica turned out to be behind what the request needs."},
 	{"retry.connect", KindCounter, "Requests tried again because no connection to the target could be opened; nothing had been sent."},
+	{"retry.not-quiet", KindCounter, "Requests tried again because the idle connection that was taken for them had ended, or held an answer too many; nothing had been sent."},
 	{"retry.not-run", KindCounter, "Requests tried again because the target ran nothing of them: it was fenced, or said so."},
 	{"retry.write", KindCounter, "Requests sent to the primary because a replica met a write that their words did not show."},
 	{"target-leaving.list", KindCounter, "Signs that a target is leaving, from the platform's list."},
