Scenario commands and faults on a generated page

Cause: each fault scenario is to be one place, self-described, with a stable code and a generated page. The player's commands and the soak's faults were described in code only. docs/SCENARIOS.md is made from them; its test fails when stale.

--- a/internal/documenter/documenter.go
+++ b/internal/documenter/documenter.go
@@ -1,5 +1,6 @@
 // Package documenter writes the pages of docs/ that are made from the code:
-// REFUSALS.md from package refuser, METRICS.md from package reporter. Its test
+// REFUSALS.md from package refuser, METRICS.md from package reporter and
+// SCENARIOS.md from packages player and soaker. Its test
 // fails when a page is stale; "make docs" writes them anew.
 package documenter
 
@@ -25,6 +26,7 @@
 	return []Page{
 		{File: "docs/REFUSALS.md", Text: refusals()},
 		{File: "docs/METRICS.md", Text: metrics()},
+		{File: "docs/SCENARIOS.md", Text: scenarios()},
 	}
 }
 
--- a/internal/standin/soaker/faults.go
+++ b/internal/standin/soaker/faults.go
@@ -10,9 +10,9 @@
 )
 
 type (
-	// fault is one kind of failure: how it is thrown, and how it is ended. Both
+	// Fault is one kind of failure: how it is thrown, and how it is ended. Both
 	// get the same place, a number from the seed.
-	fault struct {
+	Fault struct {
 		// Code is stable: "F" and two digits.
 		Code  string
 		Title string
@@ -24,12 +24,12 @@
 		after time.Duration
 		lasts time.Duration
 		place int
-		fault *fault
+		fault *Fault
 	}
 )
 
 // faults are the kinds that a soak pairs. A code is never used for another kind.
-var faults = []*fault{
+var faults = []*Fault{
 	{
 		Code: "F01", Title: "primary crashes",
 		Throw: func(s *Soak, _ int) {
@@ -158,6 +158,9 @@
 	}
 }
 
+// Faults returns the kinds, in the order of their codes.
+func Faults() []*Fault { return faults }
+
 // schedule draws the faults: any two, or the same one twice.
 func (s *Soak) schedule() []thrown {
 	var out []thrown
