At most once is judged request by request

Cause: TestAtMostOnce compared a counter with sums. Now each request has its own key: acknowledged is found, not run is not found, a second run meets the first as a duplicate. Callers also send transactions and queries of several statements. It is stricter: the old check follows from the new one, but for a write that ran twice without a conflict, which inserts can't.

--- a/internal/relayer/fate_test.go
+++ b/internal/relayer/fate_test.go
@@ -128,10 +128,10 @@
 	})
 }
 
-// Callers add one to a counter while faults come at random moments. What they
-// were told must agree with what happened: the counter is at least the number
-// acknowledged, and at most that and the unknown ones. A request that was
-// called not run, or ran twice, breaks it.
+// Callers lodge sheets, each under its own key, while faults come at random
+// moments. What each was told must agree with what happened: a sheet that was
+// acknowledged is there, one that was called not run is not, and none was lodged
+// twice, which the target refuses as a duplicate.
 func TestAtMostOnce(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
@@ -142,63 +142,110 @@
 	}
 }
 
-type tally struct{ done, notRun, unknown int }
+// told is what callers were told of their requests, by key.
+type told struct{ done, notRun, unknown, twice []string }
 
 func atMostOnce(s *stage, seed uint64) {
-	s.exec(s.open(0, nil), "INSERT INTO ledger VALUES ('a', '0')")
 	const callers, requests = 3, 30
-	results := make(chan tally, callers)
+	results := make(chan told, callers)
 	for i := range callers {
-		go func() { results <- s.count(i, requests) }()
+		go func() { results <- s.lodge(i, requests) }()
 	}
 	r := rand.New(rand.NewPCG(seed, 1))
 	for range 6 {
 		time.Sleep(time.Duration(r.IntN(300)) * time.Millisecond)
 		s.fault(r)
 	}
-	var sum tally
+	var sum told
 	for range callers {
 		one := <-results
-		sum.done += one.done
-		sum.notRun += one.notRun
-		sum.unknown += one.unknown
+		sum.done = append(sum.done, one.done...)
+		sum.notRun = append(sum.notRun, one.notRun...)
+		sum.unknown = append(sum.unknown, one.unknown...)
+		sum.twice = append(sum.twice, one.twice...)
 	}
 	time.Sleep(5 * time.Second)
-	value, err := strconv.Atoi(s.get(s.open(1, nil), "SELECT value FROM ledger WHERE key = 'a'"))
+	c := s.open(1, nil)
+	s.Logf("seed %d: %d acknowledged, %d not run, %d unknown", seed, len(sum.done), len(sum.notRun), len(sum.unknown))
+	must.Eq(s.T, callers*requests, len(sum.done)+len(sum.notRun)+len(sum.unknown))
+	must.SliceEmpty(s.T, sum.twice)
+	for _, key := range sum.done {
+		must.Eq(s.T, 1, s.found(c, key), must.Sprint("acknowledged: ", key))
+	}
+	for _, key := range sum.notRun {
+		must.Eq(s.T, 0, s.found(c, key), must.Sprint("called not run: ", key))
+	}
+}
+
+func (s *stage) found(c *pgx.Conn, key string) int {
+	s.Helper()
+	tag, err := c.Exec(s.ctx, "SELECT value FROM ledger WHERE key = $1", key)
 	must.NoError(s.T, err)
-	s.Logf("seed %d: %+v, counter %d", seed, sum, value)
-	must.Eq(s.T, callers*requests, sum.done+sum.notRun+sum.unknown)
-	must.GreaterEq(s.T, sum.done, value)
-	must.LessEq(s.T, sum.done+sum.unknown, value)
+	return int(tag.RowsAffected())
 }
 
-// count sends requests, one after another, and counts what it is told.
-func (s *stage) count(i, requests int) (t tally) {
+// lodge sends requests, one after another. The callers differ in the form: a
+// statement, a transaction, a query of several.
+func (s *stage) lodge(i, requests int) (t told) {
 	var c *pgx.Conn
-	for range requests {
+	for n := range requests {
 		time.Sleep(20 * time.Millisecond)
 		for c == nil || c.IsClosed() {
 			c, _ = s.Connect(s.ctx, s.Instances[i], service, nil)
 			time.Sleep(10 * time.Millisecond)
 		}
-		_, err := c.Exec(s.ctx, increment)
+		key := strconv.Itoa(i) + "-" + strconv.Itoa(n)
+		done, err := s.lodgeAs(i, c, "INSERT INTO ledger VALUES ('"+key+"', '1')")
 		var e *pgconn.PgError
-		switch {
-		case err == nil:
-			t.done++
-		case errors.As(err, &e):
-			if _, outcome, _ := refuser.Parse(e.Hint); outcome == refuser.NotRun {
-				t.notRun++
-				continue
-			}
-			t.unknown++
-		default:
-			t.unknown++
+		if errors.As(err, &e) && e.Code == "23505" {
+			t.twice = append(t.twice, key)
 		}
+		t.note(key, done, err)
 	}
 	return t
 }
 
+func (t *told) note(key string, done bool, err error) {
+	outcome := refuser.Unknown
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		_, outcome, _ = refuser.Parse(e.Hint)
+	}
+	switch {
+	case err == nil && done:
+		t.done = append(t.done, key)
+	case err == nil, outcome == refuser.NotRun:
+		t.notRun = append(t.notRun, key)
+	default:
+		t.unknown = append(t.unknown, key)
+	}
+}
+
+// lodgeAs runs the statement; done is false when COMMIT answered ROLLBACK.
+func (s *stage) lodgeAs(form int, c *pgx.Conn, sql string) (done bool, err error) {
+	switch form {
+	case 1:
+		return s.lodgeInTransaction(c, sql)
+	case 2:
+		_, err = c.Exec(s.ctx, "BEGIN; "+sql+"; COMMIT", pgx.QueryExecModeSimpleProtocol)
+	default:
+		_, err = c.Exec(s.ctx, sql)
+	}
+	return true, err
+}
+
+func (s *stage) lodgeInTransaction(c *pgx.Conn, sql string) (done bool, err error) {
+	if _, err := c.Exec(s.ctx, "BEGIN"); err != nil {
+		return false, err
+	}
+	_, first := c.Exec(s.ctx, sql)
+	tag, err := c.Exec(s.ctx, "COMMIT") // whatever became of the statement
+	if first != nil && err == nil {
+		err = first
+	}
+	return tag.String() == "COMMIT", err
+}
+
 // fault throws one switch.
 func (s *stage) fault(r *rand.Rand) {
 	primary := s.Members[0]
