make faults: every fault in turn, under load, with real processes

Cause: the promises that cross processes were shown in one process only; with real ones, make run shows one kill.

The load's writes are no longer idempotent: each adds 1 to the session's own value, so a read that shows less than was acknowledged has missed own work, and one that shows more than was acknowledged or left unknown has met a write that ran twice, or a refusal whose "not run" was untrue. TestBrokenPromisesAreSeen meddles with the values and the checks see it.

--- a/Makefile
+++ b/Makefile
@@ -65,3 +65,8 @@
 .PHONY: bench
 bench: build
 	$(BUILD)/oriolegw-fleet -programs $(BUILD) -work $(BUILD)/bench -first-port 18000 -bench
+
+# faults throws every fault of the fleet in turn, under load, with real processes.
+.PHONY: faults
+faults: build
+	$(FLEET) -faults
--- a/cmd/oriolegw-fleet/demonstrate.go
+++ b/cmd/oriolegw-fleet/demonstrate.go
@@ -134,22 +134,26 @@
 	return nil
 }
 
-// showPrimary prints what the first instance's status page says.
-func (d *demonstration) showPrimary(ctx context.Context) error {
+// state reads the first instance's status page.
+func (d *demonstration) state(ctx context.Context) (reporter.State, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.fleet.Entries[0].Pages+reporter.PathStatus, nil)
 	if err != nil {
-		return errors.Wrap(err, "make call")
+		return reporter.State{}, errors.Wrap(err, "make call")
 	}
 	a, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return errors.Wrap(err, "read status")
+		return reporter.State{}, errors.Wrap(err, "read status")
 	}
 	defer a.Body.Close()
 	body, err := io.ReadAll(a.Body)
 	if err != nil {
-		return errors.Wrap(err, "read status")
+		return reporter.State{}, errors.Wrap(err, "read status")
 	}
-	s, err := reporter.Decode(body)
+	return reporter.Decode(body)
+}
+
+func (d *demonstration) showPrimary(ctx context.Context) error {
+	s, err := d.state(ctx)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/oriolegw-fleet/faults.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/oriolegw/oriolegw/internal/experimenter"
+	"github.com/oriolegw/oriolegw/internal/relayer"
+	"github.com/oriolegw/oriolegw/internal/starter"
+)
+
+const (
+	// faultTime is how long each fault lasts, calmTime what follows it.
+	faultTime = 1500 * time.Millisecond
+	calmTime  = 1500 * time.Millisecond
+	// longest bounds the load; it ends with the last fault.
+	longest = 10 * time.Minute
+)
+
+// throwAll sends load through the fleet while every fault that passes is thrown:
+// of the platform, of the primary, and of a replica. It prints what callers saw,
+// and fails when a read missed its session's own work or a write ran twice.
+func (d *demonstration) throwAll(ctx context.Context) error {
+	load, stop := context.WithTimeout(ctx, longest)
+	defer stop()
+	type result struct {
+		report *experimenter.Report
+		err    error
+	}
+	ended := make(chan result, 1)
+	go func() {
+		r, err := d.experiment().Run(load)
+		ended <- result{r, err}
+	}()
+	thrown := d.throwEach(ctx)
+	stop()
+	r := <-ended
+	if err := errors.Join(thrown, r.err); err != nil {
+		return err
+	}
+	r.report.Write(os.Stdout)
+	if err := r.report.Err(); err != nil {
+		return err
+	}
+	return d.showPrimary(ctx)
+}
+
+func (d *demonstration) experiment() *experimenter.Experiment {
+	e := &experimenter.Experiment{
+		Workers: 6, Duration: longest, Writes: 0.1, Own: 0.5, Keys: 1000, Roam: 0.01, Token: true, Seed: 1,
+		Connect: func(ctx context.Context, address, token string) (*pgx.Conn, error) {
+			c, err := pgx.ParseConfig("postgres://crew@" + address + "/" + starter.ServiceName + "?sslmode=disable")
+			if err != nil {
+				return nil, errors.Wrap(err, "caller's address")
+			}
+			if token != "" {
+				c.RuntimeParams[relayer.ParameterToken] = token
+			}
+			return pgx.ConnectConfig(ctx, c)
+		},
+	}
+	for _, p := range d.fleet.Entries {
+		e.Addresses = append(e.Addresses, p.Address)
+	}
+	return e
+}
+
+func (d *demonstration) throwEach(ctx context.Context) error {
+	for _, x := range starter.Faults {
+		if !x.Passes() {
+			continue
+		}
+		targets, err := d.targets(ctx, x)
+		if err != nil {
+			return err
+		}
+		for _, p := range targets {
+			fmt.Printf("%s: %s\n", p.Name, x.Name)
+			if err := x.Throw(ctx, p); err != nil {
+				return err
+			}
+			time.Sleep(faultTime)
+			if err := x.Recover(ctx, p); err != nil {
+				return err
+			}
+			time.Sleep(calmTime)
+		}
+	}
+	return nil
+}
+
+// targets are the primary of the moment and a replica, or the platform.
+func (d *demonstration) targets(ctx context.Context, x starter.Fault) ([]*starter.Process, error) {
+	if x.Of == starter.OfPlatform {
+		return []*starter.Process{&d.fleet.Platform}, nil
+	}
+	s, err := d.state(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var primary, replica *starter.Process
+	for i := range d.fleet.Members {
+		m := &d.fleet.Members[i]
+		if len(s.Groups) > 0 && m.Name == s.Groups[0].Primary {
+			primary = m
+		} else {
+			replica = m
+		}
+	}
+	if primary == nil {
+		return nil, errors.New("the fleet has no primary")
+	}
+	return []*starter.Process{replica, primary}, nil
+}
--- a/cmd/oriolegw-fleet/main.go
+++ b/cmd/oriolegw-fleet/main.go
@@ -20,6 +20,8 @@
 	describe string
 	// kill ends the primary once during the sessions.
 	kill bool
+	// faults throws every fault in turn, under load.
+	faults bool
 	// bench compares the proxy with direct connections.
 	bench bool
 }
@@ -33,6 +35,7 @@
 	flag.StringVar(&o.describe, "describe", "build/fleet.json", "the `file` for addresses and faults, with -keep")
 	flag.BoolVar(&o.kill, "kill", false, "kill the primary once and wait for the next one")
 	flag.BoolVar(&o.bench, "bench", false, "compare the proxy with direct connections to a target, and print the figures")
+	flag.BoolVar(&o.faults, "faults", false, "throw every fault in turn under load, in place of the sessions")
 	flag.Usage = func() {
 		fmt.Fprint(flag.CommandLine.Output(), "oriolegw-fleet starts a small fleet on loopback and runs sessions through it.\n\nUsage: oriolegw-fleet [FLAGS]\n\n")
 		flag.PrintDefaults()
@@ -62,6 +65,9 @@
 		return (&bench{fleet: &o.fleet}).run(ctx)
 	}
 	d := &demonstration{fleet: &o.fleet, kill: o.kill}
+	if o.faults {
+		return d.throwAll(ctx)
+	}
 	return d.run(ctx)
 }
 
--- a/cmd/oriolegw-load/main.go
+++ b/cmd/oriolegw-load/main.go
@@ -51,7 +51,7 @@
 	f.BoolVar(&e.Token, "token", true, "carry the session token along")
 	f.Uint64Var(&e.Seed, "seed", 1, "seed of all random choices; own keys are named after it")
 	f.Usage = func() {
-		fmt.Fprint(f.Output(), "oriolegw-load sends load to any addresses and prints what came back, one figure a line.\nIt exits with 1 when a read missed its session's own work.\n\nUsage: oriolegw-load [FLAGS]\n\n")
+		fmt.Fprint(f.Output(), "oriolegw-load sends load to any addresses and prints what came back, one figure a line.\nIt exits with 1 when a read missed its session's own work, or showed a write that ran\nmore often than its caller was told.\n\nUsage: oriolegw-load [FLAGS]\n\n")
 		f.PrintDefaults()
 	}
 	return o
@@ -78,7 +78,8 @@
 		os.Exit(1)
 	}
 	r.Write(os.Stdout)
-	if r.Stale > 0 {
+	if err := r.Err(); err != nil {
+		fmt.Fprintln(os.Stderr, "oriolegw-load:", err)
 		os.Exit(1)
 	}
 }
--- a/internal/experimenter/caller.go
+++ b/internal/experimenter/caller.go
@@ -23,7 +23,7 @@
 	failPause = 50 * time.Millisecond
 
 	statementInsert = "INSERT INTO ledger (key, value) VALUES ($1, $2)"
-	statementUpdate = "UPDATE ledger SET value = $1 WHERE key = $2"
+	statementAdd    = "UPDATE ledger SET value = value + $1 WHERE key = $2"
 	statementRead   = "SELECT value FROM ledger WHERE key = $1"
 )
 
@@ -37,10 +37,10 @@
 	at         int // the address in use
 	conn       *pgx.Conn
 	token      string
-	// inserted tells that the session's own key exists, tried and
-	// acknowledged which numbers were written to it.
-	inserted            bool
-	tried, acknowledged int
+	// inserted tells that the session's own key exists. Each write adds 1 to
+	// its value: acknowledged ones must be in it, those of unknown outcome may.
+	inserted              bool
+	acknowledged, unknown int
 }
 
 func newCaller(e *Experiment, n int) *caller {
@@ -130,7 +130,7 @@
 		return classWrite, c.insert
 	}
 	if c.random.Float64() < e.Writes {
-		return classWrite, c.update
+		return classWrite, c.add
 	}
 	class, comment := c.kind()
 	if c.random.Float64() < e.Own {
@@ -166,28 +166,35 @@
 	return err
 }
 
-// update writes the next number. Numbers only rise, so that a read which shows
-// a lower one than was acknowledged has missed the session's own work, whatever
-// became of the writes without an answer.
-func (c *caller) update(ctx context.Context) error {
-	c.tried++
-	n := c.tried
-	if _, err := c.conn.Exec(ctx, statementUpdate, strconv.Itoa(n), c.key); err != nil {
-		return err
+// add is not idempotent on purpose: the value counts how often it ran.
+func (c *caller) add(ctx context.Context) error {
+	_, err := c.conn.Exec(ctx, statementAdd, "1", c.key)
+	switch {
+	case err == nil:
+		c.acknowledged++
+	case !notRun(err):
+		c.unknown++
 	}
-	c.acknowledged = n
-	return nil
+	return err
 }
 
+// readOwn compares what is shown with what the session was told. Less than was
+// acknowledged: the read missed the session's own work, or the work is lost.
+// More than was acknowledged or unknown: a write ran twice, or a refusal that
+// said "not run" was untrue.
 func (c *caller) readOwn(ctx context.Context, comment string) error {
 	var text string
 	err := c.conn.QueryRow(ctx, comment+statementRead, c.key).Scan(&text)
 	if err != nil && !errors.Is(err, pgx.ErrNoRows) {
 		return err
 	}
-	if n, err := strconv.Atoi(text); err != nil || n < c.acknowledged {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < c.acknowledged {
 		c.report.Stale++
 	}
+	if n > c.acknowledged+c.unknown {
+		c.report.Doubled++
+	}
 	return nil
 }
 
@@ -224,6 +231,16 @@
 	return e.Code
 }
 
+// notRun reports that an error says that nothing of the request ran.
+func notRun(err error) bool {
+	var e *pgconn.PgError
+	if !errors.As(err, &e) {
+		return false
+	}
+	_, says, _ := refuser.Parse(e.Hint)
+	return says == refuser.NotRun
+}
+
 // comeBack is when the refusal says to come back.
 func comeBack(err error) time.Duration {
 	var e *pgconn.PgError
--- a/internal/experimenter/experimenter_test.go
+++ b/internal/experimenter/experimenter_test.go
@@ -13,8 +13,9 @@
 	"github.com/shoenig/test/must"
 )
 
-// on runs an experiment on a staged fleet.
-func on(t *testing.T, e experimenter.Experiment, check func(*testing.T, *experimenter.Report)) {
+// on runs an experiment on a staged fleet. Each connection first runs meddle, if
+// there is any, behind the experiment's back.
+func on(t *testing.T, e experimenter.Experiment, meddle string, check func(*testing.T, *experimenter.Report)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
@@ -35,7 +36,11 @@
 			if token != "" {
 				parameters["oriole.token"] = token
 			}
-			return f.Connect(ctx, entries[address], stager.DefaultService, parameters)
+			c, err := f.Connect(ctx, entries[address], stager.DefaultService, parameters)
+			if err == nil && meddle != "" {
+				_, err = c.Exec(ctx, meddle)
+			}
+			return c, err
 		}
 		r, err := e.Run(ctx)
 		must.NoError(t, err)
@@ -47,20 +52,34 @@
 // own work; every request is counted once.
 func TestRoamingSessions(t *testing.T) {
 	e := experimenter.Experiment{Workers: 4, Count: 400, Writes: 0.3, Own: 1, Keys: 10, Roam: 0.5, Token: true, Seed: 7}
-	on(t, e, func(t *testing.T, r *experimenter.Report) {
+	on(t, e, "", func(t *testing.T, r *experimenter.Report) {
 		must.Eq(t, 400, r.Total("ok"))
-		must.Eq(t, 0, r.Stale)
+		must.NoError(t, r.Err())
 		must.Greater(t, 50, r.Classes["connect"].Outcomes["ok"])
 	})
 }
 
+// The checks see what they are there for: work that is gone, and a write that ran
+// more often than its caller was told.
+func TestBrokenPromisesAreSeen(t *testing.T) {
+	for what, want := range map[string]string{"-1": "missed", "1": "more often"} {
+		t.Run(want, func(t *testing.T) {
+			e := experimenter.Experiment{Workers: 1, Count: 50, Writes: 0.3, Own: 1, Keys: 10, Roam: 0.5, Token: true, Seed: 9}
+			meddle := "UPDATE ledger SET value = value + " + what + " WHERE key = 'session-9-0'"
+			on(t, e, meddle, func(t *testing.T, r *experimenter.Report) {
+				must.ErrorContains(t, r.Err(), want)
+			})
+		})
+	}
+}
+
 // With a rate the load takes the time it should, and kinds are counted apart.
 func TestRate(t *testing.T) {
 	e := experimenter.Experiment{
 		Workers: 8, Count: 500, Rate: 100, Keys: 10, Skew: 1.2, Seed: 3,
 		Kinds: []experimenter.Kind{{Name: "past-sheets", Weight: 3}, {Name: "sign-off", Weight: 1}},
 	}
-	on(t, e, func(t *testing.T, r *experimenter.Report) {
+	on(t, e, "", func(t *testing.T, r *experimenter.Report) {
 		must.Eq(t, 500, r.Total("ok"))
 		must.Between(t, 4*time.Second, r.Elapsed, 6*time.Second)
 		must.Greater(t, r.Classes["read-sign-off"].Outcomes["ok"], r.Classes["read-past-sheets"].Outcomes["ok"])
--- a/internal/experimenter/report.go
+++ b/internal/experimenter/report.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-faster/errors"
 )
 
 type (
@@ -18,6 +19,9 @@
 		Classes map[string]*Class
 		// Stale counts reads that missed the session's own acknowledged work.
 		Stale int
+		// Doubled counts reads that showed more writes than had been
+		// acknowledged or left unknown.
+		Doubled int
 		// Missed counts requests that no caller was free for.
 		Missed  int
 		Elapsed time.Duration
@@ -67,9 +71,21 @@
 		}
 	}
 	r.Stale += o.Stale
+	r.Doubled += o.Doubled
 	r.Missed += o.Missed
 }
 
+// Err tells which promise the callers saw broken; nil for none.
+func (r *Report) Err() error {
+	switch {
+	case r.Stale > 0:
+		return errors.Errorf("%d reads missed their session's own work", r.Stale)
+	case r.Doubled > 0:
+		return errors.Errorf("%d reads showed a write that ran more often than its caller was told", r.Doubled)
+	}
+	return nil
+}
+
 // Total returns how many requests ended with the outcome, connects left out.
 func (r *Report) Total(outcome string) int {
 	n := 0
@@ -86,6 +102,7 @@
 	fmt.Fprintf(w, "elapsed %.3f s\n", r.Elapsed.Seconds())
 	fmt.Fprintf(w, "rate %.1f requests/s\n", float64(r.Total(outcomeOK))/max(r.Elapsed.Seconds(), 1e-9))
 	fmt.Fprintf(w, "stale-reads %d reads\n", r.Stale)
+	fmt.Fprintf(w, "doubled-writes %d reads\n", r.Doubled)
 	fmt.Fprintf(w, "not-begun %d requests\n", r.Missed)
 	for _, name := range slices.Sorted(maps.Keys(r.Classes)) {
 		c := r.Classes[name]
--- /dev/null
+++ b/internal/starter/throw.go
@@ -0,0 +1,110 @@
+package starter
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+type (
+	// Fault is a fault that can be thrown while the fleet runs: by a body that
+	// is posted to /faults of a process's pages, or by a signal.
+	Fault struct {
+		Of   Kind
+		Name string
+		// Body and Undo are posted; Undo is empty for a fault that passes by
+		// itself. With a Signal, Undo is a signal too.
+		Body, Undo string
+		Signal     string
+	}
+
+	// Kind says which processes a fault is of.
+	Kind string
+)
+
+// The kinds of processes.
+const (
+	OfMembers  Kind = "members"
+	OfPlatform Kind = "platform"
+	OfEntries  Kind = "entries"
+	OfAny      Kind = "any"
+
+	throwTimeout = 2 * time.Second
+)
+
+var (
+	// Faults are all faults of the fleet.
+	Faults = []Fault{
+		{Of: OfMembers, Name: "freeze: the process stops as if paused", Body: `{"freeze": true}`, Undo: `{"freeze": false}`},
+		{Of: OfMembers, Name: "refuse: new connections are closed", Body: `{"refuse": true}`, Undo: `{"refuse": false}`},
+		{Of: OfMembers, Name: "lag: entries are visible late", Body: `{"replay-lag-ms": 3000}`, Undo: `{"replay-lag-ms": 0}`},
+		{Of: OfMembers, Name: "lag: entries are received late", Body: `{"stream-lag-ms": 3000}`, Undo: `{"stream-lag-ms": 0}`},
+		{Of: OfMembers, Name: "slow: each statement takes longer", Body: `{"slow-ms": 200}`, Undo: `{"slow-ms": 0}`},
+		{Of: OfMembers, Name: "lose-answer: the next answer is lost after its effect", Body: `{"lose-answer": true}`},
+		{Of: OfMembers, Name: "silence: open connections go silent for good, new ones work", Body: `{"silence": true}`},
+		{Of: OfPlatform, Name: "down: the store and the list refuse every call", Body: `{"down": true}`, Undo: `{"down": false}`},
+		{Of: OfPlatform, Name: "slow: each call takes longer", Body: `{"slow-ms": 2000}`, Undo: `{"slow-ms": 0}`},
+		{Of: OfPlatform, Name: "lose-answers: the next writes take effect without answer", Body: `{"lose-answers": 1}`},
+		{Of: OfPlatform, Name: "lapse: every lease ends", Body: `{"lapse": true}`},
+		{Of: OfPlatform, Name: "list-lag: the instance list shows changes late", Body: `{"list-lag-ms": 60000}`, Undo: `{"list-lag-ms": 0}`},
+		{Of: OfAny, Name: "crash: kill the process by its pid", Signal: "KILL"},
+		{Of: OfAny, Name: "pause: the process is stopped and wakes later, unaware", Signal: "STOP", Undo: "CONT"},
+		{Of: OfEntries, Name: "graceful shutdown", Signal: "TERM"},
+	}
+
+	signals = map[string]syscall.Signal{
+		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+	}
+)
+
+// Passes reports whether the process is whole again once the fault was undone,
+// or has passed by itself.
+func (x Fault) Passes() bool { return x.Signal == "" || x.Undo != "" }
+
+// Throw throws a fault of a process.
+func (x Fault) Throw(ctx context.Context, p *Process) error {
+	if x.Signal != "" {
+		return p.signal(x.Signal)
+	}
+	return p.post(ctx, x.Body)
+}
+
+// Recover undoes a fault of a process.
+func (x Fault) Recover(ctx context.Context, p *Process) error {
+	switch {
+	case x.Undo == "":
+		return nil
+	case x.Signal != "":
+		return p.signal(x.Undo)
+	}
+	return p.post(ctx, x.Undo)
+}
+
+func (p *Process) signal(name string) error {
+	if err := p.command.Process.Signal(signals[name]); err != nil {
+		return errors.Wrapf(err, "signal %s to %s", name, p.Name)
+	}
+	return nil
+}
+
+func (p *Process) post(ctx context.Context, body string) error {
+	ctx, cancel := context.WithTimeout(ctx, throwTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Pages+"/faults", strings.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "make call")
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errors.Wrapf(err, "throw fault of %s", p.Name)
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return errors.Errorf("throw fault of %s: %s", p.Name, a.Status)
+	}
+	return nil
+}
