--- a/cmd/oriolegwctl/main.go
+++ b/cmd/oriolegwctl/main.go
@@ -35,7 +35,7 @@
 		network  networker.Network
 		// store opens the platform's store.
 		store func(address string) (storer.Store, func())
-		// httpTimeout bounds a call of an instance's pages.
+		// timeout bounds the whole command, and what must follow it.
 		timeout time.Duration
 	}
 
--- a/internal/reporter/state.go
+++ b/internal/reporter/state.go
@@ -200,7 +200,7 @@
 		if primary == "" {
 			primary = "none known"
 		}
-		fmt.Fprintf(&out, "\nservice %s: term %d, primary %s, %d of %d connections\n", g.Service, g.Term, primary, g.Connections, g.Share)
+		fmt.Fprintf(&out, "\nservice %s: term %d, primary %s%s\n", g.Service, g.Term, primary, g.share())
 		t := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
 		fmt.Fprintln(t, "  member\tzone\trole\tterm\treceived\treplayed\tasked\tfailures\t")
 		for _, m := range g.Members {
@@ -211,6 +211,14 @@
 	return out.String()
 }
 
+// share is empty for a group that the instance has no connections to yet.
+func (g GroupState) share() string {
+	if g.Share == 0 && g.Connections == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", %d of %d connections", g.Connections, g.Share)
+}
+
 func asked(age time.Duration) string {
 	if age < 0 {
 		return "never answered"
