--- a/cmd/oriolegw-fleet/faults.go
+++ b/cmd/oriolegw-fleet/faults.go
@@ -22,8 +22,8 @@
 )
 
 // throwAll sends load through the fleet while every fault that passes is thrown:
-// of the platform, of the primary, and of a replica. It prints what callers saw,
-// and fails when a read missed its session's own work or a write ran twice.
+// of the platform, of the primary, and of a replica; then two of the instances end.
+// It prints what callers saw, and fails when a read missed its session's own work or a write ran twice.
 func (d *demonstration) throwAll(ctx context.Context) error {
 	load, stop := context.WithTimeout(ctx, longest)
 	defer stop()
@@ -90,6 +90,23 @@
 			time.Sleep(calmTime)
 		}
 	}
+	return d.loseEntries()
+}
+
+// loseEntries ends one instance in form and one as a crash does; the sessions go
+// on through the one that is left.
+func (d *demonstration) loseEntries() error {
+	leaving, crashing := &d.fleet.Entries[2], &d.fleet.Entries[1]
+	fmt.Printf("%s: graceful shutdown\n", leaving.Name)
+	if err := d.fleet.Terminate(leaving); err != nil {
+		return err
+	}
+	time.Sleep(calmTime)
+	fmt.Printf("%s: crash\n", crashing.Name)
+	if err := d.fleet.Kill(crashing); err != nil {
+		return err
+	}
+	time.Sleep(calmTime)
 	return nil
 }
 
--- a/internal/starter/starter.go
+++ b/internal/starter/starter.go
@@ -297,6 +297,9 @@
 	return nil
 }
 
+// Terminate tells a process to end in form, and does not wait for it.
+func (f *Fleet) Terminate(p *Process) error { return p.signal("TERM") }
+
 // Stop ends the processes that Start started, and waits for them.
 func (f *Fleet) Stop() {
 	for _, p := range f.processes {
