--- a/internal/standin/failer/failer.go
+++ b/internal/standin/failer/failer.go
@@ -45,6 +45,8 @@
 		Heal func(f *stager.Fleet, primary *stager.Target)
 		// Before changes the fleet before the load begins.
 		Before func(f *stager.Fleet)
+		// Check judges the fleet in the end; nil adds nothing.
+		Check func(f *stager.Fleet) []checker.Violation
 		// WarmUp and After replace the defaults if they are not 0.
 		WarmUp, After time.Duration
 		// Callers is how many callers each instance has; 0 means 1.
@@ -117,6 +119,9 @@
 	}
 	r.Violations = append(r.Violations, onePrimary(f)...)
 	r.Violations = append(r.Violations, recovered(ctx, f)...)
+	if s.Check != nil {
+		r.Violations = append(r.Violations, s.Check(f)...)
+	}
 	return r, nil
 }
 
--- a/internal/standin/failer/promoter_test.go
+++ b/internal/standin/failer/promoter_test.go
@@ -1,11 +1,13 @@
 package failer_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/promoter"
+	"github.com/oriolegw/oriolegw/internal/standin/checker"
 	"github.com/oriolegw/oriolegw/internal/standin/failer"
 	"github.com/oriolegw/oriolegw/internal/standin/replicator"
 	"github.com/oriolegw/oriolegw/internal/standin/stager"
@@ -53,6 +55,32 @@
 	return owner
 }
 
+// recorded reports a store whose record of the group is not the newest promotion.
+func recorded(f *stager.Fleet) []checker.Violation {
+	p, err := f.Store.Get(f.Context(), promoter.Key(stager.DefaultService))
+	primary := failer.Primary(f)
+	want := fmt.Sprintf(`{"term":%d,"owner":%q,"primary":%q}`, primary.Status().Term, primary.Status().Owner, primary.Name)
+	if err != nil || string(p.Value) != want {
+		return []checker.Violation{{Promise: "the store holds the newest promotion", Detail: string(p.Value) + " is not " + want}}
+	}
+	return nil
+}
+
+// The store is down while the primary is replaced, and loses answers when it is
+// back. The record of the promotion gets there all the same.
+func TestStoreLearnsLater(t *testing.T) {
+	r := play(t, failer.Scenario{
+		Before: store(func(s *storer.Faults) { s.Down = true }),
+		Fault:  failer.Crash,
+		Heal: func(f *stager.Fleet, p *stager.Target) {
+			f.Store.SetFaults(func(s *storer.Faults) { s.Down, s.LoseAnswers = false, 2 })
+			f.RestartTarget(p)
+		},
+		Check: recorded,
+	})
+	must.Eq(t, 1, r.Terms)
+}
+
 // await polls until the stage is reached and returns the promoter's instance.
 func await(f *stager.Fleet, reached stage) *stager.Entry {
 	for range 20000 {
