--- a/internal/promoter/choose.go
+++ b/internal/promoter/choose.go
@@ -7,6 +7,13 @@
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
+// maxBacklog is how many entries a candidate may have to replay before it is
+// passed over for one that has fewer. Replaying is part of the gap: a member that
+// is far behind in it makes callers wait for all of it. An absolute threshold, and
+// not the least backlog, keeps the order stable among members that are near enough
+// (KIP-1303's idea for replicas with little local log, used here for replay).
+const maxBacklog = 64
+
 // candidate is a fenced member that may be promoted.
 type candidate struct {
 	member int
@@ -29,7 +36,8 @@
 }
 
 // choose returns the member to promote: among those at a safe position, one that
-// is not avoided, then the newest, then the first in the configuration's order.
+// is not avoided, then one with little to replay, then the newest, then the first
+// in the configuration's order.
 // The newest keeps the most writes whose outcome callers don't know.
 func choose(fenced []candidate, quorum int) candidate {
 	safe := safePosition(fenced, quorum)
@@ -47,8 +55,18 @@
 	if a.avoided != b.avoided {
 		return b.avoided
 	}
+	if a.behind() != b.behind() {
+		return b.behind()
+	}
 	if d := a.status.Received.Compare(b.status.Received); d != 0 {
 		return d > 0
 	}
 	return a.member < b.member
 }
+
+// behind reports whether the member has much to replay. A member that has told
+// nothing of it counts as near enough.
+func (c *candidate) behind() bool {
+	s := c.status
+	return !s.Replayed.IsZero() && s.Received.Offset > s.Replayed.Offset+maxBacklog
+}
--- a/internal/promoter/choose_test.go
+++ b/internal/promoter/choose_test.go
@@ -18,6 +18,30 @@
 
 func at(term, offset uint64) orderer.Position { return orderer.Position{Term: term, Offset: offset} }
 
+// A member that has much to replay is passed over for one that has not, if that
+// one is safe; one that tells nothing of it is not.
+func TestChooseByBacklog(t *testing.T) {
+	tests := []struct {
+		name     string
+		replayed [2]orderer.Position
+		want     int
+	}{
+		{"both near enough", [2]orderer.Position{at(1, 460), at(1, 500)}, 0},
+		{"the first is far behind", [2]orderer.Position{at(1, 100), at(1, 460)}, 1},
+		{"both far behind", [2]orderer.Position{at(1, 99), at(1, 100)}, 0},
+		{"unknown is near enough", [2]orderer.Position{{}, at(1, 500)}, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			f := fenced(2, at(1, 500), at(1, 500))
+			for i := range c.replayed {
+				f[i].status.Replayed = c.replayed[i]
+			}
+			must.Eq(t, c.want, choose(f, 2).member)
+		})
+	}
+}
+
 // A majority of three holds each acknowledged write. The choice holds all of them,
 // is not the failed primary if that can be helped, and keeps the most of the rest.
 func TestChoose(t *testing.T) {
--- /dev/null
+++ b/internal/standin/failer/candidate_test.go
@@ -0,0 +1,25 @@
+package failer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/standin/failer"
+	"github.com/oriolegw/oriolegw/internal/standin/stager"
+	"github.com/shoenig/test/must"
+)
+
+// The primary dies. One replica has received all of its log and is far behind in
+// replaying it, which it must make up for before it takes writes; the other is up
+// to date. Callers wait for whichever is promoted.
+func TestReplayBacklog(t *testing.T) {
+	r := play(t, failer.Scenario{
+		Plan:    stager.Plan{PerZone: 3},
+		Before:  func(f *stager.Fleet) { f.Members[1].Faults.SetReplayLag(900 * time.Millisecond) },
+		Fault:   failer.Crash,
+		Heal:    restart,
+		Callers: 2,
+	})
+	must.Eq(t, 1, r.Terms)
+	must.LessEq(t, 600*time.Millisecond, r.Gap)
+}
--- a/internal/standin/replicator/control.go
+++ b/internal/standin/replicator/control.go
@@ -160,12 +160,17 @@
 	return statusResult(m.status())
 }
 
-// runPromote makes a member that was fenced for the term its primary.
-func runPromote(_ context.Context, s *session, a []string) result {
+// runPromote makes a member that was fenced for the term its primary. What it has
+// received and not replayed yet is replayed first, which takes its time.
+func runPromote(ctx context.Context, s *session, a []string) result {
 	m := s.member
 	term, _ := strconv.ParseUint(a[0], 10, 64)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	wait := m.backlog()
+	m.mutex.Unlock()
+	sleep(ctx, wait)
+	m.mutex.Lock()
 	if term != m.term || a[1] != m.owner || m.role == RoleReplica {
 		return result{Err: &refusal{Code: codeNotFence, Message: "not fenced for this term and owner"}}
 	}
--- a/internal/standin/replicator/replication.go
+++ b/internal/standin/replicator/replication.go
@@ -211,6 +211,15 @@
 	return 0
 }
 
+// backlog is how long replaying what was received takes; the mutex is held.
+func (m *Member) backlog() time.Duration {
+	if m.role != RoleFenced || len(m.arrivals) == 0 || m.ledger.replayed == len(m.ledger.entries) {
+		return 0
+	}
+	lag := m.Faults.read(func() time.Duration { return m.Faults.replayLag })
+	return max(0, time.Until(m.arrivals[len(m.arrivals)-1].Add(lag)))
+}
+
 // feed serves a follower's stream on a primary.
 func (m *Member) feed(ctx context.Context, conn net.Conn) error {
 	out, in := json.NewEncoder(conn), json.NewDecoder(conn)
