Peers: a healthy handshake is no longer counted as a refusal

Ruled out: a race of calls with the handshake (the client waits for Prove). The question without the count is a function of its own. The test failed before (counted peer-refused.unproved) and passes now.

--- a/internal/gossiper/server.go
+++ b/internal/gossiper/server.go
@@ -171,7 +171,7 @@
 
 // Prove implements wire.DRPCPeersServer.
 func (p *serving) Prove(_ context.Context, r *wire.ProveRequest) (*wire.ProveReply, error) {
-	if p.hello.clientNonce == nil || p.ready() == nil {
+	if p.hello.clientNonce == nil || p.isProved() {
 		return nil, drpcerr.WithCode(errUnproved, codeUnproved)
 	}
 	if err := p.secret.check(clientSide, p.hello, r.Proof); err != nil {
@@ -182,15 +182,22 @@
 	return &wire.ProveReply{}, nil
 }
 
-// ready is checked by every call but the handshake's.
-func (p *serving) ready() error {
+func (p *serving) isProved() bool {
 	select {
 	case <-p.proved:
-		return nil
+		return true
 	default:
-		p.server.Count("peer-refused.unproved")
-		return drpcerr.WithCode(errUnproved, codeUnproved)
+		return false
+	}
+}
+
+// ready is checked by every call but the handshake's.
+func (p *serving) ready() error {
+	if p.isProved() {
+		return nil
 	}
+	p.server.Count("peer-refused.unproved")
+	return drpcerr.WithCode(errUnproved, codeUnproved)
 }
 
 // Exchange implements wire.DRPCPeersServer.
--- a/internal/gossiper/wire_test.go
+++ b/internal/gossiper/wire_test.go
@@ -26,13 +26,18 @@
 
 // serveIn runs a server inside the bubble and hands the test a network.
 func serveIn(t *testing.T, versions gossiper.Versions, f func(t *testing.T, client *gossiper.Client, n *wirer.Net, h *wirer.Host)) {
+	t.Helper()
+	serveCounting(t, versions, func(string) {}, f)
+}
+
+func serveCounting(t *testing.T, versions gossiper.Versions, count func(string), f func(t *testing.T, client *gossiper.Client, n *wirer.Net, h *wirer.Host)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		n := wirer.New(1)
 		ctx, cancel := context.WithCancel(context.Background())
 		s := &gossiper.Server{
 			Address: serverAddress, Network: n.Host("10.0.0.1", "a"), Secrets: fleetKey, Versions: versions,
-			Log: log.NewNopLogger(), Count: func(string) {},
+			Log: log.NewNopLogger(), Count: count,
 			Exchange: func(_ context.Context, r *wire.ExchangeRequest) (*wire.Report, error) {
 				return &wire.Report{Version: r.Version}, nil
 			},
@@ -95,6 +100,16 @@
 	}
 }
 
+// Two instances of one fleet meet and talk. An operator who watches the counters
+// of refused peers sees none: the handshake's own look at whether the peer has
+// proved itself is not a refusal.
+func TestHealthyPeerIsNotCounted(t *testing.T) {
+	count := func(name string) { t.Errorf("counted %s", name) }
+	serveCounting(t, gossiper.CurrentVersions, count, func(t *testing.T, client *gossiper.Client, _ *wirer.Net, _ *wirer.Host) {
+		mustServe(t, client)
+	})
+}
+
 // A stranger sends bytes that are no message, a frame that announces more than
 // the bound, a call before the handshake, or nothing at all. It loses its own
 // connection; the peer beside it is served all the while.
