--- a/internal/commander/postgres.go
+++ b/internal/commander/postgres.go
@@ -28,9 +28,13 @@
 	ErrUnreachable = errors.New("target unreachable")
 	// ErrSilent means that no answer came in time, on a fresh connection either.
 	ErrSilent = errors.New("target silent")
+	// ErrBusy means that the target lives but the instance had no connection to
+	// spare for the order. It is no evidence against the target.
+	ErrBusy = errors.New("all connections are busy")
 )
 
 const (
+	statusQuery    = "SELECT * FROM oriole_status()"
 	defaultTimeout = time.Second
 	// statusTimeout is shorter than that of orders: it is how long a frozen
 	// target hides from detection.
@@ -51,6 +55,10 @@
 		Application string
 		// Timeout bounds each order, a new connection included; 0 means 1 s.
 		Timeout time.Duration
+		// Source, when set, runs the orders over the connections of the group's
+		// share in place of connections of their own. Refusals are
+		// *pgconn.PgError.
+		Source func(ctx context.Context, address, sql string, u Urgency) ([][][]byte, error)
 
 		mutex sync.Mutex
 		links map[string]*link
@@ -94,7 +102,7 @@
 
 // Status implements Commander.
 func (p *Postgres) Status(ctx context.Context, address string) (Status, error) {
-	return p.order(ctx, address, "SELECT * FROM oriole_status()", statusTimeout)
+	return p.order(ctx, address, statusQuery, statusTimeout)
 }
 
 // Fence implements Commander.
@@ -146,6 +154,9 @@
 func (p *Postgres) order(ctx context.Context, address, sql string, timeout time.Duration) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	if p.Source != nil {
+		return p.ask(ctx, address, sql)
+	}
 	l := p.link(address)
 	select {
 	case l.free <- struct{}{}:
@@ -170,6 +181,23 @@
 	return r.status, r.err
 }
 
+// ask runs a control statement over the source's connections.
+func (p *Postgres) ask(ctx context.Context, address, sql string) (Status, error) {
+	rows, err := p.Source(ctx, address, sql, urgency(ctx, sql))
+	var refusal *pgconn.PgError
+	switch {
+	case errors.As(err, &refusal):
+		return Status{}, errors.Wrapf(ErrRefused, "%s: %s", refusal.Code, refusal.Message)
+	case errors.Is(err, ErrBusy) || errors.Is(err, ErrSilent):
+		return Status{}, err
+	case err != nil:
+		return Status{}, unanswered(ctx, err)
+	case len(rows) != 1:
+		return Status{}, errors.Errorf("order to %s: %d rows", address, len(rows))
+	}
+	return decode(rows[0])
+}
+
 // race waits for the first answer, and starts the fresh try when it is due.
 func (l *link) race(replies chan reply, start func(*conn), open *int) reply {
 	hedged := l.conn == nil
--- a/internal/detector/view.go
+++ b/internal/detector/view.go
@@ -71,7 +71,8 @@
 
 func (k *Known) observe(e observer.Observed) {
 	// Answers may overtake one another: an older one must not undo a newer.
-	if e.Started.Before(k.Seen) {
+	// A question that was never sent, for want of a connection, tells nothing.
+	if e.Started.Before(k.Seen) || errors.Is(e.Err, commander.ErrBusy) {
 		return
 	}
 	if e.Err == nil {
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -99,6 +99,8 @@
 	Ask struct {
 		Service string
 		Member  configurer.Member
+		// Wanted is set when a caller waits for the answer.
+		Wanted bool
 	}
 
 	// Observed is what a target answered, or that it did not.
@@ -344,6 +346,9 @@
 		return nil, false
 	}
 	o := Observed{Service: q.Service, Member: q.Member.Name, Started: time.Now()}
+	if q.Wanted {
+		ctx = commander.WithWanted(ctx)
+	}
 	o.Status, o.Err = k.Commander.Status(ctx, q.Member.Address)
 	return o, true
 }
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -1,204 +1,394 @@
 // Package pooler keeps this instance's connections to targets and lends each to
 // one request at a time, within the instance's share of the group's budget.
+//
+// A connection counts against the share from before it is dialled until the
+// target is known to have ended it (linger.go), so that the sum over all
+// instances, counted at the targets, stays within the budget.
 package pooler
 
 import (
 	"context"
-	"net"
-	"strconv"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/oriolegw/oriolegw/internal/commander"
 	"github.com/oriolegw/oriolegw/internal/networker"
-	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
 const dialTimeout = 2 * time.Second
 
 type (
 	// Pool holds the connections of one instance to one group. Set the exported
-	// fields before the first Borrow.
+	// fields, then call Run; the other methods may be called by anyone.
 	Pool struct {
-		Network     networker.Network
-		Application string
-		// Limit is how many connections the instance may hold to the group.
-		Limit int
+		Network networker.Network
+		// Resized is called, without locks, when Lendable may have changed.
+		Resized func()
+		// Count counts an event by name, for the metrics.
+		Count func(name string)
 
 		mutex   sync.Mutex
+		share   Share
+		revoked bool
 		idle    []*Conn
-		held    int
+		lent    map[*Conn]struct{}
+		dialing map[string]int // by address
+		linger  map[*socket]struct{}
+		waiting int
+		wanted  []Place
+		askers  []*asker
+		fresh   []*socket // lingering, not yet waited for
+		fresher chan struct{}
+		closed  bool
 		changed chan struct{}
 	}
 
+	// Share is what a pool may hold.
+	Share struct {
+		// Connections is how many, in whatever state.
+		Connections int
+		// Application names the connections that are opened from now on. The
+		// targets end, and then refuse, connections by it (docs/TARGET.md).
+		Application string
+		// Number rises with each change.
+		Number uint64
+	}
+
+	// Use is how a share is used.
+	Use struct {
+		Share Share
+		// Held counts against the share, Used is lent, wanted or on its way out.
+		Held, Used int
+		// Starved is set while a control question waits for a connection.
+		Starved bool
+		// Revoked is set when a target refuses the application's connections.
+		Revoked bool
+	}
+
 	// Place is what a connection is good for.
 	Place struct {
 		Address string
 		// Term binds the connection to a primary's term; 0 is for replicas.
 		Term uint64
 	}
-
-	// Conn is one connection to a target.
-	Conn struct {
-		net.Conn
-		Frontend *pgproto3.Frontend
-		Place    Place
-		// Statements are the prepared statements that the target knows.
-		Statements map[string]bool
-		// Settings are the statements that set up the session of the caller
-		// that the connection was last lent to; empty for none.
-		Settings string
-		// Position is the newest that the target has reported.
-		Position orderer.Position
-		// PID and Secret are what a cancel request names.
-		PID    uint32
-		Secret []byte
-		// Tainted connections hold state of their borrower that other callers
-		// must not meet; they are destroyed once its transaction is over.
-		Tainted bool
-		// Broken connections are closed when they come back.
-		Broken bool
-	}
 )
 
-// ErrBusy means that no connection became free in time.
-var ErrBusy = errors.New("all connections are busy")
+// ErrBusy means that no connection became free in time. It is no evidence
+// against a target.
+var ErrBusy = commander.ErrBusy
 
-// Borrow lends a connection to the place, a new one if the limit allows.
+// Borrow lends a connection to the place, a new one if the share allows.
 func (p *Pool) Borrow(ctx context.Context, place Place) (*Conn, error) {
+	p.enter(1)
+	defer p.enter(-1)
+	proved := false // the target has shown a sign of life
 	for {
-		c, dial, wait := p.take(place)
-		if c != nil {
-			return c, nil
-		}
-		if dial {
+		o := p.take(place, proved)
+		switch {
+		case o.conn != nil:
+			return o.conn, nil
+		case o.dial:
 			return p.dial(ctx, place)
+		case o.prove:
+			if err := p.prove(ctx, place.Address); err != nil {
+				return nil, err
+			}
+			proved = true
+			continue
 		}
 		select {
-		case <-wait:
+		case <-o.wait:
 		case <-ctx.Done():
 			return nil, errors.Wrap(ErrBusy, ctx.Err().Error())
 		}
 	}
 }
 
-// take returns an idle connection, or the right to open one, or what to wait for.
-func (p *Pool) take(place Place) (c *Conn, dial bool, wait chan struct{}) {
+func (p *Pool) enter(n int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.changed == nil {
-		p.changed = make(chan struct{})
+	p.open()
+	p.waiting += n
+}
+
+func (p *Pool) open() {
+	if p.lent == nil {
+		p.lent, p.dialing, p.linger = map[*Conn]struct{}{}, map[string]int{}, map[*socket]struct{}{}
+		p.changed, p.fresher = make(chan struct{}), make(chan struct{}, 1)
 	}
+}
+
+// offer is what a pool has for whoever wants a connection: an idle one, the right
+// to open one, or something to wait for. With prove set, the target must show
+// that it lives before a place of the share is spent on it.
+type offer struct {
+	conn  *Conn
+	dial  bool
+	prove bool
+	wait  chan struct{}
+}
+
+// take returns an offer to traffic.
+func (p *Pool) take(place Place, proved bool) offer {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.discardOld(place)
+	if c := p.takeIdle(func(c *Conn) bool { return c.Place == place }); c != nil {
+		return offer{conn: c}
+	}
+	if p.pressed() || !p.mayAdd(place.Address) {
+		return offer{wait: p.changed}
+	}
+	if !proved && p.risky(place.Address) {
+		return offer{prove: true}
+	}
+	if p.held() < p.share.Connections {
+		p.dialing[place.Address]++
+		return offer{dial: true}
+	}
+	p.giveUpIdle(place.Address)
+	return offer{wait: p.changed}
+}
+
+// takeIdle takes the idle connection that was used last.
+func (p *Pool) takeIdle(match func(*Conn) bool) *Conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if p.idle[i].Place == place {
-			c = p.idle[i]
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			return c, false, nil
+		if c := p.idle[i]; match(c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			p.lent[c] = struct{}{}
+			return c
 		}
 	}
-	if p.held < p.Limit {
-		p.held++
-		return nil, true, nil
+	return nil
+}
+
+// discardOld closes idle connections to a primary that can't bring it work: those
+// bound to an older term, which it refuses, and those bound to none, over which
+// control has asked it. They would stand in the way of the ones that can.
+func (p *Pool) discardOld(place Place) {
+	if place.Term == 0 {
+		return
 	}
-	if len(p.idle) > 0 { // give up a connection to another place
-		_ = p.idle[0].Close()
-		p.idle = p.idle[1:]
-		return nil, true, nil
+	p.discard(func(c *Conn) bool {
+		return c.Place.Address == place.Address && c.Place.Term < place.Term
+	})
+}
+
+// discard closes the idle connections that match; the mutex is held.
+func (p *Pool) discard(match func(*Conn) bool) {
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if match(c) {
+			p.retire(c)
+			continue
+		}
+		kept = append(kept, c)
 	}
-	return nil, false, p.changed
+	p.idle = kept
 }
 
-func (p *Pool) dial(ctx context.Context, place Place) (*Conn, error) {
-	c, err := Dial(ctx, p.Network, p.Application, place)
-	if err != nil {
-		p.release()
-		return nil, err
+// retire ends a connection that is between two requests.
+func (p *Pool) retire(c *Conn) {
+	c.socket.clean = true
+	p.lingerOn(c.socket)
+}
+
+// mayAdd keeps one connection of the share away from the address, when the
+// share has two or more. A target that freezes keeps the connections it has, for
+// as long as it is frozen: if that were the whole share, the instance could not
+// reach the primary that takes over. Work that meets only connections of open
+// transactions may take the last one all the same, from a target that is seen to
+// be alive: it would wait for a caller, and not for the target.
+func (p *Pool) mayAdd(address string) bool {
+	n, long := p.at(address)
+	return n < max(1, p.share.Connections-1) || long
+}
+
+// at counts the connections at an address; long is set when all of them are
+// lent to transactions.
+func (p *Pool) at(address string) (n int, long bool) {
+	n = p.dialing[address]
+	long = n == 0
+	for c := range p.lent {
+		if c.Place.Address == address {
+			n++
+			long = long && c.Long
+		}
 	}
-	return c, nil
+	for s := range p.linger {
+		if s.address == address {
+			n++
+			long = false
+		}
+	}
+	for _, c := range p.idle {
+		if c.Place.Address == address {
+			n++
+		}
+	}
+	return n, long
 }
 
-// Dial opens a connection to a place.
-func Dial(ctx context.Context, n networker.Network, application string, place Place) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	parameters := map[string]string{"application_name": application}
-	if place.Term != 0 {
-		parameters["oriole.term"] = strconv.FormatUint(place.Term, 10)
+// giveUpIdle closes an idle connection to another place, for the one that waits:
+// so connections move to where the demand is. What was used last stays.
+func (p *Pool) giveUpIdle(address string) {
+	if p.leaving() >= p.waiting {
+		return // enough are on their way out
 	}
-	pc, err := commander.Dial(ctx, n, place.Address, parameters)
-	if err != nil {
-		return nil, err
+	for i, c := range p.idle {
+		if c.Place.Address != address || c.Place.Term == 0 {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			p.retire(c)
+			return
+		}
 	}
-	h, err := pc.Hijack()
-	if err != nil {
-		return nil, errors.Wrap(err, "take over connection")
+}
+
+// held counts what counts against the share; the mutex is held.
+func (p *Pool) held() int {
+	n := len(p.idle) + len(p.lent) + len(p.linger)
+	for _, k := range p.dialing {
+		n += k
 	}
-	c := &Conn{
-		Conn: h.Conn, Frontend: h.Frontend, Place: place, Statements: map[string]bool{},
-		PID: h.PID, Secret: h.SecretKey,
+	return n
+}
+
+func (p *Pool) dial(ctx context.Context, place Place) (*Conn, error) {
+	p.count("connection.opened")
+	p.mutex.Lock()
+	application := p.share.Application
+	p.mutex.Unlock()
+	c, s, err := open(ctx, p.Network, application, place)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.undial(place.Address)
+	if s != nil {
+		s.application = application
 	}
-	c.Learn(h.ParameterStatuses["oriole.position"])
+	if err != nil {
+		if s != nil {
+			s.failed = true
+			p.lingerOn(s)
+		}
+		var refused *pgconn.PgError
+		if errors.As(err, &refused) && refused.Code == commander.CodeRevoked && application == p.share.Application {
+			p.revoked = true
+		}
+		return nil, err
+	}
+	c.opened = time.Now()
+	p.lent[c] = struct{}{}
 	return c, nil
 }
 
-// Learn takes in a position that the target reported.
-func (c *Conn) Learn(text string) {
-	if p, err := orderer.Parse(text); err == nil {
-		c.Position = p
+func (p *Pool) undial(address string) {
+	if p.dialing[address]--; p.dialing[address] == 0 {
+		delete(p.dialing, address)
 	}
+	p.wake()
 }
 
-// Return gives a connection back; a broken one is closed.
-func (p *Pool) Return(c *Conn) {
-	if c.Broken {
-		_ = c.Close()
-		p.release()
-		return
-	}
+// Lengthen notes that a lent connection is held for as long as a caller likes.
+func (p *Pool) Lengthen(c *Conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.idle = append(p.idle, c)
+	c.Long = true
 	p.wake()
 }
 
-func (p *Pool) release() {
+// Return gives a connection back; a broken one is closed.
+func (p *Pool) Return(c *Conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.held--
+	if _, ok := p.lent[c]; !ok {
+		return
+	}
+	delete(p.lent, c)
+	c.Long = false
+	if c.Broken || p.closed || p.held() >= p.share.Connections {
+		c.socket.clean = !c.Broken
+		p.lingerOn(c.socket)
+		return
+	}
+	c.used = time.Now()
+	switch {
+	case p.hand(c):
+		return
+	case p.pressed():
+		p.retire(c)
+		return
+	}
+	p.idle = append(p.idle, c)
 	p.wake()
 }
 
 func (p *Pool) wake() {
-	if p.changed != nil {
-		close(p.changed)
-	}
+	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
-// DropIdle closes the connections that are not lent. It is for the moment when
-// one was found silent: whatever has lost track of it, a table of connections on
-// the way, has probably lost the others too, and each would cost a request the
-// time to find out.
+// SetShare sets the share. Above it, connections are closed as they come back. A
+// share that is older than the one in force is ignored.
+func (p *Pool) SetShare(s Share) {
+	p.mutex.Lock()
+	p.open()
+	if s.Number >= p.share.Number {
+		if p.share.Application != s.Application {
+			// The targets have ended the connections of the old name.
+			p.discard(func(*Conn) bool { return true })
+			p.revoked = false
+		}
+		p.share = s
+		p.shed()
+		p.wake()
+	}
+	p.mutex.Unlock()
+	p.resized()
+}
+
+// DropIdle closes the connections that are not lent.
 func (p *Pool) DropIdle() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, c := range p.idle {
-		_ = c.Close()
+		p.lingerOn(c.socket)
 	}
-	p.held -= len(p.idle)
 	p.idle = nil
-	p.wake()
 }
 
-// Close closes the idle connections.
-func (p *Pool) Close() {
+// shed closes idle connections above the share, the longest unused first.
+func (p *Pool) shed() {
+	for len(p.idle) > 0 && p.held()-len(p.linger) > p.share.Connections {
+		p.retire(p.idle[0])
+		p.idle = p.idle[1:]
+	}
+}
+
+// Use returns how the share is used at this moment.
+func (p *Pool) Use() Use {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for _, c := range p.idle {
-		_ = c.Close()
+	return Use{Share: p.share, Held: p.held(), Used: len(p.lent) + len(p.linger) + p.waiting, Starved: p.starved(), Revoked: p.revoked}
+}
+
+// Lendable returns how many connections can be lent at once.
+func (p *Pool) Lendable() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return max(0, p.share.Connections-p.stuck())
+}
+
+func (p *Pool) resized() {
+	if p.Resized != nil {
+		p.Resized()
+	}
+}
+
+func (p *Pool) count(name string) {
+	if p.Count != nil {
+		p.Count(name)
 	}
-	p.held -= len(p.idle)
-	p.idle = nil
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/admitter"
 	"github.com/oriolegw/oriolegw/internal/pooler"
 	"github.com/oriolegw/oriolegw/internal/router"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
@@ -56,6 +57,7 @@
 	wait, done := s.cancels.waiting(ctx)
 	defer done()
 	t := &try{session: s, request: r, started: time.Now(), wait: wait}
+	s.Retries.First()
 	for {
 		done, refusal := t.once(ctx)
 		switch {
@@ -115,12 +117,15 @@
 // connect borrows a connection to the chosen target, nil when there is none.
 func (t *try) connect() (*pooler.Conn, *refuser.Refusal) {
 	s := t.session
-	c, err := s.borrow(t.wait, t.group, t.choice, hold(t.group)-time.Since(t.started))
+	c, err := s.borrow(t.wait, t.group, t.choice, t.request, hold(t.group)-time.Since(t.started))
+	var turnedAway *refuser.Refusal
 	switch {
 	case err == nil:
 		return c, nil
 	case t.wait.Err() != nil: // cancelled, or the instance is stopping
 		return nil, nil
+	case errors.As(err, &turnedAway):
+		return nil, turnedAway
 	case errors.Is(err, pooler.ErrBusy):
 		return nil, refuser.New(refuser.NoConnection, "service %q", s.Service)
 	}
@@ -167,6 +172,8 @@
 		if t.spoiled++; t.spoiled > spoiledLimit {
 			s.wait(t.wait, t.table, redoPause)
 		}
+	case !s.Retries.Retry():
+		return true, refuser.New(refuser.RetriesSpent, "service %q", s.Service)
 	default:
 		s.Count("retry.not-run")
 		if errors.Is(x.err, errSilent) {
@@ -286,14 +293,14 @@
 	}
 }
 
-func (s *Session) borrow(ctx context.Context, g *router.Group, c router.Choice, left time.Duration) (*pooler.Conn, error) {
+func (s *Session) borrow(ctx context.Context, g *router.Group, c router.Choice, r *request, left time.Duration) (*pooler.Conn, error) {
 	place := pooler.Place{Address: g.Service.Members[c.Member].Address}
 	if !c.Replica {
 		place.Term = g.Members[c.Member].Status.Term
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	return s.Pool.Borrow(ctx, place)
+	return s.Pool.Borrow(ctx, admitter.Order{Place: place, User: s.User, Class: r.lendingClass()})
 }
 
 // finish settles what becomes of the connection and the caller's transaction.
--- a/internal/relayer/request.go
+++ b/internal/relayer/request.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/oriolegw/oriolegw/internal/admitter"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
 )
 
@@ -140,6 +141,17 @@
 	r.remote, r.read, r.pure, r.mayCommit = true, false, false, true
 }
 
+// lendingClass is what the request does with a connection.
+func (r *request) lendingClass() admitter.Class {
+	switch {
+	case r.begins && !r.ends:
+		return admitter.ClassTransaction
+	case r.read:
+		return admitter.ClassRead
+	}
+	return admitter.ClassWrite
+}
+
 func copyBind(m *pgproto3.Bind) *pgproto3.Bind {
 	c := &pgproto3.Bind{
 		DestinationPortal:    m.DestinationPortal,
--- a/internal/relayer/session.go
+++ b/internal/relayer/session.go
@@ -11,9 +11,11 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/oriolegw/oriolegw/internal/admitter"
 	"github.com/oriolegw/oriolegw/internal/networker"
 	"github.com/oriolegw/oriolegw/internal/pooler"
 	"github.com/oriolegw/oriolegw/internal/prober"
+	"github.com/oriolegw/oriolegw/internal/retrier"
 	"github.com/oriolegw/oriolegw/internal/router"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
@@ -29,6 +31,19 @@
 )
 
 type (
+	// Lender lends connections to targets; admitter.Gate is one.
+	Lender interface {
+		// Borrow waits for the request's turn; the error is a *refuser.Refusal
+		// when it was turned away.
+		Borrow(ctx context.Context, o admitter.Order) (*pooler.Conn, error)
+		Return(c *pooler.Conn)
+		// DropIdle closes the connections that are not lent. It is for the
+		// moment when one was found silent: whatever has lost track of it has
+		// probably lost the others too, and each would cost a request the time
+		// to find out.
+		DropIdle()
+	}
+
 	// Session is one caller. Set the exported fields, then call Run.
 	Session struct {
 		Conn    net.Conn
@@ -47,9 +62,11 @@
 		HasToken bool
 		Table    func() *router.Table
 		// Want asks control for a fresh watermark of the service; nil: none.
-		Want   func(service string)
-		Pool   *pooler.Pool
-		Sealer *sealer.Sealer
+		Want func(service string)
+		Pool Lender
+		// Retries bounds the tries after a first one; nil: nothing does.
+		Retries *retrier.Budget
+		Sealer  *sealer.Sealer
 		// Network reaches targets with cancels.
 		Network networker.Network
 		// PID and Secret are the key with which the caller cancels.
--- a/internal/relayer/watch.go
+++ b/internal/relayer/watch.go
@@ -107,7 +107,7 @@
 	if p := x.session.Prober; p != nil {
 		x.session.Count("probe")
 		var err error
-		state, err = p.Ask(ctx, x.conn.Place.Address, x.conn.PID, q.since)
+		state, err = p.Ask(ctx, x.conn.Place.Address, x.conn.PID)
 		if err != nil && q.unanswered.IsZero() {
 			q.unanswered = time.Now()
 		}
--- a/internal/router/asker.go
+++ b/internal/router/asker.go
@@ -58,7 +58,7 @@
 	var out []controller.Action
 	for i, m := range g.Service.Members {
 		if g.Members[i].Failures == 0 {
-			out = append(out, observer.Ask{Service: g.Service.Name, Member: m})
+			out = append(out, observer.Ask{Service: g.Service.Name, Member: m, Wanted: true})
 		}
 	}
 	return out
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/commander"
 	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/controller"
@@ -164,6 +165,9 @@
 		}
 		next := g.clone()
 		n := &next.Members[i]
+		if errors.Is(e.Err, commander.ErrBusy) {
+			return false // the question was never sent
+		}
 		if e.Err != nil {
 			n.Failures++
 		} else {
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -178,14 +178,7 @@
 		return nil, false
 	}
 	p.client.Tidy(time.Now())
-	i := p.instance
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	var u observer.Used
-	for n := range i.pools {
-		u.Services = append(u.Services, n)
-	}
-	return u, true
+	return observer.Used{Services: p.instance.used()}, true
 }
 
 // Step implements controller.Slice.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -14,7 +13,6 @@
 	"github.com/oriolegw/oriolegw/internal/loader"
 	"github.com/oriolegw/oriolegw/internal/networker"
 	"github.com/oriolegw/oriolegw/internal/observer"
-	"github.com/oriolegw/oriolegw/internal/pooler"
 	"github.com/oriolegw/oriolegw/internal/relayer"
 	"github.com/oriolegw/oriolegw/internal/reporter"
 	"github.com/oriolegw/oriolegw/internal/router"
@@ -25,9 +23,6 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// connectionsPerGroup is the share of each instance until shares are agreed.
-const connectionsPerGroup = 4
-
 // Instance is one entry instance. Set the exported fields, then call Run.
 type Instance struct {
 	Settings *loader.Settings
@@ -51,8 +46,8 @@
 
 	sessions sessions
 
-	mutex sync.Mutex
-	pools map[string]*pooler.Pool
+	groups atomic.Pointer[groupTable]
+	shares shares
 }
 
 // Run serves until the context ends.
@@ -62,7 +57,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	orders := &commander.Postgres{Network: i.Network, Application: i.Settings.Name}
+	orders := &commander.Postgres{Network: i.Network, Application: i.Settings.Name, Source: i.ask}
 	defer orders.Close()
 	control := &controller.Controller{}
 	p := i.openPeers(control.Post)
@@ -79,6 +74,7 @@
 	terms, promotions := i.terms(orders)
 	control.Slices = append(control.Slices, terms...)
 	control.Performers = append(control.Performers, promotions)
+	i.addShares(control)
 	control.Open()
 	i.sessions.open(i, func(e controller.Event) { control.Post(ctx, e) })
 	i.sessions.cancels.Forwarder = p
@@ -88,18 +84,18 @@
 	}
 	control.Slices = append(control.Slices, i.drain.open(i, callers, cancel), &i.drain)
 	control.Performers = append(control.Performers, &i.drain)
-	ended := make(chan error, 4)
+	ended := make(chan error, 5)
 	go func() { ended <- errors.Wrap(control.Run(ctx), "control") }()
 	go func() { ended <- errors.Wrap(callers.Run(ctx), "callers") }()
 	go func() { ended <- errors.Wrap(i.pages(ctx, control, callers).Run(ctx), "pages") }()
 	go func() { ended <- errors.Wrap(p.server().Run(ctx), "peers") }()
 	_ = i.Log.Log("part", "instance", "msg", "Instance is serving.", "name", i.Settings.Name, "availability-zone", i.Settings.Zone, "callers", i.Settings.Callers)
+	go func() { ended <- errors.Wrap(i.runGroups(ctx, control), "groups") }()
 	first := <-ended
 	cancel()
-	<-ended
-	<-ended
-	<-ended
-	i.closePools()
+	for range cap(ended) - 1 {
+		<-ended
+	}
 	if i.drain.drained.Load() {
 		return nil
 	}
@@ -115,7 +111,6 @@
 		i.Metrics = tally.NoopScope
 	}
 	reporter.Declare(i.Metrics)
-	i.pools = map[string]*pooler.Pool{}
 	return i.sealer.Check()
 }
 
@@ -132,6 +127,11 @@
 	if t.Document.Service(service) == nil {
 		return nil, refuser.New(refuser.NoService, "service %q", service)
 	}
+	v := i.group(service)
+	if v == nil { // the document came into force this moment
+		return nil, refuser.New(refuser.NoConfiguration, "service %q", service)
+	}
+	v.used.Store(true)
 	var floor orderer.Position
 	if token := parameters[relayer.ParameterToken]; token != "" {
 		var err error
@@ -141,27 +141,8 @@
 	}
 	s := &relayer.Session{
 		Service: service, User: parameters["user"], Zone: i.Settings.Zone, Kind: parameters[relayer.ParameterKind],
-		Floor: floor, Table: i.table.Load, Pool: i.pool(service), Sealer: i.sealer, Log: i.Log,
-		Count: func(n string) { i.Metrics.Counter(n).Inc(1) },
+		Floor: floor, Table: i.table.Load, Pool: v.gate, Retries: v.retries, Sealer: i.sealer, Log: i.Log,
+		Count: i.count,
 	}
 	return s, i.equip(s, parameters)
 }
-
-func (i *Instance) pool(service string) *pooler.Pool {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	p := i.pools[service]
-	if p == nil {
-		p = &pooler.Pool{Network: i.Network, Application: i.Settings.Name, Limit: connectionsPerGroup}
-		i.pools[service] = p
-	}
-	return p
-}
-
-func (i *Instance) closePools() {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	for _, p := range i.pools {
-		p.Close()
-	}
-}
--- /dev/null
+++ b/internal/sharer/performer.go
@@ -0,0 +1,202 @@
+package sharer
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/commander"
+	"github.com/oriolegw/oriolegw/internal/controller"
+	"github.com/oriolegw/oriolegw/internal/networker"
+	"github.com/oriolegw/oriolegw/internal/pooler"
+	"github.com/oriolegw/oriolegw/internal/storer"
+)
+
+const callTimeout = 3 * time.Second
+
+// errRemain means that a target has not ended all sessions yet.
+var errRemain = errors.New("sessions remain at the target")
+
+type (
+	// Load is what a pool reports from time to time.
+	Load struct {
+		Service string
+		Use     pooler.Use
+		// Pressed is set while requests wait for connections.
+		Pressed bool
+	}
+
+	// Limit gives a pool its share.
+	Limit struct {
+		Service string
+		Share   pooler.Share
+	}
+
+	// Evict ends all connections of an application at all addresses, and has
+	// new ones refused there.
+	Evict struct {
+		Service     string
+		Application string
+		Addresses   []string
+	}
+
+	// Evicted reports that; without an error, no connection is left anywhere.
+	Evicted struct {
+		Service     string
+		Application string
+		Err         error
+	}
+
+	register struct {
+		process string
+		lease   storer.Lease
+	}
+
+	registered struct {
+		lease storer.Lease
+		err   error
+	}
+
+	readLedger struct{ service string }
+
+	ledgerRead struct {
+		service  string
+		ledger   Ledger
+		revision int64
+		err      error
+	}
+
+	writeLedger struct {
+		service  string
+		revision int64
+		ledger   Ledger
+	}
+
+	// ledgerWritten holds the ledger as it stands after the call, whether this
+	// call wrote it or another had been before it.
+	ledgerWritten struct {
+		service  string
+		ledger   Ledger
+		revision int64
+		err      error
+	}
+
+	checkProcess struct{ service, process string }
+
+	processChecked struct {
+		service, process string
+		live             bool
+		err              error
+	}
+
+	// Performer carries out what the slice decides.
+	Performer struct {
+		Store storer.Store
+		// Network reaches the targets.
+		Network networker.Network
+		// SetShare gives a pool its share.
+		SetShare func(Limit)
+	}
+)
+
+// EventName implements controller.Event.
+func (Load) EventName() string { return "connections-used" }
+
+// ActionName implements controller.Action.
+func (Limit) ActionName() string { return "limit-connections" }
+
+// ActionName implements controller.Action.
+func (Evict) ActionName() string { return "evict-holder" }
+
+// EventName implements controller.Event.
+func (Evicted) EventName() string { return "holder-evicted" }
+
+func (register) ActionName() string      { return "register-process" }
+func (registered) EventName() string     { return "process-registered" }
+func (readLedger) ActionName() string    { return "read-shares" }
+func (ledgerRead) EventName() string     { return "shares-read" }
+func (writeLedger) ActionName() string   { return "write-shares" }
+func (ledgerWritten) EventName() string  { return "shares-written" }
+func (checkProcess) ActionName() string  { return "check-process" }
+func (processChecked) EventName() string { return "process-checked" }
+
+// Perform implements controller.Performer.
+func (p *Performer) Perform(ctx context.Context, a controller.Action) (controller.Event, bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	switch a := a.(type) {
+	case Limit:
+		p.SetShare(a)
+		return nil, true
+	case register:
+		return p.register(ctx, a), true
+	case readLedger:
+		pair, err := p.Store.Get(ctx, ledgerPrefix+a.service)
+		e := ledgerRead{service: a.service, revision: pair.Revision, err: err}
+		if err == nil {
+			e.ledger, e.err = decode(pair.Value)
+		}
+		return e, true
+	case writeLedger:
+		pair, _, err := p.Store.Swap(ctx, storer.Pair{Key: ledgerPrefix + a.service, Value: encode(a.ledger), Revision: a.revision}, 0)
+		e := ledgerWritten{service: a.service, revision: pair.Revision, err: err}
+		if err == nil {
+			e.ledger, e.err = decode(pair.Value)
+		}
+		return e, true
+	case checkProcess:
+		pair, err := p.Store.Get(ctx, processPrefix+a.process)
+		return processChecked{service: a.service, process: a.process, live: pair.Revision != 0, err: err}, true
+	case Evict:
+		return Evicted{Service: a.Service, Application: a.Application, Err: p.evict(ctx, a)}, true
+	}
+	return nil, false
+}
+
+// register prolongs the lease, or starts a new one with the process's key.
+func (p *Performer) register(ctx context.Context, a register) registered {
+	if a.lease != 0 {
+		err := p.Store.KeepAlive(ctx, a.lease)
+		if !errors.Is(err, storer.ErrLeaseLost) {
+			return registered{lease: a.lease, err: err}
+		}
+	}
+	lease, err := p.Store.Grant(ctx, LeaseTime)
+	if err != nil {
+		return registered{err: err}
+	}
+	key := processPrefix + a.process
+	now, ok, err := p.Store.Swap(ctx, storer.Pair{Key: key}, lease)
+	if err == nil && !ok { // under an earlier lease whose answer was lost
+		_, ok, err = p.Store.Swap(ctx, now, lease)
+	}
+	if err == nil && !ok {
+		err = errors.New("process key changed")
+	}
+	if err != nil {
+		return registered{err: err}
+	}
+	return registered{lease: lease}
+}
+
+// evict first makes sure that every member answers. A cut availability zone makes
+// its instances look dead from the others, and they can't be evicted at the
+// members in it: to refuse them at the rest would only leave them without those
+// members when the cut heals.
+func (p *Performer) evict(ctx context.Context, a Evict) error {
+	for _, address := range a.Addresses {
+		if err := commander.Prove(ctx, p.Network, address); err != nil {
+			return err
+		}
+	}
+	for _, address := range a.Addresses {
+		remain, err := commander.Evict(ctx, p.Network, address, a.Application, 0)
+		if err != nil {
+			return err
+		}
+		if remain > 0 {
+			return errors.Wrap(errRemain, address)
+		}
+	}
+	return nil
+}
--- a/internal/standin/replicator/control.go
+++ b/internal/standin/replicator/control.go
@@ -14,6 +14,9 @@
 const (
 	CodeFenced      = "OG001"
 	CodeReadOnly    = "25006"
+	CodeRevoked     = "OG003"
+	CodeEvicted     = "OG004"
+	CodeActivity    = "OG005"
 	codeNotFence    = "OG002"
 	codeUnsupported = "0A000"
 	codeAborted     = "25P02"
--- a/internal/standin/replicator/member.go
+++ b/internal/standin/replicator/member.go
@@ -45,6 +45,8 @@
 		Slots int
 		// Work is how long each statement occupies a slot.
 		Work time.Duration
+		// Counter, when set, counts the sessions of all members that share it.
+		Counter *Counter
 		// Faults can be thrown at any time.
 		Faults Faults
 
@@ -67,6 +69,7 @@
 		sessions map[*session]struct{}
 		journal  []Record
 		peak     int
+		revoked  map[string]bool // applications whose connections are refused
 		slots    chan struct{}
 		nextPID  uint32
 	}
--- a/internal/standin/replicator/session.go
+++ b/internal/standin/replicator/session.go
@@ -36,6 +36,7 @@
 		secret      uint32
 		silent      atomic.Bool
 		running     atomic.Pointer[context.CancelFunc]
+		stop        context.CancelFunc
 
 		open       bool // inside a transaction block
 		failed     bool
@@ -68,6 +69,8 @@
 // serve runs one connection from start-up to its end.
 func (m *Member) serve(ctx context.Context, conn net.Conn) error {
 	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
 	if m.refuses() {
 		return errClosed
 	}
@@ -86,14 +89,17 @@
 	if replicate {
 		return m.feed(ctx, conn)
 	}
-	m.mutex.Lock()
-	m.sessions[s] = struct{}{}
-	m.peak = max(m.peak, len(m.sessions))
-	m.mutex.Unlock()
+	ctx, s.stop = context.WithCancel(ctx)
+	defer s.stop()
+	if !m.admit(s) {
+		return errClosed
+	}
 	defer func() {
 		m.mutex.Lock()
 		delete(m.sessions, s)
+		m.Counter.add(-1)
 		m.idle(s)
+		m.notify()
 		m.mutex.Unlock()
 	}()
 	return s.loop(ctx)
@@ -134,6 +140,12 @@
 		s.backend.Send(&pgproto3.AuthenticationOk{})
 		return true, s.backend.Flush()
 	}
+	if parameters[ParameterEvict] != "" {
+		return false, s.answerEviction(ctx, parameters)
+	}
+	if pid := parameters[ParameterActivity]; pid != "" {
+		return false, s.answerActivity(pid)
+	}
 	sleep(ctx, m.ConnectTime)
 	s.application = parameters["application_name"]
 	s.term, _ = strconv.ParseUint(parameters[ParameterTerm], 10, 64)
@@ -141,7 +153,13 @@
 	m.nextPID++
 	s.pid, s.secret = m.nextPID, m.nextPID*2654435761
 	fenced := s.term != 0 && (m.role != RolePrimary || m.term != s.term)
+	revoked := m.revoked[s.application]
 	m.mutex.Unlock()
+	if revoked {
+		s.backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: CodeRevoked, Message: "connections of this application have been revoked: " + s.application})
+		_ = s.backend.Flush()
+		return false, errClosed
+	}
 	if fenced {
 		s.backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: CodeFenced, Message: "not the primary of term " + strconv.FormatUint(s.term, 10)})
 		_ = s.backend.Flush()
@@ -181,6 +199,10 @@
 func (s *session) loop(ctx context.Context) error {
 	for {
 		msg, err := s.backend.Receive()
+		if s.silent.Load() { // not even the caller's end gets through
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		if err != nil {
 			s.rollback()
 			if errors.Is(err, io.EOF) {
@@ -188,10 +210,6 @@
 			}
 			return errors.Wrap(err, "receive")
 		}
-		if s.silent.Load() {
-			<-ctx.Done()
-			return ctx.Err()
-		}
 		if err := s.member.Faults.pass(ctx); err != nil {
 			return err
 		}
--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -192,6 +192,7 @@
 		}
 	}
 	f.Document.Services = append(f.Document.Services, s)
+	counter := &replicator.Counter{}
 	for _, m := range s.Members {
 		ip, _, _ := net.SplitHostPort(m.Address)
 		t := &Target{
@@ -199,7 +200,7 @@
 			Member: &replicator.Member{
 				Name: m.Name, Group: s.Name, Address: m.Address, GroupSize: len(s.Members),
 				Network: f.Net.Host(ip, m.Zone), Log: f.Plan.Log,
-				ConnectTime: f.Plan.ConnectTime, Slots: f.Plan.Slots, Work: f.Plan.Work,
+				ConnectTime: f.Plan.ConnectTime, Slots: f.Plan.Slots, Work: f.Plan.Work, Counter: counter,
 			},
 		}
 		t.Bootstrap(s.Members[0].Address)
--- a/internal/standin/wirer/conn.go
+++ b/internal/standin/wirer/conn.go
@@ -209,16 +209,23 @@
 	}
 }
 
-// Close implements net.Conn: the other end reads what was sent, then io.EOF.
-func (c *conn) Close() error {
+// CloseWrite ends this end's direction: the other end reads what was sent, then
+// io.EOF, and may still answer.
+func (c *conn) CloseWrite() error {
 	delay := c.net.latency(c.local, c.remote)
 	c.out.mutex.Lock()
+	defer c.out.mutex.Unlock()
 	if !c.out.finished {
 		c.out.finished = true
 		c.out.last = time.Now().Add(delay)
 		c.out.wake()
 	}
-	c.out.mutex.Unlock()
+	return nil
+}
+
+// Close implements net.Conn: the other end reads what was sent, then io.EOF.
+func (c *conn) Close() error {
+	_ = c.CloseWrite()
 	c.in.fail(net.ErrClosed)
 	c.net.mutex.Lock()
 	delete(c.net.conns, c)
--- a/pkg/refuser/reasons.go
+++ b/pkg/refuser/reasons.go
@@ -34,6 +34,31 @@
 		Title: "no target connection became free",
 		Text:  "All of this instance's connections to the group were busy for as long as the request may wait.",
 	}
+	QueueFull = &Reason{
+		Code: "OR251", Name: "queue-full", Since: "0.1", SQLState: "53300", Outcome: NotRun, RetryAfter: 100 * time.Millisecond,
+		Title: "too many requests of the customer are waiting",
+		Text:  "The customer already has as many requests waiting for a connection as one customer may. Other customers are not affected. Come back after the stated time.",
+	}
+	QueueTimeout = &Reason{
+		Code: "OR252", Name: "queue-timeout", Since: "0.1", SQLState: "53300", Outcome: NotRun, RetryAfter: 100 * time.Millisecond,
+		Title: "no turn within the time that a request may wait",
+		Text:  "The request waited for its turn for as long as it may, without one. It was never sent to a target.",
+	}
+	NoShare = &Reason{
+		Code: "OR253", Name: "no-share", Since: "0.1", SQLState: "53300", Outcome: NotRun, RetryAfter: time.Second,
+		Title: "the instance holds no connections of the group",
+		Text:  "The group's budget of connections is shared out among the instances, and this one holds none: it has just started and the platform's store is down, or every connection is held elsewhere. Another instance can serve the request.",
+	}
+	Overload = &Reason{
+		Code: "OR254", Name: "overload", Since: "0.1", SQLState: "53300", Outcome: NotRun, RetryAfter: 100 * time.Millisecond,
+		Title: "the wait would be longer than the request may wait",
+		Text:  "At the pace at which the group answers now, the customer's requests that are already waiting would keep this one past its deadline. It is refused at once, so that the caller can use the time.",
+	}
+	RetriesSpent = &Reason{
+		Code: "OR255", Name: "retries-spent", Since: "0.1", SQLState: "57P03", Outcome: NotRun, RetryAfter: 500 * time.Millisecond,
+		Title: "the instance has used up its retries",
+		Text:  "A try of the request failed without running, and too many requests of the group have been retried lately for another try. Come back after the stated time.",
+	}
 	ConnectionLost = &Reason{
 		Code: "OR301", Name: "connection-lost", Since: "0.1", SQLState: "08007", Outcome: Unknown,
 		Title: "connection to the primary lost after the request was sent",
@@ -135,6 +160,7 @@
 var Reasons = []*Reason{
 	NoService, NoConfiguration, TooManySessions, InstanceLeaving,
 	NoPrimary, NoTarget, NoConnection, FloorUnknown, Cancelled,
+	QueueFull, QueueTimeout, NoShare, Overload, RetriesSpent,
 	ConnectionLost, NotConfirmed, TransactionLost, ReadLost, TransactionAborted, AnswerTooLarge,
 	BadToken, Unsupported, SessionState, RequestTooLarge,
 	BadPassword, TooManyCallers, EncryptionRequired, BadStartUp, StartUpTimeout, NoReplication,
