--- a/internal/pooler/ask.go
+++ b/internal/pooler/ask.go
@@ -55,7 +55,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.askOver(ctx, again, sql, false)
+	used := !again.used.IsZero()
+	rows, err = p.askOver(ctx, again, sql, false)
+	if err != nil && again.Broken && used {
+		// Another old one: silent connections come in numbers.
+		return nil, errors.Wrap(ErrBusy, err.Error())
+	}
+	return rows, err
 }
 
 // askOver asks over a lent connection and gives it back. The first of two tries
@@ -78,10 +84,17 @@
 // lend lends a connection for control. Before it spends a place of the share on
 // a new connection, the target must show that it lives: orders go to all members
 // of a group, and the one that is frozen would keep the place from the others.
+//
+// Who waits keeps its place in the line until it is served. If it left at each
+// change and came again, the place that a connection has just made for an order
+// would go to whichever question looks first.
 func (p *Pool) lend(ctx context.Context, address string, u commander.Urgency) (*Conn, error) {
+	a := &asker{address: address, order: u == commander.Order, given: make(chan *Conn, 1)}
+	p.join(a)
+	defer p.quit(a)
 	proved := false
 	for {
-		o, a := p.offerControl(address, u, proved)
+		o := p.offerControl(a, u, proved)
 		switch {
 		case o.conn != nil:
 			return o.conn, nil
@@ -98,39 +111,60 @@
 		case c := <-a.given:
 			return c, nil
 		case <-o.wait:
-			if c := p.leave(a); c != nil {
-				return c, nil
-			}
 		case <-ctx.Done():
-			if c := p.leave(a); c != nil {
-				return c, nil
-			}
 			return nil, errors.Wrap(ErrBusy, ctx.Err().Error())
 		}
 	}
 }
 
-// offerControl returns an offer to control; who waits has a place in the line.
-func (p *Pool) offerControl(address string, u commander.Urgency, proved bool) (offer, *asker) {
+// offerControl returns an offer to control.
+func (p *Pool) offerControl(a *asker, u commander.Urgency, proved bool) offer {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.open()
-	if c := p.takeIdle(func(c *Conn) bool { return c.Place.Address == address }); c != nil {
-		return offer{conn: c}, nil
+	a.waits = false
+	select {
+	case c := <-a.given:
+		return offer{conn: c}
+	default:
 	}
-	if u == commander.Order || p.usable(address) == 0 {
-		if !proved {
-			return offer{prove: true}, nil
-		}
-		if p.held() < p.share.Connections {
-			p.dialing[address]++
-			return offer{dial: true}, nil
-		}
-		p.discardOne(func(c *Conn) bool { return u >= commander.Wanted || !slices.Contains(p.wanted, c.Place) })
+	if c := p.takeIdle(func(c *Conn) bool { return c.Place.Address == a.address }); c != nil {
+		return offer{conn: c}
 	}
-	a := &asker{address: address, order: u == commander.Order, given: make(chan *Conn, 1)}
+	a.waits = true
+	if !a.order && (p.usable(a.address) > 0 || p.pressed()) {
+		return offer{wait: p.changed}
+	}
+	if !proved {
+		a.waits = false
+		return offer{prove: true}
+	}
+	if p.held() < p.share.Connections {
+		p.dialing[a.address]++
+		a.waits = false
+		return offer{dial: true}
+	}
+	p.discardOne(func(c *Conn) bool { return u >= commander.Wanted || !slices.Contains(p.wanted, c.Place) })
+	return offer{wait: p.changed}
+}
+
+func (p *Pool) join(a *asker) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.open()
 	p.askers = append(p.askers, a)
-	return offer{wait: p.changed}, a
+}
+
+// quit ends an asker's wait; a connection that it was given too late goes back.
+func (p *Pool) quit(a *asker) {
+	p.mutex.Lock()
+	p.askers = slices.DeleteFunc(p.askers, func(b *asker) bool { return a == b })
+	p.wake()
+	p.mutex.Unlock()
+	select {
+	case c := <-a.given:
+		p.Return(c)
+	default:
+	}
 }
 
 // usable counts the connections to an address that will come back from whoever
@@ -145,19 +179,6 @@
 	return n
 }
 
-// leave ends an asker's wait; it returns what the asker was given meanwhile.
-func (p *Pool) leave(a *asker) *Conn {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.askers = slices.DeleteFunc(p.askers, func(b *asker) bool { return a == b })
-	select {
-	case c := <-a.given:
-		return c
-	default:
-		return nil
-	}
-}
-
 // hand gives a connection that comes back to whoever waits to ask its target a
 // control question. Without it, saturation would silence control: idle
 // connections never exist then, replicas' positions grow stale, and the reads
@@ -165,7 +186,7 @@
 // round trip, and a target is asked a few dozen times a second at most.
 func (p *Pool) hand(c *Conn) bool {
 	for i, a := range p.askers {
-		if a.address == c.Place.Address {
+		if a.waits && a.address == c.Place.Address {
 			p.askers = slices.Delete(p.askers, i, i+1)
 			p.lent[c] = struct{}{}
 			a.given <- c
@@ -180,13 +201,13 @@
 // it the orders that replace a dead primary would queue behind the traffic that
 // the replicas still serve.
 func (p *Pool) pressed() bool {
-	return slices.ContainsFunc(p.askers, func(a *asker) bool { return a.order })
+	return slices.ContainsFunc(p.askers, func(a *asker) bool { return a.order && a.waits })
 }
 
 // starved reports that a question waits for a target to which there is no
 // connection that could come back.
 func (p *Pool) starved() bool {
-	return slices.ContainsFunc(p.askers, func(a *asker) bool { return p.usable(a.address) == 0 })
+	return slices.ContainsFunc(p.askers, func(a *asker) bool { return a.waits && p.usable(a.address) == 0 })
 }
 
 // prove returns nil when a target answers on a fresh connection.
--- a/internal/pooler/keeper.go
+++ b/internal/pooler/keeper.go
@@ -30,6 +30,7 @@
 	asker struct {
 		address string
 		order   bool // it goes before traffic
+		waits   bool // for a connection; it does not while its target is proved
 		given   chan *Conn
 	}
 )
--- a/internal/runner/pools.go
+++ b/internal/runner/pools.go
@@ -178,7 +178,9 @@
 }
 
 // places returns where connections of a group are likely to be needed: the
-// primary, the own zone's replica, then the other replicas.
+// primary, the own zone's replica, then the other replicas. While no primary is
+// known, only the own zone's member is kept: a share of two, idle at two replicas,
+// would otherwise never be used to ask the third member, which is the primary.
 func places(g *router.Group, zone string) []pooler.Place {
 	var own, others []pooler.Place
 	for i, m := range g.Service.Members {
@@ -194,7 +196,7 @@
 		primary := pooler.Place{Address: g.Service.Members[g.Primary].Address, Term: g.Members[g.Primary].Status.Term}
 		return append(append([]pooler.Place{primary}, own...), others...)
 	}
-	return append(own, others...)
+	return own
 }
 
 // group returns what the instance keeps for a service; nil for a service that
--- a/internal/sharer/decide.go
+++ b/internal/sharer/decide.go
@@ -41,7 +41,7 @@
 	fair := max(1, p.Budget/(p.Holders+1))
 	base := min(p.Members+1, fair)
 	if !p.Settled {
-		base = min(first, base)
+		base = min(base, max(1, p.Budget/(startHolders+1)))
 	}
 	want := p.Mine
 	switch {
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -40,12 +40,12 @@
 	hungryEvery  = time.Second
 	// A fleet that starts as one shares out the budget before its members know
 	// of one another: those that come first must not take what the last need. So
-	// an instance starts with first connections, the primary's and a replica's,
-	// for settleFor, and reads the ledger at the pace of the hungry for
-	// startFor, so that it sees soon who else has come.
-	first     = 2
-	settleFor = 5 * time.Second
-	startFor  = 30 * time.Second
+	// for settleFor an instance counts on startHolders others and itself, and it
+	// reads the ledger at the pace of the hungry for startFor, so that it sees
+	// soon who else has come. Both deployments of today have 9 instances.
+	startHolders = 9
+	settleFor    = 5 * time.Second
+	startFor     = 30 * time.Second
 	// missedEvery is the same while a holder is missed.
 	missedEvery = 4 * time.Second
 	// Conflicts are retried after a random time of up to conflictPause.
