--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -220,6 +220,12 @@
 		if p, err := orderer.Parse(m.Value); err == nil {
 			x.commit = p
 		}
+	default:
+		// A driver reads dates by the TimeZone that it was told of. Other
+		// reports are about the connection, not about the caller's session.
+		if len(x.request.sets) > 0 && !x.opening && !x.settingUp {
+			x.session.emit(m)
+		}
 	}
 }
 
--- a/internal/relayer/exchange.go
+++ b/internal/relayer/exchange.go
@@ -44,6 +44,7 @@
 		defining  []string // the caller's names of Parse steps not yet answered
 		answered  bool     // a statement has been answered
 		failed    bool     // an error came; the target skips up to Sync
+		settingUp bool     // the caller's settings are being given to the connection
 		opening   bool     // the ReadyForQuery of the leading Sync is still to come
 		awaiting  bool     // the answer to the hidden question is still to come
 		behind    bool     // it was no: what follows isn't used
@@ -177,7 +178,9 @@
 	if script != "" {
 		q += "; " + script
 	}
+	x.settingUp = true
 	err := x.hidden(ctx, q, func(pgproto3.BackendMessage) {})
+	x.settingUp = false
 	if err == nil {
 		x.conn.Settings = script
 	}
--- a/internal/relayer/session_test.go
+++ b/internal/relayer/session_test.go
@@ -49,6 +49,17 @@
 			must.Eq(t, "", s.get(a, "SHOW search_path", pgx.QueryExecModeSimpleProtocol))
 		})
 	})
+	t.Run("the driver is told of its own settings only", func(t *testing.T) {
+		run(t, plan(), func(s *stage) {
+			a, b := s.open(0, nil), s.open(0, nil)
+			for range 3 {
+				s.exec(a, "SET TimeZone = 'Australia/Perth'")
+				s.get(b, "SHOW search_path")
+			}
+			must.Eq(t, "Australia/Perth", a.PgConn().ParameterStatus("TimeZone"))
+			must.Eq(t, "UTC", b.PgConn().ParameterStatus("TimeZone"))
+		})
+	})
 	t.Run("a setting changed in a transaction that is rolled back", func(t *testing.T) {
 		run(t, plan(), func(s *stage) {
 			a, b := s.open(0, nil), s.open(0, nil)
--- a/internal/standin/replicator/statements.go
+++ b/internal/standin/replicator/statements.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
@@ -100,6 +101,9 @@
 	}
 )
 
+// reportedSettings are those whose changes a member reports, by their small name.
+var reportedSettings = map[string]string{"timezone": "TimeZone", "datestyle": "DateStyle", "application_name": "application_name"}
+
 // match finds the shape of a statement and its raw arguments.
 func match(sql string) (*shape, []string) {
 	sql = stripComment(sql)
@@ -252,6 +256,9 @@
 
 func runSet(_ context.Context, s *session, a []string) result {
 	s.settings[strings.ToLower(a[0])] = strings.Trim(a[1], `'"`)
+	if name := reportedSettings[strings.ToLower(a[0])]; name != "" {
+		s.backend.Send(&pgproto3.ParameterStatus{Name: name, Value: strings.Trim(a[1], `'"`)})
+	}
 	return result{Tag: "SET"}
 }
 
