--- a/internal/relayer/session_test.go
+++ b/internal/relayer/session_test.go
@@ -153,3 +153,26 @@
 		must.Eq(t, "1", s.get(c, "SELECT value FROM ledger WHERE key = 'a'"))
 	})
 }
+
+// Callers leave in the middle of a transaction, by closing or by dying. Their
+// connections are not lent on: the next callers would go on in the transaction
+// and commit what it held.
+func TestCallerLeavesItsTransaction(t *testing.T) {
+	run(t, plan(), func(s *stage) {
+		c := s.open(0, nil)
+		s.exec(c, "INSERT INTO ledger VALUES ('a', '1')")
+		for i := range 3 {
+			left := s.open(0, nil)
+			s.exec(left, "BEGIN")
+			s.exec(left, "UPDATE ledger SET value = value + 10 WHERE key = 'a'")
+			if i == 0 {
+				must.NoError(t, left.Close(s.ctx))
+			} else {
+				must.NoError(t, left.PgConn().Conn().Close())
+			}
+			time.Sleep(100 * time.Millisecond)
+			s.exec(c, "UPDATE ledger SET value = value + 1 WHERE key = 'a'")
+		}
+		must.Eq(t, "4", s.get(c, "SELECT value FROM ledger WHERE key = 'a'"))
+	})
+}
