A target says itself that it is leaving

`oriole_status` has a column `leaving`; the drainer takes it from what this instance asked itself, and peers hear of it as of any other sign. The stand-in has a switch.

Seen to fail with the safeguard taken out: TestLeavingTargetGetsNoNewWork/target.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -33,6 +33,8 @@
 		// Heard is, on a replica, how long ago it last received anything from
 		// that primary, a heartbeat included; negative without a stream.
 		Heard time.Duration
+		// Leaving says that the target is about to be shut down.
+		Leaving bool
 	}
 
 	// Commander gives orders to targets. An error other than ErrRefused means
--- a/internal/commander/postgres.go
+++ b/internal/commander/postgres.go
@@ -296,13 +296,13 @@
 	return conn, nil
 }
 
-const statusFields = 8
+const statusFields = 9
 
 func decode(row [][]byte) (Status, error) {
 	if len(row) != statusFields {
 		return Status{}, errors.Errorf("status has %d fields, not %d", len(row), statusFields)
 	}
-	s := Status{Role: string(row[0]), Owner: string(row[2]), Following: string(row[6])}
+	s := Status{Role: string(row[0]), Owner: string(row[2]), Following: string(row[6]), Leaving: string(row[8]) == "true"}
 	var err error
 	if s.Term, err = strconv.ParseUint(string(row[1]), 10, 64); err != nil {
 		return Status{}, errors.Wrap(err, "term")
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -10,6 +10,7 @@
 	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/controller"
 	"github.com/oriolegw/oriolegw/internal/lister"
+	"github.com/oriolegw/oriolegw/internal/observer"
 )
 
 type (
@@ -108,6 +109,11 @@
 		if e.Err == nil {
 			return s.listed(now, e.Instances)
 		}
+	case observer.Observed:
+		// Only what this instance saw itself: what others saw comes as their sign.
+		if e.Err == nil && e.From == "" {
+			return s.take(now, Sign{Service: e.Service, Member: e.Member, Leaving: e.Status.Leaving, Source: SourceTarget})
+		}
 	case Sign:
 		return s.take(now, e)
 	case controller.Tick:
--- a/internal/runner/peers_test.go
+++ b/internal/runner/peers_test.go
@@ -68,7 +68,7 @@
 }
 
 // A target begins to leave while callers read on every instance. The sign comes
-// from the platform's list, or from the operators' document. From 3 s on the
+// from the platform's list, from the target, or from the operators' document. From 3 s on the
 // target runs nothing new, no read is refused, and when the sign ends it serves
 // again.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
@@ -80,6 +80,9 @@
 			}
 			s.Platform.Register(row)
 		},
+		"target": func(_ *testing.T, _ context.Context, _ *stager.Fleet, m *stager.Target, leaving bool) {
+			m.Faults.SetLeaving(leaving)
+		},
 		"operator": func(t *testing.T, ctx context.Context, s *stager.Fleet, m *stager.Target, leaving bool) {
 			was, err := s.Store.Get(ctx, configurer.Key)
 			must.NoError(t, err)
--- a/internal/standin/replicator/control.go
+++ b/internal/standin/replicator/control.go
@@ -28,6 +28,7 @@
 	{"followers", oidText},
 	{"following", oidText},
 	{"heard_ms", oidInt8},
+	{"leaving", oidText},
 }
 
 func statusResult(s Status) result {
@@ -40,7 +41,7 @@
 		Columns: statusColumns,
 		Rows: [][]string{{
 			s.Role, strconv.FormatUint(s.Term, 10), s.Owner, s.Received.String(), s.Replayed.String(), string(text), s.Following,
-			strconv.FormatInt(s.Heard.Milliseconds(), 10),
+			strconv.FormatInt(s.Heard.Milliseconds(), 10), strconv.FormatBool(s.Leaving),
 		}},
 		Tag: "SELECT 1",
 	}
--- a/internal/standin/replicator/faults.go
+++ b/internal/standin/replicator/faults.go
@@ -18,6 +18,7 @@
 	loseAfter bool
 	stray     time.Duration
 	strayNext bool
+	leaving   bool
 	cutRows   int
 }
 
@@ -52,6 +53,15 @@
 // SetAcceptLag delays what comes first on each new connection, a cancel too.
 func (f *Faults) SetAcceptLag(d time.Duration) { f.set(func() { f.acceptLag = d }) }
 
+// SetLeaving makes the member say that it is about to be shut down.
+func (f *Faults) SetLeaving(on bool) { f.set(func() { f.leaving = on }) }
+
+func (f *Faults) takesLeave() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.leaving
+}
+
 // SetRefuse makes the member close every new connection at once.
 func (f *Faults) SetRefuse(on bool) { f.set(func() { f.refuse = on }) }
 
--- a/internal/standin/replicator/handler.go
+++ b/internal/standin/replicator/handler.go
@@ -10,6 +10,7 @@
 type wireFaults struct {
 	Freeze      *bool `json:"freeze"`
 	Refuse      *bool `json:"refuse"`
+	Leaving     *bool `json:"leaving"`
 	ReplayLagMS *int  `json:"replay-lag-ms"`
 	StreamLagMS *int  `json:"stream-lag-ms"`
 	SlowMS      *int  `json:"slow-ms"`
@@ -44,6 +45,9 @@
 	if f.Refuse != nil {
 		m.Faults.SetRefuse(*f.Refuse)
 	}
+	if f.Leaving != nil {
+		m.Faults.SetLeaving(*f.Leaving)
+	}
 	for _, d := range []struct {
 		value *int
 		set   func(time.Duration)
--- a/internal/standin/replicator/member.go
+++ b/internal/standin/replicator/member.go
@@ -97,7 +97,9 @@
 		Following string
 		// Heard is how long ago a replica last received anything, a heartbeat
 		// included, from its primary; negative without a stream.
-		Heard    time.Duration
+		Heard time.Duration
+		// Leaving says that the member is about to be shut down.
+		Leaving  bool
 		Sessions int
 		Peak     int
 	}
@@ -223,7 +225,7 @@
 	s := Status{
 		Name: m.Name, Role: m.role, Term: m.term, Owner: m.owner,
 		Received: m.ledger.received(), Replayed: m.ledger.replayedPosition(),
-		Following: m.primary, Heard: -time.Millisecond, Sessions: len(m.sessions), Peak: m.peak,
+		Following: m.primary, Heard: -time.Millisecond, Sessions: len(m.sessions), Peak: m.peak, Leaving: m.Faults.takesLeave(),
 	}
 	if m.role == RoleReplica && !m.heard.IsZero() {
 		s.Heard = time.Since(m.heard)
--- a/internal/starter/throw.go
+++ b/internal/starter/throw.go
@@ -45,6 +45,7 @@
 		{Of: OfMembers, Name: "lag: entries are received late", Body: `{"stream-lag-ms": 3000}`, Undo: `{"stream-lag-ms": 0}`},
 		{Of: OfMembers, Name: "slow: each statement takes longer", Body: `{"slow-ms": 200}`, Undo: `{"slow-ms": 0}`},
 		{Of: OfMembers, Name: "lose-answer: the next answer is lost after its effect", Body: `{"lose-answer": true}`},
+		{Of: OfMembers, Name: "leaving: the target says that it is about to be shut down and gets no new work", Body: `{"leaving": true}`, Undo: `{"leaving": false}`},
 		{Of: OfMembers, Name: "silence: open connections go silent for good, new ones work", Body: `{"silence": true}`},
 		{Of: OfPlatform, Name: "down: the store and the list refuse every call", Body: `{"down": true}`, Undo: `{"down": false}`},
 		{Of: OfPlatform, Name: "slow: each call takes longer", Body: `{"slow-ms": 2000}`, Undo: `{"slow-ms": 0}`},
