Relayer tests begin once the fleet has asked its members

Cause: with pools on main, TestReadOnlyTransaction and TestCutZone failed in 1 of 8 runs each. The decision printed in a failing run: no replica is known to be recent enough, with no watermark yet: the test's BEGIN came before the instance's first answers, and the primary is then the right choice. Ruled out: a busy pool counted as a failure of the member (Failures 0, no slow start). The tests ask where reads go in a fleet that runs, so they begin a second after it is ready; their checks are as they were. 16 runs of the package passed.

--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -39,10 +39,17 @@
 			time.Sleep(16 * time.Second)
 		}()
 		must.NoError(t, f.Ready(ctx))
+		// Until an instance has asked every member and agreed on its share of the
+		// connections, reads go to the primary: tests that look at where a read
+		// goes begin after that.
+		time.Sleep(settle)
 		test(&stage{T: t, Fleet: f, ctx: ctx})
 	})
 }
 
+// settle is some rounds of questions to the targets, 100 ms each.
+const settle = time.Second
+
 func plan() stager.Plan {
 	return stager.Plan{
 		ZoneLatency: 1500 * time.Microsecond, CallerLatency: 3 * time.Millisecond,
