--- a/internal/standin/stager/stager.go
+++ b/internal/standin/stager/stager.go
@@ -309,7 +309,12 @@
 // Connect opens a caller's connection to an instance, with pgx. Parameters are
 // those of the start-up message.
 func (f *Fleet) Connect(ctx context.Context, e *Entry, service string, parameters map[string]string) (*pgx.Conn, error) {
-	c, err := pgx.ParseConfig("postgres://crew@" + e.IP + ":5432/" + service + "?sslmode=disable")
+	return f.ConnectAs(ctx, e, "crew", service, parameters)
+}
+
+// ConnectAs is Connect for a user, who belongs to a customer.
+func (f *Fleet) ConnectAs(ctx context.Context, e *Entry, user, service string, parameters map[string]string) (*pgx.Conn, error) {
+	c, err := pgx.ParseConfig("postgres://" + user + "@" + e.IP + ":5432/" + service + "?sslmode=disable")
 	if err != nil {
 		return nil, errors.Wrap(err, "caller's address")
 	}
