Peers: a connection made late is closed by who made it

Tidy took a link that was made but not yet used for idle, and Close forgot links with a dial under way; the connection made on either was known to nobody. Ruled out: the server's side, which closes with its context. A link counts as used from when it is made, and a forgotten link gets no connection.

--- a/internal/gossiper/client.go
+++ b/internal/gossiper/client.go
@@ -22,8 +22,9 @@
 		Secrets  []Secret
 		Versions Versions
 
-		mutex sync.Mutex
-		links map[string]*link
+		mutex  sync.Mutex
+		links  map[string]*link
+		closed bool
 	}
 
 	// link is the connection to one peer. The turn is a channel and not a
@@ -54,10 +55,14 @@
 	idleTimeout = time.Minute
 )
 
-// Close ends all connections; calls that run fail.
+// ErrClosed means that the client was closed.
+var ErrClosed = errors.New("client closed")
+
+// Close ends all connections; calls that run fail, and so do later ones.
 func (c *Client) Close() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.closed = true
 	for _, l := range c.links {
 		if l.conn != nil {
 			_ = l.conn.Close()
@@ -69,8 +74,7 @@
 // Exchange asks a peer what it has observed, and returns what that cost in
 // bytes, both ways.
 func (c *Client) Exchange(ctx context.Context, address string, r *wire.ExchangeRequest) (out *wire.Report, bytes int64, err error) {
-	err = c.call(ctx, callTimeout, address, func(ctx context.Context, p wire.DRPCPeersClient) error {
-		l := c.link(address)
+	err = c.call(ctx, callTimeout, address, func(ctx context.Context, l *link, p wire.DRPCPeersClient) error {
 		if l.introduced {
 			r.Sender = nil
 		}
@@ -83,7 +87,7 @@
 
 // Announce tells a peer of news.
 func (c *Client) Announce(ctx context.Context, address string, r *wire.Announcement) error {
-	return c.call(ctx, callTimeout, address, func(ctx context.Context, p wire.DRPCPeersClient) error {
+	return c.call(ctx, callTimeout, address, func(ctx context.Context, _ *link, p wire.DRPCPeersClient) error {
 		_, err := p.Announce(ctx, r)
 		return err
 	}, nil)
@@ -91,7 +95,7 @@
 
 // FetchConfiguration asks a peer for its document, if it is newer.
 func (c *Client) FetchConfiguration(ctx context.Context, address string, r *wire.FetchRequest) (out *wire.FetchReply, err error) {
-	err = c.call(ctx, fetchTimeout, address, func(ctx context.Context, p wire.DRPCPeersClient) error {
+	err = c.call(ctx, fetchTimeout, address, func(ctx context.Context, _ *link, p wire.DRPCPeersClient) error {
 		out, err = p.FetchConfiguration(ctx, r)
 		return err
 	}, nil)
@@ -100,13 +104,13 @@
 
 // Cancel passes a caller's cancel request on to a peer.
 func (c *Client) Cancel(ctx context.Context, address string, pid, secret uint32) error {
-	return c.call(ctx, callTimeout, address, func(ctx context.Context, p wire.DRPCPeersClient) error {
+	return c.call(ctx, callTimeout, address, func(ctx context.Context, _ *link, p wire.DRPCPeersClient) error {
 		_, err := p.Cancel(ctx, &wire.CancelRequest{Pid: pid, Secret: secret})
 		return err
 	}, nil)
 }
 
-func (c *Client) call(ctx context.Context, limit time.Duration, address string, f func(context.Context, wire.DRPCPeersClient) error, cost *int64) error {
+func (c *Client) call(ctx context.Context, limit time.Duration, address string, f func(context.Context, *link, wire.DRPCPeersClient) error, cost *int64) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	l := c.link(address)
@@ -124,7 +128,7 @@
 	if err := c.connect(ctx, l, address); err != nil {
 		return errors.Wrapf(err, "connect to peer %s", address)
 	}
-	err := typed(f(ctx, wire.NewDRPCPeersClient(l.conn)))
+	err := typed(f(ctx, l, wire.NewDRPCPeersClient(l.conn)))
 	if err != nil {
 		// The state of the connection is unknown: the next call makes another.
 		c.drop(l)
@@ -141,7 +145,9 @@
 	}
 	l := c.links[address]
 	if l == nil {
-		l = &link{turn: make(chan struct{}, 1)}
+		// Used from now on: a link that Tidy took away before its first call
+		// would get a connection that nobody knows and nobody closes.
+		l = &link{turn: make(chan struct{}, 1), used: time.Now()}
 		c.links[address] = l
 	}
 	return l
@@ -195,9 +201,19 @@
 		_ = conn.Close()
 		return err
 	}
+	return c.attach(l, address, conn)
+}
+
+// attach gives a link its connection. One that the client has forgotten
+// meanwhile, in Close or Tidy, gets none: nobody would close it.
+func (c *Client) attach(l *link, address string, conn *drpcconn.Conn) error {
 	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closed || c.links[address] != l {
+		_ = conn.Close()
+		return ErrClosed
+	}
 	l.conn, l.introduced = conn, false
-	c.mutex.Unlock()
 	return nil
 }
 
