--- a/internal/commander/urgency.go
+++ b/internal/commander/urgency.go
@@ -24,6 +24,11 @@
 	return context.WithValue(ctx, urgencyKey{}, Wanted)
 }
 
+// WithOrder marks a status question as part of a change of primary.
+func WithOrder(ctx context.Context) context.Context {
+	return context.WithValue(ctx, urgencyKey{}, Order)
+}
+
 func urgency(ctx context.Context, sql string) Urgency {
 	if sql != statusQuery {
 		return Order
--- a/internal/promoter/performer.go
+++ b/internal/promoter/performer.go
@@ -63,6 +63,7 @@
 	o := Ordered{Order: a, Started: time.Now()}
 	switch a.Kind {
 	case OrderStatus:
+		ctx = commander.WithOrder(ctx)
 		o.Status, o.Err = p.Commander.Status(ctx, a.Address)
 	case OrderFence:
 		o.Status, o.Err = p.Commander.Fence(ctx, a.Address, a.Term, a.Owner)
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -314,7 +314,7 @@
 		if g.Term > x.conn.Place.Term {
 			return errOutdated
 		}
-		if w, ok := g.After(x.witnessed); ok && w.Position.Term <= x.conn.Place.Term {
+		if w, ok := g.Since(x.witnessed); ok && w.Position.Term <= x.conn.Place.Term {
 			return nil
 		}
 		left := time.Until(limit)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -206,7 +206,7 @@
 	if s.floorKnown || (!t.request.read && !t.request.begins) {
 		return false, nil
 	}
-	if w, ok := t.group.After(s.Connected); ok {
+	if w, ok := t.group.Since(s.Connected); ok {
 		s.Floor, s.floorKnown = w.Position, true
 		return false, nil
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -234,10 +234,14 @@
 	return orderer.Position{}, false
 }
 
-// After returns the first watermark that was taken after a moment.
-func (g *Group) After(t time.Time) (Watermark, bool) {
+// Since returns the first watermark that was taken at a moment or later. Its
+// questions were answered after they were sent, so one that was sent at the very
+// moment has seen all that was acknowledged before it. Without "at", on a clock
+// that stood still between the wish for a watermark and its questions, the answer
+// to that wish did not count, and a read waited for the next one.
+func (g *Group) Since(t time.Time) (Watermark, bool) {
 	for _, w := range g.Watermarks {
-		if w.Taken.After(t) {
+		if !w.Taken.Before(t) {
 			return w, true
 		}
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -126,6 +126,17 @@
 	}
 }
 
+// A caller wishes for a watermark, and the questions go out at the same moment of
+// the clock. Their answers are what it waits for.
+func TestSince(t *testing.T) {
+	g := newGroup()
+	g.round(10, 10, 10)
+	_, ok := g.groups["jobs"].Since(g.now)
+	must.True(t, ok)
+	_, ok = g.groups["jobs"].Since(g.now.Add(time.Nanosecond))
+	must.False(t, ok)
+}
+
 // Two replicas are equal, and the instance has few connections. It keeps to one
 // of them, so that no connection is given up for the other; instances with other
 // names keep to other ones, so that together they use all.
--- a/internal/standin/failer/failer.go
+++ b/internal/standin/failer/failer.go
@@ -108,12 +108,13 @@
 	term, struck := old.Status().Term, time.Now()
 	s.Fault(f, old)
 	sleep(ctx, s.After, DefaultAfter)
+	ended := time.Now()
 	stop()
 	if s.Heal != nil {
 		s.Heal(f, old)
 	}
 	sleep(ctx, settle, settle)
-	r, err := judge(f, h, callers, struck, term)
+	r, err := judge(f, h, callers, struck, ended, term)
 	if err != nil {
 		return nil, err
 	}
@@ -307,7 +308,7 @@
 	return checker.Unknown, code
 }
 
-func judge(f *stager.Fleet, h *checker.History, callers []*caller, struck time.Time, term uint64) (*Report, error) {
+func judge(f *stager.Fleet, h *checker.History, callers []*caller, struck, ended time.Time, term uint64) (*Report, error) {
 	p := Primary(f)
 	if p == nil {
 		return nil, errors.New("no primary in the end")
@@ -316,12 +317,12 @@
 	var all []time.Time
 	for _, c := range callers {
 		all = append(all, c.acks...)
-		r.Worst = max(r.Worst, longest(c.acks, struck))
+		r.Worst = max(r.Worst, longest(c.acks, struck, ended))
 		for code, n := range c.codes {
 			r.Refusals[code] += n
 		}
 	}
-	r.Gap = longest(all, struck)
+	r.Gap = longest(all, struck, ended)
 	counts := h.Counts()
 	r.Acknowledged, r.NotRun, r.Unknown = counts[checker.Done], counts[checker.NotRun], counts[checker.Unknown]
 	r.Violations = h.Check(func(key string) string { v, _ := p.Value(table, key); return v })
--- a/internal/standin/measurer/measurer_test.go
+++ b/internal/standin/measurer/measurer_test.go
@@ -54,6 +54,15 @@
 	})
 }
 
+// slowestRead is far above what a read takes with the fewest connections, and below
+// the second for which one that waits for itself would wait.
+const slowestRead = 300 * time.Millisecond
+
+// longestGap is what the measures are to reach, by failure.
+var longestGap = map[string]time.Duration{
+	"crash": 2 * time.Second, "freeze": 4 * time.Second, "cut": 4 * time.Second, "planned": 200 * time.Millisecond,
+}
+
 // Reads served by replicas, over the three kinds of lag. One kind of lag runs
 // with the tests; all run with make measure.
 func TestShares(t *testing.T) {
@@ -68,6 +77,11 @@
 				s, err := measurer.MeasureShares(ctx, p, d.mix, l)
 				must.NoError(t, err)
 				show(s.Figures(d.name, l.Name))
+				if l.Name != "stuck" { // measured, below the aim: see docs/MEASURES.md
+					must.GreaterEq(t, 95, 100*s.Replica/s.Allowed)
+					must.GreaterEq(t, 85, 100*s.Replica/s.Reads)
+				}
+				must.LessEq(t, slowestRead, s.P99())
 			})
 		}
 	}
@@ -106,6 +120,10 @@
 			})
 		}
 		show(g.Figures(d.name, w.Name, store))
+		for _, gap := range g.Gaps {
+			must.LessEq(t, longestGap[w.Name], gap)
+		}
+		must.True(t, w.Name != "planned" || g.NotRun+g.Unknown == 0)
 		for _, v := range g.Violations {
 			t.Error(v)
 		}
--- a/internal/standin/measurer/shares.go
+++ b/internal/standin/measurer/shares.go
@@ -232,6 +232,9 @@
 	return configurer.DefaultKind
 }
 
+// P99 returns the reads' 99th percentile.
+func (s *Shares) P99() time.Duration { return quantile(s.Times, 0.99) }
+
 // Figures returns the lines of a run.
 func (s *Shares) Figures(deployment, lag string) []Figure {
 	suffix := "/" + deployment + "/" + lag
@@ -239,7 +242,7 @@
 		{"reads-served-by-replicas" + suffix, percent(s.Replica, s.Reads), "%", percent(s.Baseline, s.Reads)},
 		{"reads-served-by-replicas-of-allowed" + suffix, percent(s.Replica, s.Allowed), "%", percent(s.Baseline, s.Allowed)},
 		{"read-p50" + suffix, milliseconds(quantile(s.Times, 0.5)), "ms", "-"},
-		{"read-p99" + suffix, milliseconds(quantile(s.Times, 0.99)), "ms", "-"},
+		{"read-p99" + suffix, milliseconds(s.P99()), "ms", "-"},
 	}
 	for k, n := range s.Refused {
 		out = append(out, Figure{"refused" + suffix + "/" + strings.ReplaceAll(k, " ", "-"), fmt.Sprint(n), "requests", "-"})
