--- a/Makefile
+++ b/Makefile
@@ -39,12 +39,15 @@
 clean:
 	rm -rf $(BUILD)
 
-# make soak SEEDS=N FROM=K runs paired faults over N seeds from seed K.
+# make soak SEEDS=N FROM=K runs paired faults over N seeds from seed K, on
+# PER_ZONE instances in each zone and a budget of CONNECTIONS.
 SEEDS ?= 100
 FROM ?= 1
+PER_ZONE ?= 1
+CONNECTIONS ?= 60
 .PHONY: soak
 soak:
-	go test ./internal/standin/soaker -run 'TestSoak$$' -count=1 -timeout 60m -v -seeds=$(SEEDS) -from=$(FROM) | grep -vE '^(=== RUN|    --- PASS)'
+	go test ./internal/standin/soaker -run 'TestSoak$$' -count=1 -timeout 60m -v -seeds=$(SEEDS) -from=$(FROM) -per-zone=$(PER_ZONE) -connections=$(CONNECTIONS) | grep -vE '^(=== RUN|    --- PASS)'
 # docs writes the pages that are made from the code.
 .PHONY: docs
 docs:
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log"
+	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/standin/stager"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
 )
@@ -39,7 +40,9 @@
 		Faults int
 		// PerZone is how many instances each zone has; 0 means 1.
 		PerZone int
-		Log     log.Logger
+		// Connections is the group's budget; 0 means 60.
+		Connections int
+		Log         log.Logger
 
 		fleet  *stager.Fleet
 		random *rand.Rand
@@ -103,12 +106,19 @@
 	if s.Faults == 0 {
 		s.Faults = 2
 	}
+	if s.Connections == 0 {
+		s.Connections = 60
+	}
 	s.random = rand.New(rand.NewPCG(s.Seed, 1))
 	s.report = Report{Seed: s.Seed, Outcomes: map[string]int{}}
 	s.keys, s.counts = map[string]*write{}, map[string]*counter{}
 	f, err := stager.Start(ctx, stager.Plan{
 		Seed: s.Seed, PerZone: s.PerZone, ZoneLatency: 1500 * time.Microsecond, CallerLatency: 3 * time.Millisecond,
 		Jitter: time.Millisecond, ConnectTime: 10 * time.Millisecond, Slots: 3, Work: 2 * time.Millisecond, Log: s.Log,
+		Services: []configurer.Service{{
+			Name: stager.DefaultService, Connections: s.Connections, Slots: 3,
+			Rules: []configurer.ReaderRule{{Kind: configurer.DefaultKind, MaxAge: 10 * time.Second}},
+		}},
 	})
 	if err != nil {
 		return s.report, err
--- a/internal/standin/soaker/soaker_test.go
+++ b/internal/standin/soaker/soaker_test.go
@@ -13,6 +13,8 @@
 
 var (
 	seeds = flag.Int("seeds", 3, "how many seeds to run")
+	zone  = flag.Int("per-zone", 0, "how many instances each zone has; 0 is one")
+	conns = flag.Int("connections", 0, "the group's budget; 0 is 60")
 	from  = flag.Uint64("from", 1, "the first seed")
 )
 
@@ -26,7 +28,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
 				defer cancel()
-				r, err := (&soaker.Soak{Seed: seed}).Run(ctx)
+				r, err := (&soaker.Soak{Seed: seed, PerZone: *zone, Connections: *conns}).Run(ctx)
 				if err != nil {
 					t.Fatalf("seed %d: %v", seed, err)
 				}
