--- a/internal/runner/callers.go
+++ b/internal/runner/callers.go
@@ -32,6 +32,12 @@
 	if t := i.table.Load(); t != nil {
 		s.Version, s.Groups = t.Version, reporter.Describe(t, time.Now())
 	}
+	for k := range s.Groups {
+		if v := i.group(s.Groups[k].Service); v != nil {
+			u := v.pool.Use()
+			s.Groups[k].Connections, s.Groups[k].Share = u.Held, u.Share.Connections
+		}
+	}
 	return s
 }
 
