--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/networker"
 	"github.com/oriolegw/oriolegw/internal/router"
 )
@@ -50,17 +49,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	l, err := p.Network.Listen(p.Address)
-	if err != nil {
-		return errors.Wrap(err, "listen for pages")
-	}
-	s := &http.Server{Handler: p.Handler(), ReadHeaderTimeout: headerTimeout}
-	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(l) }()
-	<-ctx.Done()
-	_ = s.Close()
-	<-ended
-	return ctx.Err()
+	return networker.ServePages(ctx, p.Network, p.Address, &http.Server{Handler: p.Handler(), ReadHeaderTimeout: headerTimeout})
 }
 
 // Handler returns the pages.
--- a/internal/standin/failer/failer.go
+++ b/internal/standin/failer/failer.go
@@ -14,7 +14,6 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/oriolegw/oriolegw/internal/standin/checker"
-	"github.com/oriolegw/oriolegw/internal/standin/replicator"
 	"github.com/oriolegw/oriolegw/internal/standin/stager"
 	"github.com/oriolegw/oriolegw/pkg/refuser"
 )
@@ -137,16 +136,7 @@
 }
 
 // Primary returns the primary of the newest term of the default service, or nil.
-func Primary(f *stager.Fleet) *stager.Target {
-	var best *stager.Target
-	for _, t := range f.Members {
-		s := t.Status()
-		if s.Role == replicator.RolePrimary && (best == nil || s.Term > best.Status().Term) {
-			best = t
-		}
-	}
-	return best
-}
+func Primary(f *stager.Fleet) *stager.Target { return f.Primary(f.Document.Services[0].Name) }
 
 // PromiseRecovers is broken when no instance gets a write through in the end.
 const PromiseRecovers = "the group takes writes again"
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -37,18 +37,8 @@
 
 // Run serves until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	l, err := k.Network.Listen(k.Address)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	_ = k.Log.Log("part", "platform", "msg", "Store and instance list are served.", "address", k.Address)
-	s := &http.Server{Handler: k.Handler()}
-	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(l) }()
-	<-ctx.Done()
-	_ = s.Close()
-	<-ended
-	return ctx.Err()
+	_ = k.Log.Log("part", "platform", "msg", "Store and instance list begin to be served.", "address", k.Address)
+	return networker.ServePages(ctx, k.Network, k.Address, &http.Server{Handler: k.Handler()})
 }
 
 // Handler returns the HTTP interface, fault switches included.
