--- /dev/null
+++ b/internal/dispatcher/exchange.go
@@ -0,0 +1,492 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/lender"
+	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/oriolegw/oriolegw/pkg/orderer"
+)
+
+const (
+	// holdPart is the part of a statement's timeout for which it may wait to be sent.
+	// The rest is for the member's work.
+	holdPart = 0.6
+	// patiencePart is the part of a read's timeout after which it is asked of another
+	// member as well. Reads take at most a third of it on a calm day.
+	patiencePart = 0.35
+	// busyPause is how long a member that had no room is left alone by the statement
+	// that it refused: about the time until one of its slots is free.
+	busyPause = 10 * time.Millisecond
+	// beginTimeout bounds the opening of a transaction at a member. It takes no slot,
+	// so it is answered in a round trip, at most 24 ms.
+	beginTimeout = 250 * time.Millisecond
+	// leftoverTimeout is how long a member's late answer is waited for before its
+	// connection is given up.
+	leftoverTimeout = 3 * time.Second
+)
+
+// exchange is one statement on its way to a member.
+type exchange struct {
+	session   *session
+	statement messenger.Statement
+	command   messenger.Command
+	prepared  *lender.Prepared
+	writes    bool
+	route     tracker.Route
+	backend   *Backend
+	// arrived and start are the moment the statement was read, on both clocks.
+	arrived tracker.Stamp
+	start   time.Time
+	// tried are the members that did not serve it.
+	tried []string
+	// need is the position that the read's log must hold, zero on the primary.
+	need  orderer.Position
+	tries int
+}
+
+func (x *exchange) deadline() time.Time { return x.start.Add(x.route.Timeout) }
+
+func (x *exchange) holdUntil() time.Time {
+	return x.start.Add(time.Duration(holdPart * float64(x.route.Timeout)))
+}
+
+// primary chooses the primary, if one is known.
+func (x *exchange) primary() []string {
+	if id := x.backend.Group.Primary(); id != "" {
+		return []string{id}
+	}
+	return nil
+}
+
+// readers chooses among the members that may hold what the read needs: those that
+// have not failed it yet first. When none does, the primary is asked.
+func (x *exchange) readers() []string {
+	ids := x.backend.Group.Readers(x.session.server.Clock(), x.need)
+	fresh := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return slices.Contains(x.tried, id) })
+	if len(fresh) > 0 {
+		return fresh
+	}
+	if len(ids) > 0 {
+		return ids
+	}
+	return x.primary()
+}
+
+func (x *exchange) borrow(ctx context.Context, choose func() []string) (*lender.Conn, error) {
+	return x.backend.Pool.Borrow(ctx, lender.Request{Choose: choose, Priority: x.route.Priority, Until: x.holdUntil()})
+}
+
+// refuse answers that the statement has not run, and when to come back.
+func (x *exchange) refuse(reason string) messenger.Reply {
+	s := x.session
+	s.server.refused(reason)
+	s.server.decide("statement", "id", x.statement.ID, "outcome", "refused", "reason", reason,
+		"group", x.route.Group, "primary", x.backend.Group.Primary(), "tries", x.tries, "ms", x.elapsed())
+	if s.tx != nil {
+		s.fail()
+	}
+	return s.reply(messenger.CodeBusy, fmt.Sprintf("%s, not run, retry in %d ms", reason, x.backend.comeBack().Milliseconds()))
+}
+
+// abort answers that the transaction was rolled back.
+func (x *exchange) abort(reason string) messenger.Reply {
+	s := x.session
+	s.server.refused(reason)
+	member := ""
+	if s.tx != nil && s.tx.conn != nil {
+		member = s.tx.conn.Member
+	}
+	s.server.decide("transaction", "id", x.statement.ID, "outcome", "aborted", "reason", reason, "group", x.route.Group, "member", member, "ms", x.elapsed())
+	s.fail()
+	return s.reply(messenger.CodeAborted, reason)
+}
+
+// unknown answers that the statement may have taken effect.
+func (x *exchange) unknown(member string, cause error) messenger.Reply {
+	s := x.session
+	s.server.refused("outcome-unknown")
+	s.server.decide("statement", "id", x.statement.ID, "outcome", "unknown", "group", x.route.Group, "member", member, "cause", cause, "ms", x.elapsed())
+	return s.reply(messenger.CodeOutcomeUnknown, "no answer from the primary")
+}
+
+func (x *exchange) elapsed() int64 { return time.Since(x.start).Milliseconds() }
+
+// done passes a member's answer on.
+func (x *exchange) done(member string, r messenger.Reply) messenger.Reply {
+	s := x.session
+	s.server.served(x.route, time.Since(x.start))
+	s.server.trace(x.statement.ID, x.route.Group, member, x.need, x.tries, r.Code, x.elapsed())
+	r.State = s.state
+	return r
+}
+
+// retry notes a try that failed and reports whether there is time for another.
+func (x *exchange) retry(member, reason string) bool {
+	x.tries++
+	x.tried = append(x.tried, member)
+	x.session.server.retried(reason)
+	x.session.server.decide("statement", "id", x.statement.ID, "outcome", "tried", "reason", reason, "group", x.route.Group,
+		"member", member, "need", x.need, "ms", x.elapsed())
+	return time.Now().Before(x.holdUntil())
+}
+
+// commands are what has to be sent for the statement on a connection: the session's
+// values and prepared statement first. lead is how many come before the statement.
+func (x *exchange) commands(c *lender.Conn, before, after []messenger.Command) (all []messenger.Command, lead int) {
+	t := x.session.tx
+	fit, name := c.Fit(x.session.values, x.prepared, t != nil && t.conn == c)
+	own := x.command
+	if x.prepared != nil {
+		own.Name = name
+	}
+	all = append(all, fit...)
+	all = append(all, before...)
+	lead = len(all)
+	all = append(all, own)
+	return append(all, after...), lead
+}
+
+// send exchanges commands with a member and tells the group what came of it.
+func (x *exchange) send(c *lender.Conn, commands []messenger.Command, deadline time.Time) ([]messenger.Reply, bool, error) {
+	g, now := x.backend.Group, time.Now()
+	g.Sent(c.Member)
+	replies, sent, err := c.Exchange(commands, deadline)
+	stamp := x.session.server.Clock()
+	if err != nil {
+		g.Unanswered(stamp, c.Member, true)
+		return replies, sent, err
+	}
+	g.Answered(stamp, c.Member, time.Since(now), replies[len(replies)-1].Position)
+	return replies, sent, nil
+}
+
+// giveUp leaves a connection whose answer is late to itself: the member goes on
+// working undisturbed, and the connection comes back when it is done.
+func (x *exchange) giveUp(c *lender.Conn, err error) {
+	if lender.IsTimeout(err) {
+		x.session.server.finish(x.backend, c)
+		return
+	}
+	x.backend.Pool.Return(c)
+}
+
+// read answers a read outside a transaction.
+func (x *exchange) read(ctx context.Context) messenger.Reply {
+	for {
+		atPrimary := true
+		if x.route.Rule != tracker.RulePrimary {
+			need, ok := x.backend.Group.Need(x.arrived, x.route, x.session.floor)
+			x.need, atPrimary = need, !ok
+		}
+		var reply messenger.Reply
+		var again bool
+		if atPrimary {
+			reply, again = x.readPrimary(ctx)
+		} else {
+			reply, again = x.readReplica(ctx)
+		}
+		if !again {
+			return reply
+		}
+	}
+}
+
+// readPrimary reads inside a transaction of its own. A member that has lost the
+// lead refuses every statement of a transaction that may write, so an answer shows
+// that the member led when it ran the read: without that, an old primary that was
+// cut off from its replicas would answer with what others have overwritten.
+func (x *exchange) readPrimary(ctx context.Context) (messenger.Reply, bool) {
+	x.need = orderer.Position{}
+	c, err := x.borrow(ctx, x.primary)
+	if err != nil {
+		return x.refuse(reasonOf(err)), false
+	}
+	commands, lead := x.commands(c,
+		[]messenger.Command{{Kind: messenger.KindBegin}}, []messenger.Command{{Kind: messenger.KindRollback}})
+	asked := x.session.server.Clock()
+	replies, _, err := x.send(c, commands, x.patience())
+	if err != nil {
+		x.giveUp(c, err)
+		x.backend.suspect(c.Member)
+		return x.lateRead(x.retry(c.Member, "no-answer"))
+	}
+	begun, r := replies[lead-1], replies[lead]
+	if begun.Code == messenger.CodeNone {
+		x.backend.Group.Prove(tracker.Proof{At: asked, Position: begun.Position})
+	} else if r.Code == messenger.CodeNone {
+		r = begun
+	}
+	return x.settleRead(c, r)
+}
+
+// readReplica reads at any member whose log holds what the read needs; the member
+// itself checks that it does.
+func (x *exchange) readReplica(ctx context.Context) (messenger.Reply, bool) {
+	c, err := x.borrow(ctx, x.readers)
+	if err != nil {
+		return x.refuse(reasonOf(err)), false
+	}
+	commands, lead := x.commands(c, nil, nil)
+	commands[lead].After = x.need
+	replies, _, err := x.send(c, commands, x.patience())
+	if err != nil {
+		x.giveUp(c, err)
+		x.backend.suspect(c.Member)
+		return x.lateRead(x.retry(c.Member, "no-answer"))
+	}
+	return x.settleRead(c, replies[lead])
+}
+
+// patience is how long this try of a read waits for its answer.
+func (x *exchange) patience() time.Time {
+	if x.tries > 1 {
+		return x.deadline()
+	}
+	p := time.Now().Add(time.Duration(patiencePart * float64(x.route.Timeout)))
+	if p.After(x.deadline()) {
+		return x.deadline()
+	}
+	return p
+}
+
+// lateRead answers a read that got no answer, unless there is time to try again.
+// Nothing of a read is kept, so the caller may be told to come back.
+func (x *exchange) lateRead(again bool) (messenger.Reply, bool) {
+	if again {
+		return messenger.Reply{}, true
+	}
+	return x.refuse("no-answer"), false
+}
+
+// settleRead takes a member's answer to a read: passes it on, or reports that
+// another member has to be asked.
+func (x *exchange) settleRead(c *lender.Conn, r messenger.Reply) (messenger.Reply, bool) {
+	member := c.Member
+	stamp := x.session.server.Clock()
+	switch r.Code {
+	case messenger.CodeNone:
+		x.backend.Pool.Return(c)
+		return x.done(member, r), false
+	case messenger.CodeBehind:
+		x.backend.Group.Behind(stamp, member, x.need)
+	case messenger.CodeNotPrimary:
+		x.backend.lost(member)
+	case messenger.CodeUnknownStatement:
+		c.Forget()
+	case messenger.CodeBusy:
+		x.backend.Pool.Return(c)
+		time.Sleep(busyPause)
+		return x.lateRead(x.retry(member, r.Code.String()))
+	}
+	x.backend.Pool.Return(c)
+	if x.retry(member, r.Code.String()) {
+		return messenger.Reply{}, true
+	}
+	if r.Code == messenger.CodeFailed || r.Code == messenger.CodeTimeout {
+		return x.done(member, r), false
+	}
+	return x.refuse(r.Code.String()), false
+}
+
+// write runs a write outside a transaction. Once it was sent it is never sent
+// again, unless the member says that it has not run it.
+func (x *exchange) write(ctx context.Context) messenger.Reply {
+	for {
+		c, err := x.borrow(ctx, x.primary)
+		if err != nil {
+			return x.refuse(reasonOf(err))
+		}
+		commands, lead := x.commands(c, nil, nil)
+		asked := x.session.server.Clock()
+		replies, sent, err := x.send(c, commands, x.deadline())
+		if err != nil {
+			member := c.Member
+			if lender.IsTimeout(err) {
+				c.Close()
+			}
+			x.backend.Pool.Return(c)
+			x.backend.suspect(member)
+			if sent {
+				return x.unknown(member, err)
+			}
+			if !x.retry(member, "not-sent") {
+				return x.refuse("no-answer")
+			}
+			continue
+		}
+		r := replies[lead]
+		if r.Code.NotRun() {
+			if x.again(c, r) {
+				continue
+			}
+			return x.refuse(r.Code.String())
+		}
+		x.backend.Pool.Return(c)
+		if r.Code == messenger.CodeNone {
+			x.committed(asked, r)
+		}
+		return x.done(c.Member, r)
+	}
+}
+
+// committed takes in that a commit was acknowledged.
+func (x *exchange) committed(asked tracker.Stamp, r messenger.Reply) {
+	x.session.floor = tracker.Floor{Position: r.Position, At: x.session.server.Clock()}
+	x.backend.Group.Prove(tracker.Proof{At: asked, Position: r.Position})
+}
+
+// again returns the connection of a statement that the primary has not run, and
+// reports whether there is time to try once more.
+func (x *exchange) again(c *lender.Conn, r messenger.Reply) bool {
+	member := c.Member
+	switch r.Code {
+	case messenger.CodeNotPrimary:
+		x.backend.lost(member)
+	case messenger.CodeUnknownStatement:
+		c.Forget()
+	}
+	x.backend.Pool.Return(c)
+	if r.Code == messenger.CodeBusy {
+		time.Sleep(busyPause)
+	}
+	return x.retry(member, r.Code.String())
+}
+
+// inTransaction runs a statement of the open transaction.
+func (x *exchange) inTransaction(ctx context.Context) messenger.Reply {
+	t := x.session.tx
+	if t.conn == nil {
+		if reply, ok := x.bind(ctx); !ok {
+			return reply
+		}
+	}
+	commands, lead := x.commands(t.conn, nil, nil)
+	replies, _, err := x.send(t.conn, commands, x.deadline())
+	if err != nil {
+		t.conn.Close()
+		x.backend.suspect(t.conn.Member)
+		return x.abort("no-answer")
+	}
+	r := replies[lead]
+	if r.Code != messenger.CodeNone || r.State != messenger.StateOpen {
+		if r.Code == messenger.CodeNotPrimary {
+			x.backend.lost(t.conn.Member)
+		}
+		return x.abort(r.Code.String())
+	}
+	t.wrote = t.wrote || x.writes
+	return x.done(t.conn.Member, r)
+}
+
+// bind gives the transaction its connection and opens it there. The opening has its
+// own round trip: were the statement sent with it and the opening refused, a write
+// could run by itself and be committed.
+func (x *exchange) bind(ctx context.Context) (messenger.Reply, bool) {
+	t := x.session.tx
+	for {
+		open, choose := messenger.Command{Kind: messenger.KindBegin}, x.primary
+		if t.readOnly && t.route.Rule != tracker.RulePrimary {
+			if need, ok := x.backend.Group.Need(t.arrived, t.route, x.session.floor); ok {
+				x.need = need
+				open, choose = messenger.Command{Kind: messenger.KindBeginReadOnly, After: need}, x.readers
+			}
+		}
+		c, err := x.borrow(ctx, choose)
+		if err != nil {
+			return x.refuse(reasonOf(err)), false
+		}
+		fit, _ := c.Fit(x.session.values, x.prepared, false)
+		asked := x.session.server.Clock()
+		replies, _, err := x.send(c, append(fit, open), time.Now().Add(beginTimeout))
+		if err != nil {
+			c.Close()
+			x.backend.Pool.Return(c)
+			x.backend.suspect(c.Member)
+			if x.retry(c.Member, "no-answer") {
+				continue
+			}
+			return x.refuse("no-answer"), false
+		}
+		r := replies[len(fit)]
+		if r.Code == messenger.CodeNone && r.State == messenger.StateOpen {
+			if open.Kind == messenger.KindBegin {
+				x.backend.Group.Prove(tracker.Proof{At: asked, Position: r.Position})
+			}
+			t.conn = c
+			return messenger.Reply{}, true
+		}
+		if r.Code == messenger.CodeBehind {
+			x.backend.Group.Behind(x.session.server.Clock(), c.Member, x.need)
+		}
+		if !x.again(c, r) {
+			return x.refuse(r.Code.String()), false
+		}
+	}
+}
+
+// commit ends the open transaction. Without an answer its outcome is unknown, unless
+// it wrote nothing.
+func (x *exchange) commit(ctx context.Context) messenger.Reply {
+	s, t := x.session, x.session.tx
+	if t.conn == nil {
+		if reply, ok := x.bind(ctx); !ok {
+			return s.ended(reply)
+		}
+	}
+	asked := s.server.Clock()
+	r, err := x.sendCommit(t)
+	if err != nil {
+		member := t.conn.Member
+		t.conn.Close()
+		x.backend.suspect(member)
+		if !t.wrote {
+			return s.ended(x.abort("no-answer"))
+		}
+		return s.ended(x.unknown(member, err))
+	}
+	switch {
+	case r.Code == messenger.CodeNone:
+		if t.wrote {
+			x.committed(asked, r)
+		}
+	case r.Code == messenger.CodeNotPrimary:
+		x.backend.lost(t.conn.Member)
+		return s.ended(x.abort(r.Code.String()))
+	case r.Code.NotRun() || r.Code == messenger.CodeAborted:
+		return s.ended(x.abort(r.Code.String()))
+	}
+	member, idle := t.conn.Member, r.State == messenger.StateIdle
+	if idle {
+		s.tx = nil
+		x.backend.Pool.Return(t.conn)
+	}
+	return s.ended(x.done(member, r))
+}
+
+// sendCommit sends the commit, again while the member has no room for it.
+func (x *exchange) sendCommit(t *transaction) (messenger.Reply, error) {
+	for {
+		replies, _, err := x.send(t.conn, []messenger.Command{x.command}, x.deadline())
+		if err != nil {
+			return messenger.Reply{}, err
+		}
+		r := replies[0]
+		if r.Code != messenger.CodeBusy || r.State != messenger.StateOpen || !x.retry(t.conn.Member, r.Code.String()) {
+			return r, nil
+		}
+		time.Sleep(busyPause)
+	}
+}
+
+// ended closes the transaction whatever became of it.
+func (s *session) ended(r messenger.Reply) messenger.Reply {
+	s.endTransaction()
+	s.state = messenger.StateIdle
+	r.State = s.state
+	return r
+}
--- /dev/null
+++ b/internal/dispatcher/session.go
@@ -0,0 +1,275 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/lender"
+	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+)
+
+type (
+	// session is one caller's connection.
+	session struct {
+		server     *Server
+		net        net.Conn
+		statements messenger.Statements
+		database   string
+		values     lender.Values
+		prepared   map[string]lender.Prepared
+		floor      tracker.Floor
+		state      messenger.State
+		tx         *transaction
+		buffer     []byte
+	}
+
+	// transaction is what is open on behalf of the caller. It takes a connection
+	// with its first statement, so that a caller who pauses after opening it holds
+	// none.
+	transaction struct {
+		route    tracker.Route
+		backend  *Backend
+		readOnly bool
+		arrived  tracker.Stamp
+		conn     *lender.Conn
+		wrote    bool
+	}
+)
+
+// run serves the caller until it leaves or the server does.
+func (s *session) run(ctx context.Context) {
+	defer s.leave()
+	if !s.open() {
+		return
+	}
+	for {
+		q, ok := s.next()
+		if !ok {
+			return
+		}
+		reply := s.handle(ctx, q)
+		s.buffer = s.server.Codec.AppendReply(s.buffer[:0], reply)
+		_ = s.net.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+		if _, err := s.net.Write(s.buffer); err != nil {
+			return
+		}
+	}
+}
+
+// open answers the caller's first message.
+func (s *session) open() bool {
+	_ = s.net.SetDeadline(time.Now().Add(startTimeout))
+	start, err := s.statements.Start()
+	if err != nil {
+		s.server.count("callers-malformed")
+		s.answerStart(messenger.Reply{Code: messenger.CodeMalformed, Detail: "want a start message"})
+		return false
+	}
+	s.database = start.Database
+	c := s.server.Configuration()
+	if c == nil {
+		s.answerStart(messenger.Reply{Code: messenger.CodeBusy, Detail: "no configuration yet"})
+		return false
+	}
+	if _, ok := c.Routes[s.database]; !ok {
+		s.server.decide("session", "outcome", "unknown-database", "database", s.database, "version", c.Version)
+		s.answerStart(messenger.Reply{Code: messenger.CodeUnknownDatabase, Detail: s.database})
+		return false
+	}
+	return s.answerStart(messenger.Reply{})
+}
+
+func (s *session) answerStart(r messenger.Reply) bool {
+	_, err := s.net.Write(s.server.Codec.AppendStarted(nil, r))
+	return err == nil
+}
+
+// next reads the next statement. It is false when the session ends: the caller
+// left, or the server is leaving and no transaction is open.
+func (s *session) next() (messenger.Statement, bool) {
+	for {
+		if s.server.mayEnd() && s.state == messenger.StateIdle && !s.statements.Buffered() {
+			return messenger.Statement{}, false
+		}
+		_ = s.net.SetReadDeadline(s.readDeadline())
+		q, err := s.statements.Statement()
+		if err == nil {
+			return q, true
+		}
+		if !lender.IsTimeout(err) {
+			if err != io.EOF && s.state != messenger.StateIdle {
+				s.server.decide("session", "outcome", "caller-left-in-transaction", "database", s.database)
+			}
+			return messenger.Statement{}, false
+		}
+		if s.server.mustEnd() && !s.statements.Buffered() {
+			return messenger.Statement{}, false
+		}
+		s.expire()
+	}
+}
+
+// readDeadline bounds the wait for the caller inside a transaction, whose
+// connection others wait for. Server.wake moves it when the server leaves.
+func (s *session) readDeadline() time.Time {
+	if s.server.mayEnd() {
+		return time.Now().Add(endInterval)
+	}
+	if s.tx != nil && s.tx.conn != nil {
+		return time.Now().Add(s.server.transactionIdle())
+	}
+	return time.Time{}
+}
+
+// expire rolls back a transaction that has rested for too long. The caller learns
+// it with its next statement: a message between statements would be taken for the
+// answer to one.
+func (s *session) expire() {
+	if s.tx == nil || s.tx.conn == nil || s.server.mayEnd() && !s.server.mustEnd() {
+		return
+	}
+	s.server.decide("transaction", "outcome", "rested-too-long", "database", s.database, "member", s.tx.conn.Member)
+	s.fail()
+}
+
+// leave frees what the session holds.
+func (s *session) leave() {
+	s.endTransaction()
+	_ = s.net.Close()
+}
+
+// endTransaction rolls back and gives the connection back, without the caller
+// waiting for it.
+func (s *session) endTransaction() {
+	t := s.tx
+	s.tx = nil
+	if t == nil || t.conn == nil {
+		return
+	}
+	s.server.rollBack(t.backend, t.conn)
+}
+
+// fail leaves the caller in a transaction that can only be rolled back.
+func (s *session) fail() {
+	s.endTransaction()
+	s.state = messenger.StateFailed
+}
+
+// handle answers one statement.
+func (s *session) handle(ctx context.Context, q messenger.Statement) messenger.Reply {
+	s.server.count("statements")
+	if q.Kind == messenger.KindUnknown {
+		return s.reply(messenger.CodeMalformed, "statement not understood")
+	}
+	if s.state == messenger.StateFailed {
+		return s.handleFailed(q)
+	}
+	switch q.Kind {
+	case messenger.KindSet:
+		s.values[q.Name] = q.Rest
+		return s.reply(messenger.CodeNone, "")
+	case messenger.KindPrepareRead, messenger.KindPrepareWrite:
+		s.prepared[q.Name] = lender.Prepared{Writes: q.Kind == messenger.KindPrepareWrite, Shape: q.Rest}
+		return s.reply(messenger.CodeNone, "")
+	case messenger.KindDeallocate:
+		delete(s.prepared, q.Name)
+		return s.reply(messenger.CodeNone, "")
+	case messenger.KindBegin, messenger.KindBeginReadOnly:
+		return s.begin(q)
+	case messenger.KindRollback:
+		s.endTransaction()
+		s.state = messenger.StateIdle
+		return s.reply(messenger.CodeNone, "")
+	case messenger.KindCommit:
+		if s.tx == nil {
+			return s.reply(messenger.CodeMalformed, "no transaction is open")
+		}
+		return s.commit(ctx, q)
+	default:
+		return s.work(ctx, q)
+	}
+}
+
+// handleFailed answers inside a transaction that has failed: only its end is
+// possible, and the end is a rollback.
+func (s *session) handleFailed(q messenger.Statement) messenger.Reply {
+	switch q.Kind {
+	case messenger.KindRollback:
+		s.state = messenger.StateIdle
+		return s.reply(messenger.CodeNone, "")
+	case messenger.KindCommit:
+		s.state = messenger.StateIdle
+		return s.reply(messenger.CodeAborted, "the transaction had failed")
+	default:
+		return s.reply(messenger.CodeMalformed, "the transaction has failed; roll it back")
+	}
+}
+
+func (s *session) reply(c messenger.Code, detail string) messenger.Reply {
+	return messenger.Reply{Code: c, Detail: detail, State: s.state}
+}
+
+func (s *session) begin(q messenger.Statement) messenger.Reply {
+	if s.tx != nil {
+		return s.reply(messenger.CodeMalformed, "a transaction is open")
+	}
+	route, backend, reply := s.route(q)
+	if backend == nil {
+		return reply
+	}
+	s.tx = &transaction{
+		route: route, backend: backend, arrived: s.server.Clock(),
+		readOnly: q.Kind == messenger.KindBeginReadOnly,
+	}
+	s.state = messenger.StateOpen
+	return s.reply(messenger.CodeNone, "")
+}
+
+// route finds where the session's database leads now. A change binds from the next
+// transaction on. Without a route, the reply tells the caller.
+func (s *session) route(q messenger.Statement) (tracker.Route, *Backend, messenger.Reply) {
+	c := s.server.Configuration()
+	r, ok := c.Routes[s.database]
+	if !ok {
+		s.server.decide("statement", "id", q.ID, "outcome", "unknown-database", "database", s.database, "version", c.Version)
+		return r, nil, s.reply(messenger.CodeUnknownDatabase, s.database)
+	}
+	return r, s.server.Backend(r.Group), messenger.Reply{}
+}
+
+// work runs a read or a write, alone or in the open transaction.
+func (s *session) work(ctx context.Context, q messenger.Statement) messenger.Reply {
+	x := &exchange{session: s, statement: q, arrived: s.server.Clock(), start: time.Now()}
+	x.command = messenger.Command{ID: q.ID, Kind: q.Kind, Text: q.Text}
+	x.writes = q.Kind == messenger.KindWrite
+	if q.Kind == messenger.KindExecute {
+		p, ok := s.prepared[q.Name]
+		if !ok {
+			return s.reply(messenger.CodeMalformed, "no prepared statement of that name")
+		}
+		x.prepared, x.writes = &p, p.Writes
+		x.command.Text, x.command.Rest = "", q.Rest
+	}
+	if s.tx != nil {
+		x.route, x.backend = s.tx.route, s.tx.backend
+		return x.inTransaction(ctx)
+	}
+	var reply messenger.Reply
+	if x.route, x.backend, reply = s.route(q); x.backend == nil {
+		return reply
+	}
+	if x.writes {
+		return x.write(ctx)
+	}
+	return x.read(ctx)
+}
+
+func (s *session) commit(ctx context.Context, q messenger.Statement) messenger.Reply {
+	x := &exchange{session: s, statement: q, arrived: s.server.Clock(), start: time.Now()}
+	x.command = messenger.Command{ID: q.ID, Kind: q.Kind, Text: q.Text}
+	x.route, x.backend = s.tx.route, s.tx.backend
+	return x.commit(ctx)
+}
--- /dev/null
+++ b/internal/elector/decide.go
@@ -0,0 +1,162 @@
+// Package elector keeps one instance in charge of each group's primary, and moves
+// the lead when the primary is lost, cut off or about to leave.
+package elector
+
+import (
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+)
+
+// Load pattern: none of its own; a member under load answers late, and must not be
+// taken for a dead one. STATUS takes a slot, so a member that runs six times slower
+// with a full queue may need half a second.
+const (
+	// refusedAfter is for how long new connections must have been refused. A process
+	// that is gone refuses at once; a restart that was seen in between would be
+	// answered by a process that has its log.
+	refusedAfter = 200 * time.Millisecond
+	// silentAfter is for how long a member must have been silent on an old and on new
+	// connections. Shorter than 700 ms took slow members for dead ones in trials of
+	// the promoter for PostgreSQL, which waits 1.1 s.
+	silentAfter = 900 * time.Millisecond
+	// standstillAfter is for how long the primary must have moved on without any
+	// replica: its commits are not acknowledged meanwhile. Replicas receive within a
+	// network trip, at most 12 ms one way.
+	standstillAfter = 1200 * time.Millisecond
+	// headlessAfter is for how long no member must lead: longer than a promotion that
+	// another instance has ordered takes to show, 600 to 1,000 ms.
+	headlessAfter = 2 * time.Second
+	// strayPause is for how long a replica must have been paused while nobody changes
+	// the primary, before it is resumed.
+	strayPause = time.Second
+)
+
+type (
+	// Observation is what is known of a member from being asked.
+	Observation struct {
+		tracker.Member
+		// Answered is set when the member answered the last question.
+		Answered bool
+		// Refused is set when a new connection was refused rather than unanswered.
+		Refused bool
+		// FailedSince is when it first did not answer, since it last did.
+		FailedSince tracker.Stamp
+		Status      messenger.Status
+		// Moved is when its position last changed; PausedSince when it was first seen
+		// paused.
+		Moved, PausedSince tracker.Stamp
+	}
+
+	// View is what the holder of a duty knows of its group.
+	View struct {
+		Now     tracker.Stamp
+		Members []Observation
+		// Primary is the member that led when it was last asked.
+		Primary string
+		// HeadlessSince is since when no member is known to lead, 0 when one is.
+		HeadlessSince tracker.Stamp
+		// Ordered is when a promotion was last ordered.
+		Ordered tracker.Stamp
+	}
+
+	// Reason says why the lead is moved.
+	Reason string
+
+	// Verdict is what should be done.
+	Verdict struct {
+		// Move is why the lead should move, "" when it should not.
+		Move Reason
+		// Resume names replicas that were left paused.
+		Resume []string
+	}
+)
+
+// The reasons to move the lead.
+const (
+	ReasonNone       Reason = ""
+	ReasonRefused    Reason = "primary-refuses-connections"
+	ReasonSilent     Reason = "primary-silent"
+	ReasonLeaving    Reason = "primary-leaving"
+	ReasonStandstill Reason = "replicas-standing-still"
+	ReasonHeadless   Reason = "nobody-leads"
+)
+
+// Decide says whether the lead should move.
+func Decide(v View) Verdict {
+	var p *Observation
+	for i := range v.Members {
+		if v.Members[i].ID == v.Primary {
+			p = &v.Members[i]
+		}
+	}
+	if p == nil || p.Answered && !p.Status.Primary {
+		if v.HeadlessSince != 0 && v.Now-v.HeadlessSince > headlessAfter && v.Now-v.Ordered > headlessAfter {
+			return Verdict{Move: ReasonHeadless}
+		}
+		return Verdict{}
+	}
+	if !p.Answered {
+		return Verdict{Move: lost(v, p)}
+	}
+	if p.Leaving && hasSuccessor(v, p) {
+		return Verdict{Move: ReasonLeaving}
+	}
+	if standstill(v, p) {
+		return Verdict{Move: ReasonStandstill}
+	}
+	return Verdict{Resume: strays(v)}
+}
+
+// lost says why a primary that did not answer is given up, if it is.
+func lost(v View, p *Observation) Reason {
+	failing := v.Now - p.FailedSince
+	switch {
+	case p.Refused && failing >= refusedAfter:
+		return ReasonRefused
+	case failing >= silentAfter:
+		return ReasonSilent
+	}
+	return ReasonNone
+}
+
+// hasSuccessor reports whether a member that stays could take the lead.
+func hasSuccessor(v View, p *Observation) bool {
+	for _, m := range v.Members {
+		if m.ID != p.ID && m.Answered && !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// standstill reports whether the primary has gone on alone: it is cut off from its
+// replicas, so what it commits is acknowledged to nobody.
+func standstill(v View, p *Observation) bool {
+	answered := 0
+	for _, m := range v.Members {
+		if m.ID == p.ID {
+			continue
+		}
+		if !m.Answered {
+			continue
+		}
+		answered++
+		if m.Status.Received.AtLeast(p.Status.Received) || v.Now-m.Moved < standstillAfter {
+			return false
+		}
+	}
+	return answered > 0 && p.Moved != 0
+}
+
+// strays names the replicas that a try which came to nothing has left paused.
+func strays(v View) []string {
+	var ids []string
+	for _, m := range v.Members {
+		if m.Answered && !m.Status.Primary && m.PausedSince != 0 && v.Now-m.PausedSince > strayPause {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/elector/elector.go
@@ -0,0 +1,309 @@
+package elector
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/storer"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+)
+
+const (
+	// DutyPrefix is where the duties' records lie in the store.
+	DutyPrefix = "oriolegw/duty/"
+	// leaseTime is how long a holder that has died keeps its duties: within it nobody
+	// moves the lead of its groups. Renewals are tried three times in it, each of
+	// which may take 240 ms when the store is slow.
+	leaseTime = 2500 * time.Millisecond
+	// renewInterval is how often the lease is renewed; a renewal costs a tenth of a
+	// read.
+	renewInterval = 700 * time.Millisecond
+	// leaseMargin is kept at a lease's end for what has been sent meanwhile.
+	leaseMargin = 200 * time.Millisecond
+	// takeJitter spreads the instances that see a duty without holder.
+	takeJitter = 150 * time.Millisecond
+	// takePause is the least time between two tries to take a duty.
+	takePause = 500 * time.Millisecond
+	// tickInterval is how often the duties are looked through.
+	tickInterval = 50 * time.Millisecond
+	// endTimeout bounds the giving back of the lease at the end.
+	endTimeout = 300 * time.Millisecond
+)
+
+type (
+	// Elector takes the duty of watching over groups that nobody else has, one record
+	// a group in the store, under one lease. Set the exported fields, then call Run.
+	Elector struct {
+		Store storer.Store
+		Clock func() tracker.Stamp
+		// Name is this instance's, a new one for each of its lives.
+		Name string
+		// Groups lists the groups in force.
+		Groups func() []string
+		// Keep watches over a group until the context ends.
+		Keep func(ctx context.Context, group string, d *Duty) error
+		Log  func(fields ...any)
+
+		mutex  sync.Mutex
+		duties map[string]*duty
+		lease  storer.Lease
+		// until is when the lease may have run out; asked when it was last renewed.
+		until, asked tracker.Stamp
+	}
+
+	// Duty is the charge of one group, as its keeper uses it.
+	Duty struct {
+		elector *Elector
+		group   string
+	}
+
+	duty struct {
+		record storer.Pair
+		known  bool
+		held   bool
+		taking tracker.Stamp
+		cancel context.CancelFunc
+		ended  chan error
+	}
+
+	record struct {
+		Holder  string   `json:"holder"`
+		Members []string `json:"members"`
+	}
+)
+
+// Run takes and keeps duties until the context ends, then gives them back.
+func (e *Elector) Run(ctx context.Context) error {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			e.end()
+			return ctx.Err()
+		case <-t.C:
+			e.tick(ctx)
+		}
+	}
+}
+
+// Saw takes in a duty's record as the store has it.
+func (e *Elector) Saw(p storer.Pair) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	d := e.duty(strings.TrimPrefix(p.Key, DutyPrefix))
+	d.known = true
+	if p.Revision != 0 && p.Revision < d.record.Revision {
+		return
+	}
+	if p.Revision == 0 && d.held {
+		// The key ends with the lease: whoever has not noticed yet must not act.
+		e.drop(p.Key, d, "record-gone")
+	}
+	// What the members' roster was outlives its holder.
+	if p.Revision == 0 {
+		p.Value = d.record.Value
+	}
+	d.record = p
+}
+
+func (e *Elector) duty(group string) *duty {
+	if e.duties == nil {
+		e.duties = map[string]*duty{}
+	}
+	d, ok := e.duties[group]
+	if !ok {
+		d = &duty{}
+		e.duties[group] = d
+	}
+	return d
+}
+
+func (e *Elector) tick(ctx context.Context) {
+	e.renew(ctx)
+	now := e.Clock()
+	for _, g := range e.Groups() {
+		e.mutex.Lock()
+		d := e.duty(g)
+		free := !d.held && d.record.Revision == 0
+		if free && d.taking == 0 {
+			d.taking = now + rand.N(takeJitter)
+		}
+		due := free && now >= d.taking
+		e.mutex.Unlock()
+		if due {
+			e.take(ctx, g, d)
+		}
+	}
+}
+
+// renew keeps the lease alive while something hangs on it.
+func (e *Elector) renew(ctx context.Context) {
+	e.mutex.Lock()
+	lease, due := e.lease, e.Clock()-e.asked >= renewInterval
+	e.mutex.Unlock()
+	if lease == 0 || !due {
+		return
+	}
+	// The lease runs from the arrival of the call, which is later than this.
+	asked := e.Clock()
+	err := e.Store.KeepAlive(ctx, lease)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.asked = asked
+	switch {
+	case err == nil:
+		e.until = asked + leaseTime
+	case errors.Is(err, storer.ErrLeaseLost) || e.Clock() > e.until:
+		e.lease = 0
+		for g, d := range e.duties {
+			if d.held {
+				e.drop(DutyPrefix+g, d, "lease-lost")
+			}
+		}
+	}
+}
+
+// drop gives a duty up; the mutex is held.
+func (e *Elector) drop(key string, d *duty, why string) {
+	d.held, d.taking = false, 0
+	d.cancel()
+	e.Log("event", "duty-lost", "duty", key, "why", why, "fence", d.record.Revision)
+}
+
+// take tries to become the holder of a duty that nobody has.
+func (e *Elector) take(ctx context.Context, group string, d *duty) {
+	e.mutex.Lock()
+	d.taking = e.Clock() + takePause
+	lease, old := e.lease, d.record.Value
+	e.mutex.Unlock()
+	if lease == 0 {
+		asked := e.Clock()
+		l, err := e.Store.Grant(ctx, leaseTime)
+		if err != nil {
+			return
+		}
+		e.mutex.Lock()
+		e.lease, e.asked, e.until = l, asked, asked+leaseTime
+		lease = l
+		e.mutex.Unlock()
+	}
+	value := e.encode(decode(old).Members)
+	now, ok, err := e.Store.Swap(ctx, storer.Pair{Key: DutyPrefix + group, Value: value}, lease)
+	if errors.Is(err, storer.ErrLeaseLost) {
+		e.mutex.Lock()
+		e.lease = 0
+		e.mutex.Unlock()
+		return
+	}
+	if err != nil {
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !ok {
+		// A call of ours whose answer was lost may have taken it.
+		ok = decode(now.Value).Holder == e.Name
+	}
+	if now.Revision > d.record.Revision {
+		d.record = now
+	}
+	if !ok || d.held {
+		return
+	}
+	d.held = true
+	e.Log("event", "duty-taken", "group", group, "fence", now.Revision)
+	keep, cancel := context.WithCancel(ctx)
+	d.cancel, d.ended = cancel, make(chan error, 1)
+	go func() { d.ended <- e.Keep(keep, group, &Duty{elector: e, group: group}) }()
+}
+
+func (e *Elector) encode(members []string) []byte {
+	text, err := json.Marshal(record{Holder: e.Name, Members: members})
+	if err != nil {
+		panic("elector: record: " + err.Error())
+	}
+	return text
+}
+
+// decode reads a record; one that can't be read names nobody.
+func decode(value []byte) record {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return record{}
+	}
+	return r
+}
+
+// end gives everything back, so that others take over at once.
+func (e *Elector) end() {
+	e.mutex.Lock()
+	lease := e.lease
+	e.lease = 0
+	var ended []chan error
+	for _, d := range e.duties {
+		if d.held {
+			d.held = false
+			d.cancel()
+			ended = append(ended, d.ended)
+		}
+	}
+	e.mutex.Unlock()
+	for _, c := range ended {
+		<-c
+	}
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	if err := e.Store.Revoke(ctx, lease); err != nil {
+		e.Log("event", "lease-kept", "cause", err)
+	}
+}
+
+// Holds reports whether the duty is surely held for that much longer.
+func (d *Duty) Holds(more time.Duration) bool {
+	e := d.elector
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.duty(d.group).held && e.Clock()+more+leaseMargin < e.until
+}
+
+// Roster returns the members that were recorded last.
+func (d *Duty) Roster() []string {
+	e := d.elector
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return decode(e.duty(d.group).record.Value).Members
+}
+
+// Fence records the roster and returns the record's new revision, which is above
+// every fence used before: by other holders, and by this one in a call that may
+// still be carried out.
+func (d *Duty) Fence(ctx context.Context, roster []string) (int64, error) {
+	e := d.elector
+	e.mutex.Lock()
+	p, lease := e.duty(d.group).record, e.lease
+	e.mutex.Unlock()
+	p.Value = e.encode(roster)
+	now, ok, err := e.Store.Swap(ctx, p, lease)
+	if err != nil {
+		return 0, err
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	x := e.duty(d.group)
+	if now.Revision > x.record.Revision {
+		x.record = now
+	}
+	if !ok && decode(now.Value).Holder != e.Name {
+		return 0, errNotHeld
+	}
+	return now.Revision, nil
+}
--- a/internal/inspector/node.go
+++ b/internal/inspector/node.go
@@ -80,7 +80,7 @@
 
 func (n Node) member(m *hujson.ObjectMember, fields []Field, seen map[string]int) {
 	key := m.Name.Value.(hujson.Literal).String()
-	child := Node{report: n.report, path: strings.TrimPrefix(n.path+"."+key, "."), value: &m.Value}
+	child := n.child(&m.Value, key)
 	at := m.Name.StartOffset
 	if offset, ok := seen[key]; ok {
 		first, _ := n.report.place(offset)
@@ -97,6 +97,10 @@
 	n.report.put(at, Problem{Path: n.path, Found: "unknown key " + strconv.Quote(key), Allowed: keys(fields), Unknown: true})
 }
 
+func (n Node) child(v *hujson.Value, key string) Node {
+	return Node{report: n.report, path: strings.TrimPrefix(n.path+"."+key, "."), value: v}
+}
+
 func keys(fields []Field) string {
 	out := make([]string, len(fields))
 	for i, f := range fields {
@@ -215,3 +219,30 @@
 		seen[value] = line
 	}
 }
+
+// Seconds reads a time as a number of seconds, which may have a fraction.
+func (n Node) Seconds(least, most time.Duration) time.Duration {
+	if l, ok := n.literal('0'); ok {
+		v, err := strconv.ParseFloat(string(l), 64)
+		d := time.Duration(v * float64(time.Second))
+		if err == nil && d >= least && d <= most {
+			return d
+		}
+	}
+	n.Problem(n.Found(), fmt.Sprintf("a number of seconds from %v to %v", least.Seconds(), most.Seconds()))
+	return least
+}
+
+// Pairs reads an object whose keys are not known beforehand, at most so many.
+func (n Node) Pairs(most int, read func(key string, value Node)) {
+	o, ok := n.value.Value.(*hujson.Object)
+	if !ok || len(o.Members) > most {
+		n.Problem(n.Found(), fmt.Sprintf("an object with at most %d keys", most))
+		return
+	}
+	for i := range o.Members {
+		m := &o.Members[i]
+		key := m.Name.Value.(hujson.Literal).String()
+		read(key, n.child(&m.Value, key))
+	}
+}
--- /dev/null
+++ b/internal/launcher/backend.go
@@ -0,0 +1,160 @@
+package launcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/dispatcher"
+	"github.com/oriolegw/oriolegw/internal/lender"
+	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+)
+
+const (
+	// proveInterval is how often it is looked whether the group's proof is old.
+	proveInterval = 200 * time.Millisecond
+	// proofAge is when a proof is renewed in a group that is used. Reads may be 1.5 to
+	// 2.5 s old; a proof that is renewed after 0.4 s leaves replicas a second to lag.
+	proofAge = 400 * time.Millisecond
+	// proveTimeout bounds the renewal, and the wait for its connection.
+	proveTimeout = 300 * time.Millisecond
+	// searchInterval is how often members are asked who leads while nobody knows.
+	searchInterval = 120 * time.Millisecond
+	// suspicionPause is the least time between two looks at a suspected primary.
+	suspicionPause = 150 * time.Millisecond
+)
+
+// backend is a group with what keeps the instance's belief about it true.
+type backend struct {
+	dispatcher.Backend
+	clock     func() tracker.Stamp
+	codec     messenger.MemberCodec
+	log       func(fields ...any)
+	suspicion chan string
+}
+
+// run keeps the pool, the proof and the belief who leads until the context ends.
+func (b *backend) run(ctx context.Context) {
+	var parts sync.WaitGroup
+	parts.Go(func() { _ = b.Pool.Run(ctx) })
+	parts.Go(func() { b.search(ctx) })
+	parts.Go(func() { b.prove(ctx) })
+	parts.Wait()
+}
+
+// prove renews the group's proof. Reads on replicas need one that is young enough;
+// without writes or reads at the primary nothing else renews it.
+func (b *backend) prove(ctx context.Context) {
+	t := time.NewTicker(proveInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		p, ok := b.Group.Freshest()
+		if (!ok || b.clock()-p.At > proofAge) && b.Group.Primary() != "" {
+			b.renew(ctx)
+		}
+	}
+}
+
+// renew opens a transaction at the primary and rolls it back. Only a member that
+// leads opens one, and it takes no slot.
+func (b *backend) renew(ctx context.Context) {
+	until := time.Now().Add(proveTimeout)
+	c, err := b.Pool.Borrow(ctx, lender.Request{Until: until, Choose: func() []string { return []string{b.Group.Primary()} }})
+	if err != nil {
+		return
+	}
+	defer b.Pool.Return(c)
+	asked := b.clock()
+	replies, _, err := c.Exchange([]messenger.Command{{Kind: messenger.KindBegin}, {Kind: messenger.KindRollback}}, time.Now().Add(proveTimeout))
+	if err != nil {
+		c.Close()
+		b.Suspect(c.Member)
+		return
+	}
+	switch replies[0].Code {
+	case messenger.CodeNone:
+		b.Group.Prove(tracker.Proof{At: asked, Position: replies[0].Position})
+	case messenger.CodeNotPrimary:
+		b.Group.Lost(c.Member)
+		b.Suspect(c.Member)
+	}
+}
+
+// suspect asks for a look at the group's members, unless one is under way.
+func (b *backend) suspect(member string) {
+	select {
+	case b.suspicion <- member:
+	default:
+	}
+}
+
+// search finds out who leads, when the member that was believed to may not.
+func (b *backend) search(ctx context.Context) {
+	t := time.NewTicker(searchInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case member := <-b.suspicion:
+			if member == b.Group.Primary() || b.Group.Primary() == "" {
+				b.look(ctx)
+				if sleep(ctx, suspicionPause) != nil {
+					return
+				}
+			}
+		case <-t.C:
+			if b.Group.Primary() == "" {
+				b.look(ctx)
+			}
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// look asks all members for their status.
+func (b *backend) look(ctx context.Context) {
+	var asked sync.WaitGroup
+	for _, id := range b.Group.IDs() {
+		asked.Go(func() { b.ask(ctx, id) })
+	}
+	asked.Wait()
+}
+
+func (b *backend) ask(ctx context.Context, id string) {
+	until := time.Now().Add(proveTimeout)
+	c, err := b.Pool.Borrow(ctx, lender.Request{Until: until, Choose: func() []string { return []string{id} }})
+	if err != nil {
+		return
+	}
+	defer b.Pool.Return(c)
+	asked := b.clock()
+	replies, _, err := c.Exchange([]messenger.Command{{Kind: messenger.KindStatus}}, time.Now().Add(proveTimeout))
+	if err != nil {
+		c.Close()
+		b.Group.Unanswered(b.clock(), id, false)
+		return
+	}
+	s, err := b.codec.Status(replies[0])
+	if err != nil {
+		return
+	}
+	if b.Group.Saw(asked, id, s) {
+		b.log("event", "primary", "group", b.Group.Name, "member", b.Group.Primary(), "term", s.Term, "source", "status", "of", id)
+		b.Pool.Changed()
+	}
+}
--- /dev/null
+++ b/internal/launcher/launcher.go
@@ -0,0 +1,316 @@
+// Package launcher puts an entry instance on the users' platform together, and
+// starts and ends its parts.
+package launcher
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/dispatcher"
+	"github.com/oriolegw/oriolegw/internal/elector"
+	"github.com/oriolegw/oriolegw/internal/journaler"
+	"github.com/oriolegw/oriolegw/internal/lender"
+	"github.com/oriolegw/oriolegw/internal/loader"
+	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/networker"
+	"github.com/oriolegw/oriolegw/internal/reporter"
+	"github.com/oriolegw/oriolegw/internal/storer"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/oriolegw/oriolegw/internal/watcher"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// rotationTime is how long after the first refusal to be ready the balancer may
+	// still send callers: it asks once a second and believes the second refusal.
+	rotationTime = 2200 * time.Millisecond
+	// transactionPart is the part of the shutdown time that open transactions have.
+	transactionPart = 0.5
+	// endPart is the part after which the process ends whatever is open.
+	endPart = 0.85
+	// endPoll is how often it is looked whether all callers are gone.
+	endPoll = 20 * time.Millisecond
+)
+
+type (
+	// Platform is what the instance needs of the platform.
+	Platform struct {
+		Store interface {
+			storer.Store
+			watcher.Source
+		}
+		Promote        func(ctx context.Context, group, member string, fence int64) error
+		PromoteRefused func(error) bool
+		MemberCodec    messenger.MemberCodec
+		CallerCodec    messenger.CallerCodec
+
+		ConfigurationKey, MemberPrefix string
+
+		DecodeConfiguration func(value []byte) (*tracker.Configuration, error)
+		DecodeMember        func(key string, value []byte, revision int64) (tracker.Member, error)
+	}
+
+	// Instance is one entry instance. Set the exported fields, then call Run.
+	Instance struct {
+		Settings *loader.EntrySettings
+		Platform Platform
+		Network  networker.Network
+		Journal  *journaler.Journal
+		Clock    func() tracker.Stamp
+		// Leave is received from when the process is told to end.
+		Leave <-chan os.Signal
+
+		metrics       tally.Scope
+		register      *reporter.Register
+		configuration atomic.Pointer[tracker.Configuration]
+		leaving       atomic.Bool
+		belief        *journaler.Kind
+
+		mutex    sync.Mutex
+		backends map[string]*backend
+		members  map[string][]tracker.Member
+		running  sync.WaitGroup
+		ctx      context.Context
+
+		server  *dispatcher.Server
+		elector *elector.Elector
+	}
+)
+
+// Run serves until the process is told to end, or the context ends.
+func (i *Instance) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	started := time.Now()
+	i.prepare(ctx)
+	i.belief.Log("event", "start", "name", i.Settings.Name, "zone", i.Settings.Zone, "callers", i.Settings.Callers)
+
+	parts := make(chan error, 4)
+	go func() { parts <- i.servePages(ctx, i.Settings.Ready, i.readyPage()) }()
+	go func() { parts <- i.servePages(ctx, i.Settings.Metrics, i.metricsPage()) }()
+	go func() { parts <- i.server.Run(ctx) }()
+	go func() { parts <- i.watcher().Run(ctx) }()
+	electing, stopElecting := context.WithCancel(ctx)
+	defer stopElecting()
+	elected := make(chan error, 1)
+	go func() { elected <- i.elector.Run(electing) }()
+
+	var err error
+	select {
+	case s := <-i.Leave:
+		i.belief.Log("event", "stop", "signal", s, "callers", i.server.Sessions())
+		stopElecting()
+		i.leave(ctx)
+	case err = <-parts:
+	case <-ctx.Done():
+	}
+	cancel()
+	<-elected
+	i.running.Wait()
+	i.belief.Log("event", "stopped", "after-ms", time.Since(started).Milliseconds(), "cause", err)
+	return err
+}
+
+func (i *Instance) prepare(ctx context.Context) {
+	i.ctx = ctx
+	i.belief = i.Journal.Kind("belief")
+	i.register = &reporter.Register{}
+	i.metrics, _ = i.register.Open(map[string]string{reporter.TagInstance: i.Settings.Name})
+	i.backends, i.members = map[string]*backend{}, map[string][]tracker.Member{}
+	requests, traces := i.Journal.Kind("request"), i.Journal.Kind("served")
+	i.server = &dispatcher.Server{
+		Address: i.Settings.Callers, Network: i.Network, Codec: i.Platform.CallerCodec, Clock: i.Clock,
+		Configuration: i.configuration.Load,
+		Backend:       func(group string) *dispatcher.Backend { return &i.backend(group).Backend },
+		Decide:        func(part string, f ...any) { requests.Log(append([]any{"of", part}, f...)...) },
+		Trace:         traces.Log,
+		Count:         func(name string) { i.metrics.Counter(name).Inc(1) },
+		Refused:       func(reason string) { i.metrics.Counter("refused." + reason).Inc(1) },
+		Retried:       func(reason string) { i.metrics.Counter("retry." + reason).Inc(1) },
+		Served: func(r tracker.Route, took time.Duration) {
+			i.metrics.Timer("served").Record(took)
+		},
+	}
+	i.elector = &elector.Elector{
+		Store: i.Platform.Store, Clock: i.Clock, Name: i.Settings.Name + "-" + started(),
+		Groups: i.groups, Keep: i.keep, Log: i.Journal.Kind("duty").Log,
+	}
+}
+
+// started tells the lives of one instance apart.
+func started() string { return time.Now().UTC().Format("150405.000000") }
+
+func (i *Instance) watcher() *watcher.Watcher {
+	return &watcher.Watcher{
+		Source: i.Platform.Store, Clock: i.Clock,
+		ConfigurationKey: i.Platform.ConfigurationKey, MemberPrefix: i.Platform.MemberPrefix, DutyPrefix: elector.DutyPrefix,
+		DecodeConfiguration: i.Platform.DecodeConfiguration, DecodeMember: i.Platform.DecodeMember,
+		Configured: i.configured, Members: i.registered, Duty: i.elector.Saw, Log: i.belief.Log,
+	}
+}
+
+func (i *Instance) configured(c *tracker.Configuration) {
+	i.configuration.Store(c)
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for name, b := range i.backends {
+		b.Pool.Configure(c.Groups[name].Connections)
+	}
+	for name := range c.Groups {
+		i.backendLocked(name)
+	}
+}
+
+func (i *Instance) registered(list []tracker.Member) {
+	byGroup := map[string][]tracker.Member{}
+	for _, m := range list {
+		byGroup[m.Group] = append(byGroup[m.Group], m)
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.members = byGroup
+	for name, b := range i.backends {
+		b.Group.Members(byGroup[name])
+		b.Pool.Changed()
+	}
+}
+
+func (i *Instance) groups() []string {
+	c := i.configuration.Load()
+	if c == nil || i.leaving.Load() {
+		return nil
+	}
+	names := make([]string, 0, len(c.Groups))
+	for name := range c.Groups {
+		names = append(names, name)
+	}
+	return names
+}
+
+func (i *Instance) backend(group string) *backend {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.backendLocked(group)
+}
+
+func (i *Instance) backendLocked(group string) *backend {
+	if b, ok := i.backends[group]; ok {
+		return b
+	}
+	g := &tracker.Group{Name: group, Zone: i.Settings.Zone, Near: i.near}
+	b := &backend{clock: i.Clock, codec: i.Platform.MemberCodec, log: i.belief.Log, suspicion: make(chan string, 1)}
+	b.Backend = dispatcher.Backend{Group: g, Suspect: b.suspect, Pool: &lender.Pool{
+		Group: g, Network: i.Network, Codec: i.Platform.MemberCodec, Who: i.Settings.Name, Clock: i.Clock, Note: i.noteConnection(group),
+	}}
+	g.Members(i.members[group])
+	if c := i.configuration.Load(); c != nil {
+		b.Pool.Configure(c.Groups[group].Connections)
+	}
+	i.backends[group] = b
+	i.running.Go(func() { b.run(i.ctx) })
+	return b
+}
+
+// noteConnection logs failures to connect to a member.
+func (i *Instance) noteConnection(group string) func(member string, err error) {
+	connections := i.Journal.Kind("connection")
+	return func(member string, err error) {
+		if err == nil {
+			i.metrics.Counter("connections.opened").Inc(1)
+			return
+		}
+		i.metrics.Counter("connections.failed").Inc(1)
+		connections.Log("event", "connect-failed", "group", group, "member", member, "cause", err)
+	}
+}
+
+// near reports whether a zone is in this instance's region.
+func (i *Instance) near(zone string) bool {
+	r, ok := i.Settings.Regions[zone]
+	return ok && r == i.Settings.Regions[i.Settings.Zone]
+}
+
+// keep watches over a group while the duty lasts.
+func (i *Instance) keep(ctx context.Context, group string, d *elector.Duty) error {
+	b := i.backend(group)
+	k := &elector.Keeper{
+		Group: b.Group, Clock: i.Clock, Codec: i.Platform.MemberCodec,
+		Members: func() []tracker.Member {
+			i.mutex.Lock()
+			defer i.mutex.Unlock()
+			return i.members[group]
+		},
+		Connect: func(ctx context.Context, m tracker.Member) (*lender.Conn, error) {
+			return lender.Connect(ctx, i.Network, i.Platform.MemberCodec, m, i.Settings.Name)
+		},
+		Holds: d.Holds, Fence: d.Fence, Roster: d.Roster,
+		Promote: i.Platform.Promote, Refused: i.Platform.PromoteRefused,
+		Synchronous: func() int {
+			c := i.configuration.Load()
+			return c.Groups[group].SyncReplicas
+		},
+		Changed: b.Pool.Changed,
+		Log:     i.Journal.Kind("duty").Log,
+	}
+	return k.Run(ctx)
+}
+
+// leave ends the instance without cutting a request: the balancer is told first,
+// sessions outside a transaction end once it sends no more callers, and open
+// transactions have half of the time.
+func (i *Instance) leave(ctx context.Context) {
+	i.leaving.Store(true)
+	told := time.Now()
+	grace := i.Settings.Shutdown
+	wait := func(until time.Duration) {
+		for time.Since(told) < until && sleep(ctx, endPoll) == nil {
+			if time.Since(told) > rotationTime && i.server.Sessions() == 0 {
+				return
+			}
+		}
+	}
+	first := min(rotationTime, time.Duration(transactionPart*float64(grace)))
+	wait(first)
+	i.server.End(false)
+	wait(time.Duration(transactionPart * float64(grace)))
+	i.server.End(true)
+	wait(time.Duration(endPart * float64(grace)))
+}
+
+// lacking says why the instance is not ready, "" when it is.
+func (i *Instance) lacking() string {
+	switch {
+	case i.leaving.Load():
+		return "leaving"
+	case i.configuration.Load() == nil:
+		return "no configuration yet"
+	}
+	return ""
+}
+
+func (i *Instance) readyPage() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if why := i.lacking(); why != "" {
+			http.Error(w, why, http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+func (i *Instance) metricsPage() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		_, _ = w.Write(i.register.Page())
+	})
+}
+
+func (i *Instance) servePages(ctx context.Context, address string, h http.Handler) error {
+	err := networker.ServePages(ctx, i.Network, address, &http.Server{Handler: h})
+	return errors.Wrap(err, address)
+}
--- /dev/null
+++ b/internal/lender/pool.go
@@ -0,0 +1,403 @@
+package lender
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/networker"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+)
+
+const (
+	// connectTimeout bounds a new connection: 27 ms at the member and 24 ms of
+	// network on a calm day, and a queue before it on a bad one. A member that is
+	// dark doesn't answer at all.
+	connectTimeout = 600 * time.Millisecond
+	// firstBackoff and lastBackoff bound the pause after a refused or failed
+	// connection; the pause doubles, and half of it is random, so that instances
+	// which were refused together don't come back together.
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = time.Second
+	// connectingAtOnce is how many connections to one member are opened at a time:
+	// each holds one of its 3 to 6 slots.
+	connectingAtOnce = 2
+	// spareFor is how long a connection beyond the kept ones may idle. Demand moves
+	// between instances within a second or two; a shorter time would open them anew
+	// with each wave.
+	spareFor = 1500 * time.Millisecond
+	// tendInterval is how often idle connections are looked through.
+	tendInterval = 500 * time.Millisecond
+	// largestPart is the part of a member's connections that one instance may hold.
+	// A hot instance gets several times the mean, and can't take all.
+	largestPart = 0.5
+	// lendWeight is the part of a new sample in the usual time of a loan.
+	lendWeight = 0.05
+)
+
+// Errors of Borrow.
+var (
+	// ErrFull means that the wait for a connection would be too long.
+	ErrFull = errors.New("no connection in time")
+	// ErrNobody means that no member fits.
+	ErrNobody = errors.New("no member fits")
+)
+
+type (
+	// Request asks for a connection.
+	Request struct {
+		// Choose names the members that fit, the best first. It is asked again when
+		// something has changed while the request waits.
+		Choose func() []string
+		// Priority orders requests that wait; 0 goes first.
+		Priority int
+		// Until is when the request is of no more use.
+		Until time.Time
+	}
+
+	// Pool lends the connections of one group. Set the exported fields, then call
+	// Run; Borrow and Return may be called from any goroutine.
+	Pool struct {
+		Group   *tracker.Group
+		Network networker.Network
+		Codec   messenger.MemberCodec
+		// Who is how this instance names itself to members.
+		Who string
+		// Clock gives stamps for Group.
+		Clock func() tracker.Stamp
+		// Kept is how many idle connections to a member are kept; 0 means 1.
+		Kept int
+		// Note, when set, is told of connections won and lost.
+		Note func(member string, err error)
+
+		mutex   sync.Mutex
+		limit   int
+		members map[string]*place
+		waiting []*waiter
+		usual   time.Duration
+		ctx     context.Context
+		closed  bool
+		// opened counts connections made, for metrics.
+		opened int
+	}
+
+	place struct {
+		idle       []*Conn
+		open       int
+		connecting int
+		backoff    time.Duration
+		notBefore  time.Time
+		// full is set when the member said that it takes no more connections.
+		full bool
+	}
+
+	waiter struct {
+		Request
+		lent    chan *Conn
+		arrived time.Time
+	}
+)
+
+// Run keeps connections ready until the context ends.
+func (p *Pool) Run(ctx context.Context) error {
+	p.mutex.Lock()
+	p.ctx = ctx
+	p.mutex.Unlock()
+	t := time.NewTicker(tendInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.close()
+			return ctx.Err()
+		case now := <-t.C:
+			p.tend(now)
+		}
+	}
+}
+
+// Configure sets how many connections a member takes from all instances.
+func (p *Pool) Configure(connections int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.limit = max(1, int(float64(connections)*largestPart))
+}
+
+// Changed has waiting requests choose again, after members or the primary changed.
+func (p *Pool) Changed() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.serve()
+}
+
+// Load returns how many connections are open, idle, and waited for.
+func (p *Pool) Load() (open, idle, waiting, opened int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, m := range p.members {
+		open += m.open
+		idle += len(m.idle)
+	}
+	return open, idle, len(p.waiting), p.opened
+}
+
+// Borrow lends a connection to the best member that fits. The error is ErrFull or
+// ErrNobody, or that of the context.
+func (p *Pool) Borrow(ctx context.Context, r Request) (*Conn, error) {
+	p.mutex.Lock()
+	ids := r.Choose()
+	if c := p.take(ids); c != nil {
+		p.mutex.Unlock()
+		return c, nil
+	}
+	w := &waiter{Request: r, lent: make(chan *Conn, 1), arrived: time.Now()}
+	if p.hopeless(w) {
+		p.mutex.Unlock()
+		return nil, ErrFull
+	}
+	p.connectFor(ids)
+	i, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b *waiter) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.arrived.Compare(b.arrived))
+	})
+	p.waiting = slices.Insert(p.waiting, i, w)
+	p.mutex.Unlock()
+
+	t := time.NewTimer(time.Until(r.Until))
+	defer t.Stop()
+	select {
+	case c := <-w.lent:
+		return c, nil
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.waiting = slices.DeleteFunc(p.waiting, func(x *waiter) bool { return x == w })
+	select {
+	case c := <-w.lent:
+		if ctx.Err() == nil {
+			return c, nil
+		}
+		p.put(c)
+	default:
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	if len(ids) == 0 {
+		return nil, ErrNobody
+	}
+	return nil, ErrFull
+}
+
+// hopeless reports whether a request's turn can't come in its time, by how long
+// loans usually last. It is rejected at once then: a caller that is told so can
+// go to another instance while there is time.
+func (p *Pool) hopeless(w *waiter) bool {
+	open := 0
+	for _, m := range p.members {
+		open += m.open
+	}
+	if open == 0 || p.usual == 0 {
+		return false
+	}
+	ahead := 0
+	for _, x := range p.waiting {
+		if x.Priority <= w.Priority {
+			ahead++
+		}
+	}
+	wait := p.usual * time.Duration(ahead) / time.Duration(open)
+	return wait > w.Until.Sub(w.arrived)
+}
+
+// take returns an idle connection to the first of the members that has one.
+func (p *Pool) take(ids []string) *Conn {
+	for _, id := range ids {
+		m := p.members[id]
+		if m == nil {
+			continue
+		}
+		for len(m.idle) > 0 {
+			c := m.idle[len(m.idle)-1]
+			m.idle = m.idle[:len(m.idle)-1]
+			if c.silent() {
+				c.lentAt = time.Now()
+				return c
+			}
+			m.open--
+			c.Close()
+		}
+	}
+	return nil
+}
+
+// Return takes a connection back. A broken one is closed.
+func (p *Pool) Return(c *Conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !c.lentAt.IsZero() {
+		took := time.Since(c.lentAt)
+		if p.usual == 0 {
+			p.usual = took
+		}
+		p.usual += time.Duration(lendWeight * float64(took-p.usual))
+	}
+	p.put(c)
+}
+
+func (p *Pool) put(c *Conn) {
+	m := p.place(c.Member)
+	if c.broken || c.owed > 0 || p.closed {
+		m.open--
+		c.Close()
+		p.serve()
+		return
+	}
+	for i, w := range p.waiting {
+		if slices.Contains(w.Choose(), c.Member) {
+			p.waiting = slices.Delete(p.waiting, i, i+1)
+			c.lentAt = time.Now()
+			w.lent <- c
+			return
+		}
+	}
+	c.idleFrom = time.Now()
+	m.idle = append(m.idle, c)
+}
+
+// serve gives idle connections to those that wait, and opens more for the rest.
+func (p *Pool) serve() {
+	for i := 0; i < len(p.waiting); {
+		w := p.waiting[i]
+		ids := w.Choose()
+		if c := p.take(ids); c != nil {
+			p.waiting = slices.Delete(p.waiting, i, i+1)
+			w.lent <- c
+			continue
+		}
+		p.connectFor(ids)
+		i++
+	}
+}
+
+func (p *Pool) place(id string) *place {
+	m, ok := p.members[id]
+	if !ok {
+		if p.members == nil {
+			p.members = map[string]*place{}
+		}
+		m = &place{}
+		p.members[id] = m
+	}
+	return m
+}
+
+// connectFor opens a connection to the first of the members that takes one.
+func (p *Pool) connectFor(ids []string) {
+	for _, id := range ids {
+		if p.connect(id, false) {
+			return
+		}
+	}
+}
+
+// connect begins to open a connection, if the member may take one more of this
+// instance. The first connection to a member that said it is full is tried all the
+// same, after its pause.
+func (p *Pool) connect(id string, first bool) bool {
+	m := p.place(id)
+	if p.ctx == nil || p.closed || m.connecting >= connectingAtOnce || time.Now().Before(m.notBefore) {
+		return false
+	}
+	if p.limit > 0 && m.open+m.connecting >= p.limit || first && m.open+m.connecting > 0 {
+		return false
+	}
+	member, ok := p.Group.Member(id)
+	if !ok {
+		return false
+	}
+	m.connecting++
+	p.opened++
+	go p.open(p.ctx, member)
+	return true
+}
+
+// open makes a connection and hands it out; its end is seen by connecting.
+func (p *Pool) open(ctx context.Context, member tracker.Member) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	c, err := Connect(ctx, p.Network, p.Codec, member, p.Who)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	m := p.place(member.ID)
+	m.connecting--
+	if p.Note != nil {
+		p.Note(member.ID, err)
+	}
+	if err == nil {
+		m.backoff, m.full = 0, false
+		m.open++
+		p.put(c)
+		return
+	}
+	var refused *RefusedError
+	m.full = errors.As(err, &refused) && refused.Code == messenger.CodeTooManyConnections
+	if !m.full {
+		p.Group.Unanswered(p.Clock(), member.ID, false)
+	}
+	m.backoff = min(max(2*m.backoff, firstBackoff), lastBackoff)
+	m.notBefore = time.Now().Add(m.backoff/2 + rand.N(m.backoff/2))
+	p.serve()
+}
+
+// tend closes connections that have idled beyond the kept ones, and opens the
+// first connection to each member.
+func (p *Pool) tend(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	ids := p.Group.IDs()
+	for id, m := range p.members {
+		p.shrink(m, now, slices.Contains(ids, id))
+		if m.open+m.connecting == 0 && !slices.Contains(ids, id) {
+			delete(p.members, id)
+		}
+	}
+	for _, id := range ids {
+		p.connect(id, true)
+	}
+	p.serve()
+}
+
+func (p *Pool) shrink(m *place, now time.Time, registered bool) {
+	kept := max(1, p.Kept)
+	if !registered {
+		kept = 0
+	}
+	m.idle = slices.DeleteFunc(m.idle, func(c *Conn) bool {
+		spare := m.open > kept && now.Sub(c.idleFrom) > spareFor
+		if !spare && c.silent() {
+			return false
+		}
+		m.open--
+		c.End()
+		return true
+	})
+}
+
+func (p *Pool) close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closed = true
+	for _, m := range p.members {
+		for _, c := range m.idle {
+			c.End()
+		}
+		m.idle = nil
+	}
+}
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -56,6 +56,9 @@
 var (
 	// ErrLeaseLost means that a lease has ended: what hung on it is gone.
 	ErrLeaseLost = errors.New("lease lost")
+	// ErrHistoryLost means that the store no longer has the changes asked for:
+	// only a read of everything tells what they were.
+	ErrHistoryLost = errors.New("store's history lost")
 	// ErrUnavailable means that the store did not answer.
 	ErrUnavailable = errors.New("store unavailable")
 )
--- /dev/null
+++ b/internal/tracker/group.go
@@ -0,0 +1,348 @@
+package tracker
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/pkg/orderer"
+)
+
+const (
+	// proofSpacing is how far apart kept proofs are. At 100 ms the oldest one that
+	// a read may use is at most 100 ms younger than it could be, and 3 s of them
+	// are 30 entries.
+	proofSpacing = 100 * time.Millisecond
+	// proofsKept is how long proofs are kept: longer than the stalest read of the
+	// users' routes, 2.5 s.
+	proofsKept = 4 * time.Second
+	// behindFor is how long a replica that lacked a position is left alone by reads
+	// that need it. Replicas are 20 to 150 ms behind on a calm day.
+	behindFor = 60 * time.Millisecond
+	// failedFor is how long a member is asked last after a connection to it failed.
+	// Probes of the group's keeper find it well again sooner.
+	failedFor = 400 * time.Millisecond
+	// latencyWeight is the part of a new sample in a member's latency.
+	latencyWeight = 0.1
+	// restingDecay is how much of the excess latency of a member that isn't used
+	// remains after a second: one slow spell must not keep it unused for good.
+	restingDecay = 0.5
+)
+
+type (
+	// Group is what is known of one group. Its methods may be called from any
+	// goroutine.
+	Group struct {
+		Name string
+		// Zone is this instance's; Near tells which zones are in its region.
+		Zone string
+		Near func(zone string) bool
+
+		mutex   sync.Mutex
+		members map[string]*member
+		primary string
+		// claim is the store's revision at which the primary's entry first said so.
+		claim int64
+		// term is the newest one that any member has shown.
+		term   uint64
+		proofs []Proof
+	}
+
+	member struct {
+		Member
+		// position is the end of the member's log when it last answered.
+		position orderer.Position
+		// behind is a position that the member lacked at behindAt.
+		behind   orderer.Position
+		behindAt Stamp
+		failedAt Stamp
+		failed   bool
+		latency  time.Duration
+		sampled  Stamp
+		inFlight int
+	}
+)
+
+// Members takes in the members as registered now, in place of what was known.
+func (g *Group) Members(list []Member) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	old := g.members
+	g.members = make(map[string]*member, len(list))
+	for _, m := range list {
+		x, ok := old[m.ID]
+		if !ok {
+			x = &member{}
+		}
+		claimed := ok && x.Primary
+		x.Member = m
+		g.members[m.ID] = x
+		if m.Primary && !claimed && m.Revision > g.claim {
+			g.primary, g.claim = m.ID, m.Revision
+		}
+	}
+	if _, ok := g.members[g.primary]; !ok {
+		g.primary = ""
+	}
+}
+
+// Primary returns the member that is believed to be the primary, "" if none.
+func (g *Group) Primary() string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.primary
+}
+
+// Member returns what a member registered.
+func (g *Group) Member(id string) (Member, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	m, ok := g.members[id]
+	if !ok {
+		return Member{}, false
+	}
+	return m.Member, true
+}
+
+// IDs returns the members' identities, in order.
+func (g *Group) IDs() []string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	ids := make([]string, 0, len(g.members))
+	for id := range g.members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Saw takes in a member's status that was asked for at a moment. It returns
+// whether the belief who is primary changed.
+func (g *Group) Saw(asked Stamp, id string, s messenger.Status) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	m, ok := g.members[id]
+	if !ok {
+		return false
+	}
+	m.position, m.failed = s.Received, false
+	if !s.Primary {
+		if g.primary == id && s.Term >= g.term {
+			g.term = s.Term
+			g.primary = ""
+			return true
+		}
+		return false
+	}
+	if s.Term < g.term {
+		return false
+	}
+	g.term = s.Term
+	g.prove(Proof{At: asked, Position: s.Received})
+	changed := g.primary != id
+	g.primary = id
+	return changed
+}
+
+// Lost takes in that the believed primary said it is none. The next entry or
+// status that names a primary is believed.
+func (g *Group) Lost(id string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.primary == id {
+		g.primary = ""
+	}
+}
+
+// Prove takes in that the primary was at a position at or after a moment.
+func (g *Group) Prove(p Proof) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.prove(p)
+}
+
+func (g *Group) prove(p Proof) {
+	if p.Position.IsZero() {
+		return
+	}
+	g.term = max(g.term, p.Position.Term)
+	n := len(g.proofs)
+	if n > 0 && p.At < g.proofs[n-1].At {
+		return
+	}
+	// The newest one is replaced until it is far enough from the one before it.
+	if n > 1 && g.proofs[n-1].At-g.proofs[n-2].At < proofSpacing {
+		g.proofs = g.proofs[:n-1]
+	}
+	g.proofs = append(g.proofs, p)
+	i := 0
+	for p.At-g.proofs[i].At > proofsKept {
+		i++
+	}
+	g.proofs = slices.Delete(g.proofs, 0, i)
+}
+
+// Freshest returns the newest proof.
+func (g *Group) Freshest() (Proof, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if len(g.proofs) == 0 {
+		return Proof{}, false
+	}
+	return g.proofs[len(g.proofs)-1], true
+}
+
+// Need returns the position that a log must hold to answer a read that arrived
+// at a moment, on a route that is not RulePrimary. It is false when nothing known
+// is young enough; only the primary can answer then.
+//
+// The oldest proof that is young enough asks the least of replicas: one that lags
+// by a second still serves reads that may be older.
+func (g *Group) Need(arrived Stamp, r Route, own Floor) (orderer.Position, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	i, _ := slices.BinarySearchFunc(g.proofs, arrived-r.Staleness, func(p Proof, t Stamp) int {
+		return cmp.Compare(p.At, t)
+	})
+	if i == len(g.proofs) {
+		return orderer.Position{}, false
+	}
+	need := g.proofs[i]
+	if r.Rule != RuleOwnWrites || own.Position.IsZero() || need.At >= own.At {
+		return need.Position, true
+	}
+	// A commit's answer may show a place behind the commit, which a promotion has
+	// rolled back since. A proof that is younger than the commit covers it, and can
+	// be reached.
+	for _, p := range g.proofs[i:] {
+		if p.At >= own.At && own.Position.Compare(p.Position) > 0 {
+			return p.Position, true
+		}
+	}
+	return orderer.Max(need.Position, own.Position), true
+}
+
+// Readers returns the members that may hold a position, the best first. Members
+// that leave come only when no other is left; so do those known to lack it.
+func (g *Group) Readers(now Stamp, need orderer.Position) []string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	type choice struct {
+		id   string
+		cost time.Duration
+	}
+	var choices []choice
+	for id, m := range g.members {
+		if m.Leaving || g.lacks(now, m, need) {
+			continue
+		}
+		choices = append(choices, choice{id, g.cost(now, m)})
+	}
+	slices.SortFunc(choices, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.id, b.id))
+	})
+	ids := make([]string, len(choices))
+	for i, c := range choices {
+		ids[i] = c.id
+	}
+	return ids
+}
+
+// lacks reports whether a member is known, or was just seen, to lack a position.
+func (g *Group) lacks(now Stamp, m *member, need orderer.Position) bool {
+	if m.position.AtLeast(need) || m.behind.IsZero() {
+		return false
+	}
+	return need.AtLeast(m.behind) && now-m.behindAt < behindFor
+}
+
+const (
+	// nearCost, farCost: what a member is taken to need before it has answered, in
+	// its own zone or region, and in another.
+	nearCost = 5 * time.Millisecond
+	farCost  = 30 * time.Millisecond
+	// failedCost puts a member that has just failed behind all others.
+	failedCost = time.Minute
+)
+
+// cost is how long a statement is expected to take at a member: what others took,
+// and its part of the queue that this instance has made there.
+func (g *Group) cost(now Stamp, m *member) time.Duration {
+	usual := farCost
+	if m.Zone == g.Zone || g.Near(m.Zone) {
+		usual = nearCost
+	}
+	latency := usual
+	if m.latency > usual {
+		latency = m.latency
+		if rest := now - m.sampled; rest > 0 {
+			excess := float64(m.latency - usual)
+			for ; rest > time.Second; rest -= time.Second {
+				excess *= restingDecay
+			}
+			latency = usual + time.Duration(excess)
+		}
+	}
+	c := latency + latency*time.Duration(m.inFlight)/time.Duration(max(1, m.Slots))
+	if m.failed && now-m.failedAt < failedFor {
+		c += failedCost
+	}
+	return c
+}
+
+// Sent takes in that a statement goes to a member.
+func (g *Group) Sent(id string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if m, ok := g.members[id]; ok {
+		m.inFlight++
+	}
+}
+
+// Answered takes in a member's answer to a statement: how long it took, and where
+// the member's log ends.
+func (g *Group) Answered(now Stamp, id string, took time.Duration, p orderer.Position) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	m, ok := g.members[id]
+	if !ok {
+		return
+	}
+	m.inFlight = max(0, m.inFlight-1)
+	m.failed = false
+	if !p.IsZero() {
+		m.position = p
+	}
+	if m.latency == 0 {
+		m.latency = took
+	}
+	m.latency += time.Duration(latencyWeight * float64(took-m.latency))
+	m.sampled = now
+}
+
+// Unanswered takes in that a statement got no answer from a member, or that it
+// could not be reached.
+func (g *Group) Unanswered(now Stamp, id string, sent bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	m, ok := g.members[id]
+	if !ok {
+		return
+	}
+	if sent {
+		m.inFlight = max(0, m.inFlight-1)
+	}
+	m.failed, m.failedAt = true, now
+}
+
+// Behind takes in that a member lacked a position.
+func (g *Group) Behind(now Stamp, id string, need orderer.Position) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if m, ok := g.members[id]; ok {
+		m.behind, m.behindAt = need, now
+		m.position = orderer.Position{}
+	}
+}
--- /dev/null
+++ b/internal/watcher/watcher.go
@@ -0,0 +1,317 @@
+// Package watcher follows the platform's store: the configuration, the members'
+// entries and the duties' records. One watch over everything costs the fewest
+// calls.
+package watcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/storer"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+)
+
+const (
+	// pollWait is how long the store may keep a watch open. A connection that has
+	// gone silent is noticed after that and the store's grace, before a change has to
+	// be in force, 3 s.
+	pollWait = 2 * time.Second
+	// firstPause and lastPause bound the pause after a call that failed. Machines
+	// that come back together must not ask together: half of it is random.
+	firstPause = 50 * time.Millisecond
+	lastPause  = 500 * time.Millisecond
+	// lapseGrace is how long an entry may be missing after the store has come back:
+	// members that live register again within about 2 s.
+	lapseGrace = 2500 * time.Millisecond
+	// goneKept is how long a member whose entry is gone is still known, as one that
+	// leaves, so that the primary can be moved away from it. It must be sent nothing
+	// later than 7 s after.
+	goneKept = 5 * time.Second
+	// leavingKept is the same for a member that said it leaves.
+	leavingKept = 6 * time.Second
+	// tickInterval is how often these times are looked at.
+	tickInterval = 200 * time.Millisecond
+)
+
+type (
+	// Source is the store as this package uses it.
+	Source interface {
+		Snapshot(ctx context.Context, prefix string) ([]storer.Pair, int64, error)
+		Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]storer.Pair, int64, error)
+	}
+
+	// Watcher follows the store. Set the exported fields, then call Run, which calls
+	// the functions one at a time.
+	Watcher struct {
+		Source Source
+		Clock  func() tracker.Stamp
+		// ConfigurationKey, MemberPrefix and DutyPrefix say where things lie.
+		ConfigurationKey, MemberPrefix, DutyPrefix string
+
+		DecodeConfiguration func(value []byte) (*tracker.Configuration, error)
+		DecodeMember        func(key string, value []byte, revision int64) (tracker.Member, error)
+
+		// Configured is told of each newer version.
+		Configured func(*tracker.Configuration)
+		// Members is told of all members whenever something about one has changed.
+		Members func([]tracker.Member)
+		// Duty is told of a duty's record as it stands; Revision 0 means that nobody
+		// has it.
+		Duty func(storer.Pair)
+		// Log is called with the fields of a line.
+		Log func(fields ...any)
+
+		version  int64
+		entries  map[string]*entry
+		duties   map[string]bool
+		outage   bool
+		restored tracker.Stamp
+		began    bool
+	}
+
+	// entry is a member's, and what is known of its end.
+	entry struct {
+		tracker.Member
+		// missing is since when there is no entry, leaving since when it said so; 0
+		// when it isn't so.
+		missing, leaving tracker.Stamp
+	}
+
+	// update is what a call has brought.
+	update struct {
+		err error
+		// whole updates replace all that was known.
+		whole bool
+		pairs []storer.Pair
+	}
+)
+
+// Run follows the store until the context ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	w.entries, w.duties = map[string]*entry{}, map[string]bool{}
+	updates := make(chan update)
+	ended := make(chan error, 1)
+	go func() { ended <- w.poll(ctx, updates) }()
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case u := <-updates:
+			w.apply(u)
+		case <-t.C:
+			w.expire()
+		case err := <-ended:
+			return err
+		}
+	}
+}
+
+// poll asks the store and sends what it answers.
+func (w *Watcher) poll(ctx context.Context, updates chan<- update) error {
+	var revision int64
+	whole := true
+	pause := firstPause
+	for {
+		var u update
+		var next int64
+		if whole {
+			u.whole = true
+			u.pairs, next, u.err = w.Source.Snapshot(ctx, "")
+		} else {
+			u.pairs, next, u.err = w.Source.Changes(ctx, "", revision, pollWait)
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		lost := errors.Is(u.err, storer.ErrHistoryLost)
+		if lost {
+			whole = true
+			continue
+		}
+		select {
+		case updates <- u:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if u.err != nil {
+			// After an outage everything is read again: what a watch has missed while
+			// its history was dropped shows nowhere else.
+			whole = true
+			if err := sleep(ctx, pause/2+rand.N(pause/2)); err != nil {
+				return err
+			}
+			pause = min(2*pause, lastPause)
+			continue
+		}
+		pause = firstPause
+		if whole || len(u.pairs) > 0 {
+			revision = next
+		}
+		whole = false
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func (w *Watcher) apply(u update) {
+	if u.err != nil {
+		if !w.outage {
+			w.outage = true
+			w.Log("event", "dependency-lost", "dependency", "store", "cause", u.err)
+		}
+		return
+	}
+	if w.outage {
+		w.outage = false
+		w.restored = w.Clock()
+		w.Log("event", "dependency-regained", "dependency", "store")
+	}
+	changed := false
+	seen := map[string]bool{}
+	for _, p := range u.pairs {
+		seen[p.Key] = true
+		changed = w.take(p) || changed
+	}
+	if u.whole {
+		changed = w.missing(seen) || changed
+		w.began = true
+	}
+	if changed || u.whole {
+		w.publish()
+	}
+}
+
+// take takes one key in and reports whether the members changed.
+func (w *Watcher) take(p storer.Pair) bool {
+	switch {
+	case p.Key == w.ConfigurationKey:
+		w.configure(p)
+	case strings.HasPrefix(p.Key, w.DutyPrefix):
+		w.duties[p.Key] = p.Revision > 0
+		w.Duty(p)
+	case strings.HasPrefix(p.Key, w.MemberPrefix):
+		return w.member(p)
+	}
+	return false
+}
+
+func (w *Watcher) configure(p storer.Pair) {
+	if p.Revision == 0 {
+		return
+	}
+	c, err := w.DecodeConfiguration(p.Value)
+	if err != nil {
+		w.Log("event", "configuration-rejected", "revision", p.Revision, "cause", err)
+		return
+	}
+	if c.Version <= w.version {
+		return
+	}
+	w.version = c.Version
+	w.Log("event", "configuration", "version", c.Version, "revision", p.Revision, "routes", len(c.Routes))
+	w.Configured(c)
+}
+
+func (w *Watcher) member(p storer.Pair) bool {
+	e := w.entries[p.Key]
+	if p.Revision == 0 {
+		if e == nil || e.missing != 0 {
+			return false
+		}
+		e.missing = w.Clock()
+		w.Log("event", "member-missing", "member", e.ID, "group", e.Group)
+		return true
+	}
+	m, err := w.DecodeMember(p.Key, p.Value, p.Revision)
+	if err != nil {
+		w.Log("event", "entry-rejected", "key", p.Key, "cause", err)
+		return false
+	}
+	if e == nil {
+		e = &entry{}
+		w.entries[p.Key] = e
+	} else if e.Revision > p.Revision {
+		return false
+	}
+	before := *e
+	e.Member, e.missing = m, 0
+	if !m.Leaving {
+		e.leaving = 0
+	} else if e.leaving == 0 {
+		e.leaving = w.Clock()
+	}
+	same := before.Member
+	same.Revision = m.Revision
+	if same == m && before.missing == 0 {
+		return false
+	}
+	w.Log("event", "member", "member", m.ID, "group", m.Group, "zone", m.Zone, "primary", m.Primary, "leaving", m.Leaving, "revision", m.Revision)
+	return true
+}
+
+// missing notes what a whole reading no longer has.
+func (w *Watcher) missing(seen map[string]bool) bool {
+	changed := false
+	for key := range w.entries {
+		if !seen[key] {
+			changed = w.member(storer.Pair{Key: key}) || changed
+		}
+	}
+	for key, held := range w.duties {
+		if held && !seen[key] {
+			w.take(storer.Pair{Key: key})
+		}
+	}
+	return changed
+}
+
+// expire drops members whose time is up.
+func (w *Watcher) expire() {
+	now, changed := w.Clock(), false
+	for key, e := range w.entries {
+		if e.missing != 0 && now-w.lapsed(e) > goneKept || e.leaving != 0 && now-e.leaving > leavingKept {
+			w.Log("event", "member-dropped", "member", e.ID, "group", e.Group)
+			delete(w.entries, key)
+			changed = true
+		} else if e.missing != 0 && !e.Leaving && w.gone(e) {
+			e.Leaving = true
+			changed = true
+		}
+	}
+	if changed {
+		w.publish()
+	}
+}
+
+// lapsed is since when an entry counts as gone. One that vanished around an outage
+// of the store gets the time to come back.
+func (w *Watcher) lapsed(e *entry) tracker.Stamp {
+	if w.restored != 0 && e.missing-w.restored < lapseGrace {
+		return max(e.missing, w.restored+lapseGrace)
+	}
+	return e.missing
+}
+
+func (w *Watcher) gone(e *entry) bool { return !w.outage && w.Clock() >= w.lapsed(e) }
+
+func (w *Watcher) publish() {
+	list := make([]tracker.Member, 0, len(w.entries))
+	for _, e := range w.entries {
+		m := e.Member
+		if e.missing != 0 && w.gone(e) {
+			m.Leaving = true
+		}
+		list = append(list, m)
+	}
+	w.Members(list)
+}
