--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -44,9 +44,9 @@
 		// FailedSince is when it first did not answer, since it last did.
 		FailedSince tracker.Stamp
 		Status      messenger.Status
-		// Moved is when its position last changed; PausedSince when it was first seen
-		// paused.
-		Moved, PausedSince tracker.Stamp
+		// BehindSince is since when the replica has stood still at a position that the
+		// primary has passed, 0 when it does not; PausedSince since when it is paused.
+		BehindSince, PausedSince tracker.Stamp
 	}
 
 	// View is what the holder of a duty knows of its group.
@@ -136,18 +136,15 @@
 func standstill(v View, p *Observation) bool {
 	answered := 0
 	for _, m := range v.Members {
-		if m.ID == p.ID {
-			continue
-		}
-		if !m.Answered {
+		if m.ID == p.ID || !m.Answered {
 			continue
 		}
 		answered++
-		if m.Status.Received.AtLeast(p.Status.Received) || v.Now-m.Moved < standstillAfter {
+		if m.BehindSince == 0 || v.Now-m.BehindSince < standstillAfter {
 			return false
 		}
 	}
-	return answered > 0 && p.Moved != 0
+	return answered > 0
 }
 
 // strays names the replicas that a try which came to nothing has left paused.
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -175,12 +175,18 @@
 	v := View{Now: now, Ordered: k.ordered}
 	var term uint64
 	for _, l := range k.links {
-		v.Members = append(v.Members, l.Observation)
 		if l.Answered && l.Status.Primary && l.Status.Term > term {
 			term, k.primary = l.Status.Term, l.ID
 		}
 	}
-	switch p := k.links[k.primary]; {
+	p := k.links[k.primary]
+	for _, l := range k.links {
+		if p != nil {
+			l.compare(now, p.Status.Received)
+		}
+		v.Members = append(v.Members, l.Observation)
+	}
+	switch {
 	case p != nil && (!p.Answered || p.Status.Primary):
 		k.headlessSince = 0
 	case k.headlessSince == 0:
@@ -211,8 +217,8 @@
 
 // noted takes in a member's status.
 func (l *link) noted(now tracker.Stamp, s messenger.Status) {
-	if s.Received != l.Status.Received || l.Moved == 0 {
-		l.Moved = now
+	if s.Received != l.Status.Received {
+		l.BehindSince = 0
 	}
 	switch {
 	case s.PausedFor <= s.Term:
@@ -223,6 +229,16 @@
 	l.Answered, l.Refused, l.FailedSince, l.Status = true, false, 0, s
 }
 
+// compare notes since when the member stands still behind the primary.
+func (l *link) compare(now tracker.Stamp, primary orderer.Position) {
+	switch {
+	case l.Status.Received.AtLeast(primary):
+		l.BehindSince = 0
+	case l.BehindSince == 0:
+		l.BehindSince = now
+	}
+}
+
 // command sends a command of the keeper's own and decodes the status that answers
 // it. Without an answer it is sent once more on a fresh connection.
 func (k *Keeper) command(ctx context.Context, l *link, c messenger.Command) (messenger.Status, error) {
