Keeper: planned changes with a replica lost for good; leaving counts from when the store was last heard

Now a primary that answers steps down first when a replica can't be accounted for: every acknowledged commit is on it, so a member that reaches its log has all. Vanished members are still asked at their recorded address. A whole reading dates its news to when the store last answered.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -64,16 +64,21 @@
 
 	duty struct {
 		record storer.Pair
-		known  bool
 		held   bool
+		// spent is set while a promotion under the newest fence may still be carried
+		// out.
+		spent  bool
 		taking tracker.Stamp
 		cancel context.CancelFunc
 		ended  chan error
 	}
 
+	// record is a duty's value in the store.
 	record struct {
-		Holder  string   `json:"holder"`
-		Members []string `json:"members"`
+		Holder string `json:"holder"`
+		// Members gives the address of each member whose log may hold acknowledged
+		// commits.
+		Members map[string]string `json:"members"`
 	}
 )
 
@@ -97,7 +102,6 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	d := e.duty(strings.TrimPrefix(p.Key, DutyPrefix))
-	d.known = true
 	if p.Revision != 0 && p.Revision < d.record.Revision {
 		return
 	}
@@ -223,7 +227,7 @@
 	go func() { d.ended <- e.Keep(keep, group, &Duty{elector: e, group: group}) }()
 }
 
-func (e *Elector) encode(members []string) []byte {
+func (e *Elector) encode(members map[string]string) []byte {
 	text, err := json.Marshal(record{Holder: e.Name, Members: members})
 	if err != nil {
 		panic("elector: record: " + err.Error())
@@ -275,8 +279,8 @@
 	return e.duty(d.group).held && e.Clock()+more+leaseMargin < e.until
 }
 
-// Roster returns the members that were recorded last.
-func (d *Duty) Roster() []string {
+// Roster returns the members that were recorded last, with their addresses.
+func (d *Duty) Roster() map[string]string {
 	e := d.elector
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -285,16 +289,22 @@
 
 // Fence records the roster and returns the record's new revision, which is above
 // every fence used before: by other holders, and by this one in a call that may
-// still be carried out.
-func (d *Duty) Fence(ctx context.Context, roster []string) (int64, error) {
+// still be carried out. While the store doesn't answer, the fence of the last record
+// serves, if no call under it is open.
+func (d *Duty) Fence(ctx context.Context, roster map[string]string) (int64, error) {
 	e := d.elector
 	e.mutex.Lock()
-	p, lease := e.duty(d.group).record, e.lease
+	p, lease, spent := e.duty(d.group).record, e.lease, e.duty(d.group).spent
 	e.mutex.Unlock()
+	old := p.Revision
 	p.Value = e.encode(roster)
 	now, ok, err := e.Store.Swap(ctx, p, lease)
 	if err != nil {
-		return 0, err
+		if spent || old == 0 || !d.Holds(0) {
+			return 0, err
+		}
+		e.Log("event", "fence-reused", "group", d.group, "fence", old, "cause", err)
+		return old, nil
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -305,5 +315,14 @@
 	if !ok && decode(now.Value).Holder != e.Name {
 		return 0, errNotHeld
 	}
+	x.spent = false
 	return now.Revision, nil
 }
+
+// Spend notes that an order under the newest fence got no answer.
+func (d *Duty) Spend() {
+	e := d.elector
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.duty(d.group).spent = true
+}
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"syscall"
@@ -32,6 +33,11 @@
 	lateOrders = 13 * time.Second
 	// retryPause is the pause after a change that came to nothing.
 	retryPause = 200 * time.Millisecond
+	// catchUpTime is how long a candidate may take to reach the log of a primary that
+	// has stepped down: a few network trips. Nobody writes meanwhile.
+	catchUpTime = 300 * time.Millisecond
+	// recordPause is the least time between two records of the roster.
+	recordPause = time.Second
 )
 
 type (
@@ -49,9 +55,11 @@
 		Holds func(d time.Duration) bool
 		// Fence returns a fence above all that were used for the group. Roster is
 		// recorded with it.
-		Fence func(ctx context.Context, roster []string) (int64, error)
-		// Roster returns the members as recorded last.
-		Roster func() []string
+		Fence func(ctx context.Context, roster map[string]string) (int64, error)
+		// Roster returns the addresses of the members as recorded last.
+		Roster func() map[string]string
+		// Spend notes that an order under the newest fence got no answer.
+		Spend func()
 		// Promote orders a promotion.
 		Promote func(ctx context.Context, group, member string, fence int64) error
 		// Refused reports whether an error of Promote is a refusal.
@@ -66,13 +74,19 @@
 		primary       string
 		headlessSince tracker.Stamp
 		ordered       tracker.Stamp
-		left          map[string]bool
+		// left are the members that have said they leave, or are surely gone: their
+		// logs count no more.
+		left map[string]bool
+		// recorded is when the roster was last written.
+		recorded tracker.Stamp
 		// uncertain is until when a resumption without an answer may take effect.
 		uncertain map[string]tracker.Stamp
 	}
 
 	link struct {
 		conn *lender.Conn
+		// gone is set when another member answers at the address.
+		gone bool
 		Observation
 	}
 )
@@ -121,6 +135,19 @@
 	for _, id := range d.Resume {
 		k.resume(ctx, id)
 	}
+	k.record(ctx)
+}
+
+// record writes the roster when it has changed, for the next holder: a member that
+// has vanished may hold acknowledged commits that nobody else has.
+func (k *Keeper) record(ctx context.Context) {
+	now, roster := k.Clock(), k.roster()
+	if maps.Equal(roster, k.Roster()) || now-k.recorded < recordPause {
+		return
+	}
+	k.recorded = now
+	_, err := k.Fence(ctx, roster)
+	k.Log("event", "roster", "group", k.Group.Name, "members", len(roster), "outcome", outcome(err))
 }
 
 func outcome(err error) string {
@@ -141,7 +168,7 @@
 
 // observe asks all members at once.
 func (k *Keeper) observe(ctx context.Context) View {
-	members := k.Members()
+	members := k.withVanished(k.Members())
 	k.forget(members)
 	var asked sync.WaitGroup
 	for _, m := range members {
@@ -151,15 +178,37 @@
 			k.links[m.ID] = l
 		}
 		l.Member = m
-		if m.Leaving {
+		if m.Leaving && !m.Missing {
 			k.left[m.ID] = true
 		}
 		asked.Go(func() { k.ask(ctx, l) })
 	}
 	asked.Wait()
+	for id, l := range k.links {
+		if l.gone {
+			k.left[id] = true
+		}
+	}
 	return k.view()
 }
 
+// withVanished adds the members of the roster that are no longer registered and
+// have not said that they leave. Such a member may live, cut off from the store, and
+// go on acknowledging commits.
+func (k *Keeper) withVanished(members []tracker.Member) []tracker.Member {
+	known := map[string]bool{}
+	for _, m := range members {
+		known[m.ID] = true
+	}
+	all := slices.Clone(members)
+	for id, address := range k.Roster() {
+		if !known[id] && !k.left[id] {
+			all = append(all, tracker.Member{ID: id, Group: k.Group.Name, Address: address, Leaving: true, Missing: true})
+		}
+	}
+	return all
+}
+
 // forget drops members that are no longer known.
 func (k *Keeper) forget(members []tracker.Member) {
 	for id, l := range k.links {
@@ -202,6 +251,11 @@
 	asked := k.Clock()
 	s, err := k.command(ctx, l, messenger.Command{Kind: messenger.KindStatus})
 	now := k.Clock()
+	var refused *lender.RefusedError
+	if errors.As(err, &refused) && refused.Code == messenger.CodeWrongMember {
+		// Another member has the address: this one is gone.
+		l.gone = true
+	}
 	if err != nil {
 		if l.Answered || l.FailedSince == 0 {
 			l.FailedSince = now
@@ -308,27 +362,70 @@
 		return "", errNotHeld
 	}
 	replicas, term := k.replicas(v)
-	if err := k.accounted(replicas, v.Primary); err != nil {
-		return "", err
-	}
 	if len(replicas) == 0 {
 		return "", errNoMember
 	}
+	unproved := k.accounted(replicas)
+	p := k.links[v.Primary]
+	alive := p != nil && p.Answered && p.Status.Primary
+	if unproved != nil && !alive {
+		return "", unproved
+	}
 	fence, err := k.Fence(ctx, k.roster())
 	if err != nil {
 		return "", errors.Wrap(err, "fence")
 	}
 	next := term + 1
-	to := replicas[0]
+	if unproved != nil {
+		return k.stepDown(ctx, p, replicas, next, fence)
+	}
 	if err := k.pause(ctx, replicas[1:], next); err != nil {
-		return to.ID, err
+		return "", err
 	}
-	if to, err = k.furthest(ctx, replicas, next); err != nil {
+	to, err := k.furthest(ctx, replicas, next)
+	if err != nil {
 		return "", err
 	}
 	return to.ID, k.lead(ctx, to, next, fence)
 }
 
+// stepDown moves the lead from a primary that answers while some replica does not.
+// Every acknowledged commit is on the primary. Once it has stepped down none is
+// added, so a member whose log reaches its log holds them all. If none does soon,
+// the old primary leads again.
+func (k *Keeper) stepDown(ctx context.Context, p *link, replicas []*link, next uint64, fence int64) (string, error) {
+	i := slices.IndexFunc(replicas, func(l *link) bool { return l.Answered && !l.Leaving && l.PausedSince == 0 })
+	if i < 0 {
+		return "", errNoMember
+	}
+	to := replicas[i]
+	if to.BehindSince != 0 && k.Clock()-to.BehindSince > catchUpTime {
+		return "", errors.Wrapf(errNoProof, "%s does not receive", to.ID)
+	}
+	s, err := k.command(ctx, p, messenger.Command{Kind: messenger.KindStepDown, Term: next})
+	if err != nil {
+		return "", errors.Wrap(err, "step down")
+	}
+	p.noted(k.Clock(), s)
+	k.Log("event", "stepped-down", "group", k.Group.Name, "member", p.ID, "term", next, "position", s.Received, "primary", s.Primary)
+	if s.Primary {
+		return "", errors.Errorf("%s did not step down", p.ID)
+	}
+	until := time.Now().Add(catchUpTime)
+	for !to.Status.Received.AtLeast(p.Status.Received) {
+		if time.Now().After(until) {
+			k.Log("event", "candidate-behind", "group", k.Group.Name, "member", to.ID, "position", to.Status.Received, "need", p.Status.Received)
+			to = p
+			break
+		}
+		if err := sleep(ctx, leadInterval); err != nil {
+			return "", err
+		}
+		k.ask(ctx, to)
+	}
+	return to.ID, k.lead(ctx, to, next, fence)
+}
+
 // replicas returns the members that can be promoted or must be paused, the best
 // candidate first, and the newest term seen.
 func (k *Keeper) replicas(v View) ([]*link, uint64) {
@@ -336,8 +433,10 @@
 	var list []*link
 	for _, m := range v.Members {
 		term = max(term, m.Status.Term, m.Status.Received.Term)
-		if m.ID != v.Primary {
-			list = append(list, k.links[m.ID])
+		l := k.links[m.ID]
+		// A primary that has stepped down is a replica like the others.
+		if (m.ID != v.Primary || m.Answered && !m.Status.Primary) && !l.gone {
+			list = append(list, l)
 		}
 	}
 	slices.SortFunc(list, func(a, b *link) int {
@@ -357,7 +456,7 @@
 
 // accounted reports whether every replica that may hold an acknowledged commit
 // answers. Members that have said they leave hand their log on.
-func (k *Keeper) accounted(replicas []*link, primary string) error {
+func (k *Keeper) accounted(replicas []*link) error {
 	if k.Synchronous() == 0 {
 		return nil
 	}
@@ -369,24 +468,18 @@
 			return errors.Wrapf(errUncertain, "%s", l.ID)
 		}
 	}
-	for _, id := range k.Roster() {
-		if id != primary && k.links[id] == nil && !k.left[id] {
-			return errors.Wrapf(errNoProof, "%s is gone", id)
-		}
-	}
 	return nil
 }
 
-// roster lists the members whose logs count.
-func (k *Keeper) roster() []string {
-	var ids []string
+// roster lists the members whose logs count, with their addresses.
+func (k *Keeper) roster() map[string]string {
+	all := map[string]string{}
 	for id, l := range k.links {
-		if !l.Leaving {
-			ids = append(ids, id)
+		if !k.left[id] {
+			all[id] = l.Address
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	return all
 }
 
 // pause stops members from receiving the log until the next term.
@@ -462,6 +555,9 @@
 			if err != nil && k.Refused(err) {
 				return err
 			}
+			if err != nil {
+				k.Spend()
+			}
 			ordered = err == nil
 		}
 		k.ask(ctx, to)
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -40,6 +40,8 @@
 	KindPause
 	// KindResume has a paused replica receive again.
 	KindResume
+	// KindStepDown makes the primary of an older term a replica.
+	KindStepDown
 )
 
 // State is where a connection stands between statements.
@@ -190,7 +192,7 @@
 		AppendEnd(b []byte) []byte
 		AppendCommand(b []byte, c Command) []byte
 		Replies(from io.Reader) Replies
-		// Status decodes the answer to KindStatus, KindPause and KindResume.
+		// Status decodes the answer to KindStatus and to the orders.
 		Status(r Reply) (Status, error)
 	}
 
--- a/internal/tracker/model.go
+++ b/internal/tracker/model.go
@@ -64,6 +64,8 @@
 		Slots int
 		// Leaving members end soon and take no new work.
 		Leaving bool
+		// Missing members have vanished without saying that they leave.
+		Missing bool
 		// Primary is how the member sees itself.
 		Primary bool
 		// Revision is the store's at the entry's last change.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -69,7 +69,9 @@
 		duties   map[string]bool
 		outage   bool
 		restored tracker.Stamp
-		began    bool
+		// heard is when the store last answered; since, while an update is applied, the
+		// moment from which its news may stem.
+		heard, since tracker.Stamp
 	}
 
 	// entry is a member's, and what is known of its end.
@@ -171,9 +173,17 @@
 		}
 		return
 	}
+	// What a whole reading tells may have been so since the store last answered. A
+	// member that has left meanwhile must not be used for as long as if it left now.
+	now := w.Clock()
+	w.since = now
+	if u.whole && w.heard != 0 {
+		w.since = w.heard
+	}
+	w.heard = now
 	if w.outage {
 		w.outage = false
-		w.restored = w.Clock()
+		w.restored = now
 		w.Log("event", "dependency-regained", "dependency", "store")
 	}
 	changed := false
@@ -184,7 +194,6 @@
 	}
 	if u.whole {
 		changed = w.missing(seen) || changed
-		w.began = true
 	}
 	if changed || u.whole {
 		w.publish()
@@ -228,8 +237,12 @@
 		if e == nil || e.missing != 0 {
 			return false
 		}
-		e.missing = w.Clock()
-		w.Log("event", "member-missing", "member", e.ID, "group", e.Group)
+		w.Log("event", "member-missing", "member", e.ID, "group", e.Group, "said-it-leaves", e.leaving != 0)
+		if e.leaving != 0 {
+			delete(w.entries, p.Key)
+			return true
+		}
+		e.missing = w.since
 		return true
 	}
 	m, err := w.DecodeMember(p.Key, p.Value, p.Revision)
@@ -248,7 +261,7 @@
 	if !m.Leaving {
 		e.leaving = 0
 	} else if e.leaving == 0 {
-		e.leaving = w.Clock()
+		e.leaving = w.since
 	}
 	same := before.Member
 	same.Revision = m.Revision
@@ -284,7 +297,7 @@
 			delete(w.entries, key)
 			changed = true
 		} else if e.missing != 0 && !e.Leaving && w.gone(e) {
-			e.Leaving = true
+			e.Leaving, e.Missing = true, true
 			changed = true
 		}
 	}
@@ -309,7 +322,7 @@
 	for _, e := range w.entries {
 		m := e.Member
 		if e.missing != 0 && w.gone(e) {
-			m.Leaving = true
+			m.Leaving, m.Missing = true, true
 		}
 		list = append(list, m)
 	}
