Keeper: the lead leaves an overloaded primary

The move is a planned one and holds every acknowledged commit as before; it needs 0.8 s of long queue, a replica without one, and 8 s since the last change. A member that refuses a connection since it is full lives: it no longer counts as silent. A keeper that has not seen a primary starts from the registered one.

--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -28,6 +28,19 @@
 	// headlessAfter is for how long no member must lead: longer than a promotion that
 	// another instance has ordered takes to show, 600 to 1,000 ms.
 	headlessAfter = 2 * time.Second
+	// overloadedAfter is for how long the primary must have had a long queue while a
+	// replica had none: longer than the bursts of a calm day, and short against the
+	// seconds that a member stays slow.
+	overloadedAfter = 800 * time.Millisecond
+	// queueFactor is how many statements a slot must have for the queue to be long. At
+	// three, a statement waits twice as long as it runs.
+	queueFactor = 3
+	// movePause is the least time between the last change of the lead and one that
+	// only evens out load: open transactions are rolled back by each.
+	movePause = 8 * time.Second
+	// lingerTime is how long members keep connections whose other end has lost power.
+	// An instance that has just started may find a member full of those.
+	lingerTime = 3500 * time.Millisecond
 	// strayPause is for how long a replica must have been paused while nobody changes
 	// the primary, before it is resumed.
 	strayPause = time.Second
@@ -41,12 +54,16 @@
 		Answered bool
 		// Refused is set when a new connection was refused rather than unanswered.
 		Refused bool
+		// Full is set when the member said that it takes no more connections: it lives.
+		Full bool
 		// FailedSince is when it first did not answer, since it last did.
 		FailedSince tracker.Stamp
 		Status      messenger.Status
 		// BehindSince is since when the replica has stood still at a position that the
 		// primary has passed, 0 when it does not; PausedSince since when it is paused.
 		BehindSince, PausedSince tracker.Stamp
+		// OverloadedSince is since when the member's queue is long, 0 when it is not.
+		OverloadedSince tracker.Stamp
 	}
 
 	// View is what the holder of a duty knows of its group.
@@ -59,6 +76,8 @@
 		HeadlessSince tracker.Stamp
 		// Ordered is when a promotion was last ordered.
 		Ordered tracker.Stamp
+		// Booted is when this process started.
+		Booted tracker.Stamp
 	}
 
 	// Reason says why the lead is moved.
@@ -81,6 +100,7 @@
 	ReasonLeaving    Reason = "primary-leaving"
 	ReasonStandstill Reason = "replicas-standing-still"
 	ReasonHeadless   Reason = "nobody-leads"
+	ReasonOverloaded Reason = "primary-overloaded"
 )
 
 // Decide says whether the lead should move.
@@ -97,6 +117,12 @@
 		}
 		return Verdict{}
 	}
+	if p.Full {
+		if full(v, p) {
+			return Verdict{Move: ReasonOverloaded}
+		}
+		return Verdict{}
+	}
 	if !p.Answered {
 		return Verdict{Move: lost(v, p)}
 	}
@@ -106,9 +132,45 @@
 	if standstill(v, p) {
 		return Verdict{Move: ReasonStandstill}
 	}
+	if overloaded(v, p) {
+		return Verdict{Move: ReasonOverloaded}
+	}
 	return Verdict{Resume: strays(v)}
 }
 
+// overloaded reports whether the primary can't keep up while a replica could.
+//
+// Two patterns of load bring this about. The primary's machine is slow: all writes
+// and transactions wait there. Or the replicas apply the log so late that no read
+// may go to them: then all reads come to the primary; with the lead at one of the
+// late replicas, the old primary answers reads as a replica that isn't late.
+func overloaded(v View, p *Observation) bool {
+	if p.OverloadedSince == 0 || v.Now-p.OverloadedSince < overloadedAfter {
+		return false
+	}
+	return mayRelieve(v, p)
+}
+
+// full reports whether the primary has had no place for a connection for too long,
+// while a replica has little to do.
+func full(v View, p *Observation) bool {
+	return v.Now-p.FailedSince >= overloadedAfter && v.Now-v.Booted > lingerTime && mayRelieve(v, p)
+}
+
+// mayRelieve reports whether a replica could take the lead over from an overloaded
+// primary, and the last change is long enough ago.
+func mayRelieve(v View, p *Observation) bool {
+	if v.Ordered != 0 && v.Now-v.Ordered < movePause {
+		return false
+	}
+	for _, m := range v.Members {
+		if m.ID != p.ID && m.Answered && !m.Leaving && m.BehindSince == 0 && m.Status.Busy <= m.Slots {
+			return true
+		}
+	}
+	return false
+}
+
 // lost says why a primary that did not answer is given up, if it is.
 func lost(v View, p *Observation) Reason {
 	failing := v.Now - p.FailedSince
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -68,6 +68,8 @@
 		Refused func(error) bool
 		// Synchronous is how many replicas hold a commit before it is acknowledged.
 		Synchronous func() int
+		// Booted is when this process started.
+		Booted tracker.Stamp
 		// Changed is told that the lead has moved.
 		Changed func()
 		Log     func(fields ...any)
@@ -237,7 +239,10 @@
 
 func (k *Keeper) view() View {
 	now := k.Clock()
-	v := View{Now: now, Ordered: k.ordered}
+	v := View{Now: now, Ordered: k.ordered, Booted: k.Booted}
+	if k.primary == "" {
+		k.primary = k.Group.Primary()
+	}
 	var term uint64
 	for _, l := range k.links {
 		if l.Answered && l.Status.Primary && l.Status.Term > term {
@@ -268,10 +273,9 @@
 	s, err := k.command(ctx, l, messenger.Command{Kind: messenger.KindStatus})
 	now := k.Clock()
 	var refused *lender.RefusedError
-	if errors.As(err, &refused) && refused.Code == messenger.CodeWrongMember {
-		// Another member has the address: this one is gone.
-		l.gone = true
-	}
+	l.Full = errors.As(err, &refused) && refused.Code == messenger.CodeTooManyConnections
+	// When another member has the address, this one is gone.
+	l.gone = l.gone || refused != nil && refused.Code == messenger.CodeWrongMember
 	if err != nil {
 		if l.Answered || l.FailedSince == 0 {
 			l.FailedSince = now
@@ -296,7 +300,13 @@
 	case l.PausedSince == 0:
 		l.PausedSince = now
 	}
-	l.Answered, l.Refused, l.FailedSince, l.Status = true, false, 0, s
+	switch long := queueFactor * max(1, l.Slots); {
+	case s.Busy < long:
+		l.OverloadedSince = 0
+	case l.OverloadedSince == 0:
+		l.OverloadedSince = now
+	}
+	l.Answered, l.Refused, l.Full, l.FailedSince, l.Status = true, false, false, 0, s
 }
 
 // compare notes since when the member stands still behind the primary.
@@ -377,13 +387,13 @@
 	if !k.Holds(changeTime) {
 		return "", errNotHeld
 	}
-	replicas, term := k.replicas(v)
+	p := k.links[v.Primary]
+	alive := p != nil && p.Answered && p.Status.Primary
+	replicas, term := k.replicas(v, alive)
 	if len(replicas) == 0 {
 		return "", errNoMember
 	}
 	unproved := k.accounted(replicas)
-	p := k.links[v.Primary]
-	alive := p != nil && p.Answered && p.Status.Primary
 	if unproved != nil && !alive {
 		return "", unproved
 	}
@@ -398,7 +408,7 @@
 	if err := k.pause(ctx, replicas[1:], next); err != nil {
 		return "", err
 	}
-	to, err := k.furthest(ctx, replicas, next)
+	to, err := k.furthest(ctx, replicas, next, alive)
 	if err != nil {
 		return "", err
 	}
@@ -443,8 +453,10 @@
 }
 
 // replicas returns the members that can be promoted or must be paused, the best
-// candidate first, and the newest term seen.
-func (k *Keeper) replicas(v View) ([]*link, uint64) {
+// candidate first, and the newest term seen. While the primary lives, every replica
+// that receives is as good as another, and the least late one is best; else the one
+// with the furthest log is.
+func (k *Keeper) replicas(v View, alive bool) ([]*link, uint64) {
 	var term uint64
 	var list []*link
 	for _, m := range v.Members {
@@ -462,10 +474,10 @@
 			}
 			return -1
 		}
-		if c := b.Status.Received.Compare(a.Status.Received); c != 0 {
-			return c
+		if alive && a.BehindSince == 0 && b.BehindSince == 0 {
+			return int(a.Status.LagMillis - b.Status.LagMillis)
 		}
-		return int(a.Status.LagMillis - b.Status.LagMillis)
+		return b.Status.Received.Compare(a.Status.Received)
 	})
 	return list, term
 }
@@ -530,19 +542,28 @@
 // furthest returns the member to promote, once the replicas but the first are
 // paused: the first, when its log reaches theirs. Otherwise the first is paused too,
 // so that no log moves any more, and the one with the furthest log is taken.
-func (k *Keeper) furthest(ctx context.Context, replicas []*link, next uint64) (*link, error) {
+func (k *Keeper) furthest(ctx context.Context, replicas []*link, next uint64, alive bool) (*link, error) {
 	first := replicas[0]
-	s, err := k.command(ctx, first, messenger.Command{Kind: messenger.KindStatus})
-	if err != nil {
-		return nil, errors.Wrapf(err, "ask %s", first.ID)
-	}
-	first.noted(k.Clock(), s)
 	var most orderer.Position
 	for _, l := range replicas[1:] {
 		most = orderer.Max(most, l.Status.Received)
 	}
-	if s.Received.AtLeast(most) {
-		return first, nil
+	until := time.Now().Add(catchUpTime)
+	for {
+		s, err := k.command(ctx, first, messenger.Command{Kind: messenger.KindStatus})
+		if err != nil {
+			return nil, errors.Wrapf(err, "ask %s", first.ID)
+		}
+		first.noted(k.Clock(), s)
+		if s.Received.AtLeast(most) {
+			return first, nil
+		}
+		if !alive || time.Now().After(until) {
+			break
+		}
+		if err := sleep(ctx, leadInterval); err != nil {
+			return nil, err
+		}
 	}
 	if err := k.pauseOne(ctx, first, next); err != nil {
 		return nil, err
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -69,6 +69,7 @@
 		register      *reporter.Register
 		configuration atomic.Pointer[tracker.Configuration]
 		leaving       atomic.Bool
+		booted        tracker.Stamp
 		belief        *journaler.Kind
 
 		mutex    sync.Mutex
@@ -117,7 +118,7 @@
 }
 
 func (i *Instance) prepare(ctx context.Context) {
-	i.ctx = ctx
+	i.ctx, i.booted = ctx, i.Clock()
 	i.belief = i.Journal.Kind("belief")
 	i.register = &reporter.Register{}
 	i.metrics, _ = i.register.Open(map[string]string{reporter.TagInstance: i.Settings.Name})
@@ -254,8 +255,8 @@
 			c := i.configuration.Load()
 			return c.Groups[group].SyncReplicas
 		},
-		Changed: b.Pool.Changed,
-		Log:     i.Journal.Kind("duty").Log,
+		Booted: i.booted, Changed: b.Pool.Changed,
+		Log: i.Journal.Kind("duty").Log,
 	}
 	return k.Run(ctx)
 }
