Pool: spares go after 150 ms, connections are opened after 25 ms of waiting

Cause: of 17 connections at a primary 11 were idle, 9 of them the one that each instance keeps (counted in a trial with a log of each pool every second).

--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -30,12 +30,12 @@
 	// spareFor is how long a connection beyond the kept ones may idle. What is held
 	// idle here is missing elsewhere: when all instances lose power, the members keep
 	// the old connections for 3 s, and the new ones find only what was free.
-	spareFor = 400 * time.Millisecond
+	spareFor = 150 * time.Millisecond
 	// tendInterval is how often idle connections are looked through.
-	tendInterval = 100 * time.Millisecond
+	tendInterval = 50 * time.Millisecond
 	// growAfter is how long a request waits for a lent connection before another is
 	// opened: a loan is 20 to 40 ms, a new connection 12 to 50.
-	growAfter = 15 * time.Millisecond
+	growAfter = 25 * time.Millisecond
 	// largestPart is the part of a member's connections that one instance may hold.
 	// A hot instance gets several times the mean, and can't take all.
 	largestPart = 0.5
