--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// observeInterval is how often members are asked.
-	observeInterval = 150 * time.Millisecond
+	// observeInterval is how often the primary is asked, and every member while
+	// something is out of order. Each question takes a slot for a moment.
+	observeInterval = 200 * time.Millisecond
+	// calmInterval is how often replicas are asked while all is well.
+	calmInterval = 800 * time.Millisecond
 	// askTimeout bounds a question, and the opening of a connection for one.
 	askTimeout = 400 * time.Millisecond
 	// leadTimeout is how long a promotion may take to show: the users' members take
@@ -90,6 +93,8 @@
 
 	link struct {
 		conn *lender.Conn
+		// askedAt is when it was last asked.
+		askedAt tracker.Stamp
 		// gone is set when another member answers at the address.
 		gone bool
 		Observation
@@ -199,7 +204,9 @@
 		if m.Leaving && !m.Missing {
 			k.left[m.ID] = true
 		}
-		asked.Go(func() { k.ask(ctx, l) })
+		if k.due(l) {
+			asked.Go(func() { k.ask(ctx, l) })
+		}
 	}
 	asked.Wait()
 	for id, l := range k.links {
@@ -210,6 +217,17 @@
 	return k.view()
 }
 
+// due reports whether a member is to be asked now. Replicas that answer need it
+// seldom while the primary is well.
+func (k *Keeper) due(l *link) bool {
+	if l.ID == k.primary || !l.Answered || l.PausedSince != 0 {
+		return true
+	}
+	p := k.links[k.primary]
+	calm := p != nil && p.Answered && p.Status.Primary && !p.Leaving && p.OverloadedSince == 0 && l.BehindSince == 0
+	return !calm || k.Clock()-l.askedAt >= calmInterval
+}
+
 // withVanished adds the members of the roster that are no longer registered and
 // have not said that they leave. Such a member may live, cut off from the store, and
 // go on acknowledging commits.
@@ -270,6 +288,7 @@
 // fresh one: a connection can go silent while the member lives.
 func (k *Keeper) ask(ctx context.Context, l *link) {
 	asked := k.Clock()
+	l.askedAt = asked
 	s, err := k.command(ctx, l, messenger.Command{Kind: messenger.KindStatus})
 	now := k.Clock()
 	var refused *lender.RefusedError
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -32,6 +32,9 @@
 	goneKept = 5 * time.Second
 	// leavingKept is the same for a member that said it leaves.
 	leavingKept = 6 * time.Second
+	// gatherTime is the pause after news, in which more may come: at a start each of
+	// 9 members registers, and without the pause each wakes every instance.
+	gatherTime = 60 * time.Millisecond
 	// tickInterval is how often these times are looked at.
 	tickInterval = 200 * time.Millisecond
 )
@@ -151,6 +154,9 @@
 		pause = firstPause
 		if whole || len(u.pairs) > 0 {
 			revision = next
+			if err := sleep(ctx, gatherTime); err != nil {
+				return err
+			}
 		}
 		whole = false
 	}
