Keeper: a replica that joins during a change can no longer acknowledge past the candidate

The replicas had been listed before; the new one was not paused and acknowledged commit 2.501, which had not reached the candidate when it took over. Ruled out: the candidate not receiving (it stood one commit back), the order of candidates, late orders. Now the list is read again after each pause, members that show while a promotion is under way are paused, and an old primary that lives steps down at 0.6 of the time that a promotion takes, so that the candidate has the last commit. Orders of an earlier holder, or without an answer, are closed by naming the primary under a new fence before any replica is resumed. Silence counts from the question on.

--- /dev/null
+++ b/internal/elector/change.go
@@ -0,0 +1,400 @@
+package elector
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/pkg/orderer"
+)
+
+const (
+	// leadTimeout is how long a promotion may take to show: the users' members take
+	// 600 to 1,000 ms.
+	leadTimeout = 4 * time.Second
+	// leadInterval is how often the promoted member is asked meanwhile.
+	leadInterval = 40 * time.Millisecond
+	// changeTime is how long the duty must still be held when a change begins: for its
+	// questions and the first order.
+	changeTime = time.Second
+	// lateOrders is how long an order without an answer may still be carried out:
+	// members do it up to 12 s later.
+	lateOrders = 13 * time.Second
+	// catchUpTime is how long a candidate may take to reach another member's log: a
+	// few network trips.
+	catchUpTime = 300 * time.Millisecond
+	// stepDownPart is the part of a promotion's usual time after which the old primary
+	// steps down. What is left, 240 to 400 ms, is enough for the order, 24 ms, and for
+	// the candidate to receive the last commits, 12 ms; writes wait for so long.
+	stepDownPart = 0.6
+	// pauseRounds bounds how often members that have joined meanwhile are paused.
+	pauseRounds = 5
+)
+
+var (
+	errNoProof   = errors.New("not every replica answers: an acknowledged commit might be lost")
+	errNoMember  = errors.New("no member to promote")
+	errNotHeld   = errors.New("duty is not surely held")
+	errNotLead   = errors.New("the promoted member does not lead")
+	errUncertain = errors.New("a replica may be resumed by an order sent before")
+	errJoining   = errors.New("members keep joining")
+)
+
+// move is one change of the lead under way.
+type move struct {
+	// old is the primary if it answers, nil otherwise.
+	old *link
+	to  *link
+	// term is the one that the new primary will lead.
+	term  uint64
+	fence int64
+	// stepped is set once the old primary leads no more.
+	stepped bool
+}
+
+// change moves the lead to the member that holds every acknowledged commit.
+//
+// A commit is acknowledged once a replica has received it. With all replicas but
+// the candidate paused, whatever is acknowledged later is on the candidate. A
+// candidate whose log then reaches every paused one holds what was acknowledged
+// before as well, since there is one order of commits. So nothing is lost whether
+// the old primary is dead, cut off or alive.
+//
+// A replica that joins meanwhile could acknowledge a commit that is still on its
+// way to the candidate. So new members are paused as they show, and an old primary
+// that lives steps down shortly before the new one leads.
+func (k *Keeper) change(ctx context.Context, v View) (string, error) {
+	if !k.Holds(changeTime) {
+		return "", errNotHeld
+	}
+	m := &move{}
+	if p := k.links[v.Primary]; p != nil && p.Answered && p.Status.Primary {
+		m.old = p
+	}
+	replicas, term := k.replicas(v, m.old != nil)
+	if len(replicas) == 0 {
+		return "", errNoMember
+	}
+	unproved := k.accounted(replicas)
+	if unproved != nil && m.old == nil {
+		return "", unproved
+	}
+	fence, err := k.Fence(ctx, k.roster())
+	if err != nil {
+		return "", errors.Wrap(err, "fence")
+	}
+	m.fence, m.term, m.to = fence, term+1, replicas[0]
+	if unproved != nil {
+		err = k.takeOver(ctx, m, replicas)
+	} else {
+		err = k.gather(ctx, m, replicas)
+	}
+	if err != nil {
+		return "", err
+	}
+	return m.to.ID, k.lead(ctx, m)
+}
+
+// gather sees to it that the candidate will hold every acknowledged commit: the other
+// replicas are paused, those too that join meanwhile, and the candidate's log reaches
+// theirs.
+func (k *Keeper) gather(ctx context.Context, m *move, replicas []*link) error {
+	others := replicas[1:]
+	for range pauseRounds {
+		if err := k.pause(ctx, others, m.term); err != nil {
+			return err
+		}
+		joined := k.list()
+		if len(joined) == 0 {
+			return k.furthest(ctx, m, replicas)
+		}
+		replicas, others = append(replicas, joined...), joined
+	}
+	return errJoining
+}
+
+// takeOver moves the lead while some replica does not answer and the primary does.
+// Every acknowledged commit is on the primary. Once it has stepped down none is
+// added, so a member whose log reaches its log holds them all. If none does soon,
+// the old primary leads again.
+func (k *Keeper) takeOver(ctx context.Context, m *move, replicas []*link) error {
+	i := slices.IndexFunc(replicas, func(l *link) bool { return l.Answered && !l.Leaving && l.PausedSince == 0 })
+	if i < 0 {
+		return errNoMember
+	}
+	m.to = replicas[i]
+	if m.to.BehindSince != 0 && k.Clock()-m.to.BehindSince > catchUpTime {
+		return errors.Wrapf(errNoProof, "%s does not receive", m.to.ID)
+	}
+	if err := k.stepDown(ctx, m); err != nil {
+		return err
+	}
+	until := time.Now().Add(catchUpTime)
+	for !m.to.Status.Received.AtLeast(m.old.Status.Received) {
+		if time.Now().After(until) {
+			k.Log("event", "candidate-behind", "group", k.Group.Name, "member", m.to.ID, "position", m.to.Status.Received, "need", m.old.Status.Received)
+			m.to = m.old
+			return nil
+		}
+		if err := sleep(ctx, leadInterval); err != nil {
+			return err
+		}
+		k.ask(ctx, m.to)
+	}
+	return nil
+}
+
+// stepDown has the old primary lead no more.
+func (k *Keeper) stepDown(ctx context.Context, m *move) error {
+	m.stepped = true
+	s, err := k.command(ctx, m.old, messenger.Command{Kind: messenger.KindStepDown, Term: m.term})
+	if err != nil {
+		return errors.Wrap(err, "step down")
+	}
+	m.old.noted(k.Clock(), s)
+	k.Log("event", "stepped-down", "group", k.Group.Name, "member", m.old.ID, "term", m.term, "position", s.Received, "primary", s.Primary)
+	if s.Primary {
+		return errors.Errorf("%s did not step down", m.old.ID)
+	}
+	return nil
+}
+
+// replicas returns the members that can be promoted or must be paused, the best
+// candidate first, and the newest term seen. While the primary lives, every replica
+// that receives is as good as another, and the least late one is best; else the one
+// with the furthest log is.
+func (k *Keeper) replicas(v View, alive bool) ([]*link, uint64) {
+	var term uint64
+	var list []*link
+	for _, m := range v.Members {
+		term = max(term, m.Status.Term, m.Status.Received.Term)
+		l := k.links[m.ID]
+		// A primary that has stepped down is a replica like the others.
+		if (m.ID != v.Primary || m.Answered && !m.Status.Primary) && !l.gone {
+			list = append(list, l)
+		}
+	}
+	slices.SortFunc(list, func(a, b *link) int {
+		if a.Leaving != b.Leaving {
+			if a.Leaving {
+				return 1
+			}
+			return -1
+		}
+		if alive && a.BehindSince == 0 && b.BehindSince == 0 {
+			return int(a.Status.LagMillis - b.Status.LagMillis)
+		}
+		return b.Status.Received.Compare(a.Status.Received)
+	})
+	return list, term
+}
+
+// accounted reports whether every replica that may hold an acknowledged commit
+// answers. Members that have said they leave hand their log on.
+func (k *Keeper) accounted(replicas []*link) error {
+	if k.Synchronous() == 0 {
+		return nil
+	}
+	for _, l := range replicas {
+		if !l.Answered {
+			return errors.Wrapf(errNoProof, "%s", l.ID)
+		}
+		if k.Clock() < k.uncertain[l.ID] {
+			return errors.Wrapf(errUncertain, "%s", l.ID)
+		}
+	}
+	return nil
+}
+
+// roster lists the members whose logs count, with their addresses.
+func (k *Keeper) roster() map[string]string {
+	all := map[string]string{}
+	for id, l := range k.links {
+		if !k.left[id] {
+			all[id] = l.Address
+		}
+	}
+	return all
+}
+
+// pause stops members from receiving the log until the next term.
+func (k *Keeper) pause(ctx context.Context, members []*link, next uint64) error {
+	results := make([]error, len(members))
+	var asked sync.WaitGroup
+	for i, l := range members {
+		asked.Go(func() { results[i] = k.pauseOne(ctx, l, next) })
+	}
+	asked.Wait()
+	for _, err := range results {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (k *Keeper) pauseOne(ctx context.Context, l *link, next uint64) error {
+	s, err := k.command(ctx, l, messenger.Command{Kind: messenger.KindPause, Term: next})
+	if err != nil {
+		return errors.Wrapf(err, "pause %s", l.ID)
+	}
+	l.noted(k.Clock(), s)
+	k.Log("event", "paused", "group", k.Group.Name, "member", l.ID, "term", next, "position", s.Received, "paused-for", s.PausedFor)
+	if s.PausedFor != next {
+		return errors.Errorf("pause %s: it is paused for term %d, not %d", l.ID, s.PausedFor, next)
+	}
+	return nil
+}
+
+// furthest chooses the member to promote, once the replicas but the first are
+// paused: the first, when its log reaches theirs. Otherwise the first is paused too,
+// so that no log moves any more, and the one with the furthest log is taken.
+func (k *Keeper) furthest(ctx context.Context, m *move, replicas []*link) error {
+	first := replicas[0]
+	var most orderer.Position
+	for _, l := range replicas[1:] {
+		most = orderer.Max(most, l.Status.Received)
+	}
+	until := time.Now().Add(catchUpTime)
+	for {
+		s, err := k.command(ctx, first, messenger.Command{Kind: messenger.KindStatus})
+		if err != nil {
+			return errors.Wrapf(err, "ask %s", first.ID)
+		}
+		first.noted(k.Clock(), s)
+		if s.Received.AtLeast(most) {
+			return nil
+		}
+		if m.old == nil || time.Now().After(until) {
+			break
+		}
+		if err := sleep(ctx, leadInterval); err != nil {
+			return err
+		}
+	}
+	if err := k.pauseOne(ctx, first, m.term); err != nil {
+		return err
+	}
+	for _, l := range replicas[1:] {
+		if l.Status.Received.Compare(m.to.Status.Received) > 0 {
+			m.to = l
+		}
+	}
+	return nil
+}
+
+// lead orders the promotion and waits until it shows.
+func (k *Keeper) lead(ctx context.Context, m *move) error {
+	until := time.Now().Add(leadTimeout)
+	var answered time.Time
+	for time.Now().Before(until) {
+		if !k.Holds(askTimeout) {
+			return errNotHeld
+		}
+		if answered.IsZero() {
+			if err := k.order(ctx, m); err == nil {
+				answered = time.Now()
+			} else if k.Refused(err) {
+				return err
+			}
+		}
+		k.stopJoining(ctx, m)
+		if m.old != nil && !m.stepped && !answered.IsZero() && time.Since(answered) >= k.stepDownAfter() {
+			if err := k.stepDown(ctx, m); err != nil {
+				k.Log("event", "step-down-failed", "group", k.Group.Name, "member", m.old.ID, "cause", err)
+			}
+		}
+		k.ask(ctx, m.to)
+		if m.to.Answered && m.to.Status.Primary && m.to.Status.Term >= m.term {
+			k.leads(m, answered)
+			return nil
+		}
+		if err := sleep(ctx, leadInterval); err != nil {
+			return err
+		}
+	}
+	return errNotLead
+}
+
+// stepDownAfter is how long after the order the old primary steps down: at once
+// while it is not known how long a promotion takes here.
+func (k *Keeper) stepDownAfter() time.Duration {
+	return max(0, time.Duration(stepDownPart*float64(k.Took()))-leadInterval)
+}
+
+// order sends the order to promote.
+func (k *Keeper) order(ctx context.Context, m *move) error {
+	k.ordered, k.open = k.Clock(), true
+	err := k.Promote(ctx, k.Group.Name, m.to.ID, m.fence)
+	k.Log("event", "promotion-ordered", "group", k.Group.Name, "member", m.to.ID, "term", m.term, "fence", m.fence, "outcome", outcome(err))
+	if err != nil && !k.Refused(err) {
+		k.Spend()
+	}
+	return err
+}
+
+// stopJoining pauses members that have joined since the others were paused.
+func (k *Keeper) stopJoining(ctx context.Context, m *move) {
+	joined := k.list()
+	if len(joined) == 0 {
+		return
+	}
+	if err := k.pause(ctx, joined, m.term); err != nil {
+		k.Log("event", "joined-not-paused", "group", k.Group.Name, "cause", err)
+	}
+}
+
+// leads takes in that the promoted member leads.
+func (k *Keeper) leads(m *move, answered time.Time) {
+	k.primary = m.to.ID
+	for _, l := range k.links {
+		l.BehindSince = 0
+	}
+	if !answered.IsZero() {
+		k.open, k.unrecorded = false, true
+		k.NoteTook(time.Since(answered))
+	}
+}
+
+// closeOrder makes sure that no earlier order to promote is carried out any more. It
+// could come seconds later, when replicas have gone on without the member that it
+// names. Naming the present primary under a new fence changes nothing but the fence,
+// also when the platform refuses it.
+func (k *Keeper) closeOrder(ctx context.Context) {
+	p := k.links[k.primary]
+	if p == nil || !p.Answered || !p.Status.Primary || !k.Holds(changeTime) {
+		return
+	}
+	fence, err := k.Fence(ctx, k.roster())
+	if err != nil {
+		k.Log("event", "order-not-closed", "group", k.Group.Name, "cause", err)
+		return
+	}
+	err = k.Promote(ctx, k.Group.Name, p.ID, fence)
+	k.Log("event", "order-closed", "group", k.Group.Name, "primary", p.ID, "fence", fence, "outcome", outcome(err))
+	if err == nil || k.Refused(err) {
+		k.open = false
+		return
+	}
+	k.Spend()
+}
+
+// resume has a replica receive again after a change that came to nothing. Without an
+// answer the order may take effect later, in the middle of another change, where the
+// replica's standstill is relied upon: so no change begins until that is past.
+func (k *Keeper) resume(ctx context.Context, id string) {
+	l := k.links[id]
+	if l == nil || !k.Holds(changeTime) {
+		return
+	}
+	s, err := k.commandOnce(ctx, l, messenger.Command{Kind: messenger.KindResume})
+	k.Log("event", "resumed", "group", k.Group.Name, "member", id, "outcome", outcome(err))
+	if err != nil {
+		k.uncertain[id] = k.Clock() + lateOrders
+		return
+	}
+	l.noted(k.Clock(), s)
+}
--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -17,10 +17,10 @@
 	// that is gone refuses at once; a restart that was seen in between would be
 	// answered by a process that has its log.
 	refusedAfter = 200 * time.Millisecond
-	// silentAfter is for how long a member must have been silent on an old and on new
-	// connections. Shorter than 700 ms took slow members for dead ones in trials of
-	// the promoter for PostgreSQL, which waits 1.1 s.
-	silentAfter = 900 * time.Millisecond
+	// silentAfter is for how long a member must have been silent on an old and on two
+	// new connections, from when it was asked. A member that is only slow loses the
+	// lead unharmed: the change needs no proof that it is dead.
+	silentAfter = 800 * time.Millisecond
 	// standstillAfter is for how long the primary must have moved on without any
 	// replica: its commits are not acknowledged meanwhile. Replicas receive within a
 	// network trip, at most 12 ms one way.
@@ -112,7 +112,7 @@
 		}
 	}
 	if p == nil || p.Answered && !p.Status.Primary {
-		if v.HeadlessSince != 0 && v.Now-v.HeadlessSince > headlessAfter && v.Now-v.Ordered > headlessAfter {
+		if v.HeadlessSince != 0 && anyAnswered(v) && v.Now-v.HeadlessSince > headlessAfter && v.Now-v.Ordered > headlessAfter {
 			return Verdict{Move: ReasonHeadless}
 		}
 		return Verdict{}
@@ -171,6 +171,15 @@
 	return false
 }
 
+func anyAnswered(v View) bool {
+	for _, m := range v.Members {
+		if m.Answered {
+			return true
+		}
+	}
+	return false
+}
+
 // lost says why a primary that did not answer is given up, if it is.
 func lost(v View, p *Observation) Reason {
 	failing := v.Now - p.FailedSince
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -79,6 +79,8 @@
 		// Members gives the address of each member whose log may hold acknowledged
 		// commits.
 		Members map[string]string `json:"members"`
+		// Took is how long the last promotion took to show, in milliseconds.
+		Took int64 `json:"promotion-ms"`
 	}
 )
 
@@ -102,7 +104,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	d := e.duty(strings.TrimPrefix(p.Key, DutyPrefix))
-	if p.Revision != 0 && p.Revision < d.record.Revision {
+	if p.Revision != 0 && p.Revision <= d.record.Revision {
 		return
 	}
 	if p.Revision == 0 && d.held {
@@ -197,7 +199,7 @@
 		lease = l
 		e.mutex.Unlock()
 	}
-	value := e.encode(decode(old).Members)
+	value := e.encode(decode(old))
 	now, ok, err := e.Store.Swap(ctx, storer.Pair{Key: DutyPrefix + group, Value: value}, lease)
 	if errors.Is(err, storer.ErrLeaseLost) {
 		e.mutex.Lock()
@@ -227,8 +229,10 @@
 	go func() { d.ended <- e.Keep(keep, group, &Duty{elector: e, group: group}) }()
 }
 
-func (e *Elector) encode(members map[string]string) []byte {
-	text, err := json.Marshal(record{Holder: e.Name, Members: members})
+// encode writes a record in this instance's name.
+func (e *Elector) encode(r record) []byte {
+	r.Holder = e.Name
+	text, err := json.Marshal(r)
 	if err != nil {
 		panic("elector: record: " + err.Error())
 	}
@@ -297,7 +301,9 @@
 	p, lease, spent := e.duty(d.group).record, e.lease, e.duty(d.group).spent
 	e.mutex.Unlock()
 	old := p.Revision
-	p.Value = e.encode(roster)
+	r := decode(p.Value)
+	r.Members = roster
+	p.Value = e.encode(r)
 	now, ok, err := e.Store.Swap(ctx, p, lease)
 	if err != nil {
 		if spent || old == 0 || !d.Holds(0) {
@@ -319,6 +325,28 @@
 	return now.Revision, nil
 }
 
+// Took returns how long the group's last promotion took, 0 if that is not known.
+func (d *Duty) Took() time.Duration {
+	e := d.elector
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return time.Duration(decode(e.duty(d.group).record.Value).Took) * time.Millisecond
+}
+
+// NoteTook keeps how long a promotion took, if none was seen to be shorter: under
+// load it shows late. It reaches the store with the next record of the group.
+func (d *Duty) NoteTook(took time.Duration) {
+	e := d.elector
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	x := e.duty(d.group)
+	r := decode(x.record.Value)
+	if ms := took.Milliseconds(); r.Took == 0 || ms < r.Took {
+		r.Took = ms
+	}
+	x.record.Value = e.encode(r)
+}
+
 // Spend notes that an order under the newest fence got no answer.
 func (d *Duty) Spend() {
 	e := d.elector
