Keeper: a member that leaves counts until others hold all that it may have acknowledged

Now it stays in the keeper's list until it is no longer registered, and in the roster until a replica was seen to hold all that the primary held after it had gone. With one other replica, a standstill is no reason to move: the new primary would stand alone.

--- a/internal/elector/change.go
+++ b/internal/elector/change.go
@@ -173,7 +173,7 @@
 		term = max(term, m.Status.Term, m.Status.Received.Term)
 		l := k.links[m.ID]
 		// A primary that has stepped down is a replica like the others.
-		if (m.ID != v.Primary || m.Answered && !m.Status.Primary) && !l.gone {
+		if (m.ID != v.Primary || m.Answered && !m.Status.Primary) && !k.buried[m.ID] {
 			list = append(list, l)
 		}
 	}
@@ -193,7 +193,7 @@
 }
 
 // accounted reports whether every replica that may hold an acknowledged commit
-// answers. Members that have said they leave hand their log on.
+// answers.
 func (k *Keeper) accounted(replicas []*link) error {
 	if k.Synchronous() == 0 {
 		return nil
@@ -213,7 +213,7 @@
 func (k *Keeper) roster() map[string]string {
 	all := map[string]string{}
 	for id, l := range k.links {
-		if !k.left[id] {
+		if !k.buried[id] {
 			all[id] = l.Address
 		}
 	}
--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -215,7 +215,8 @@
 			return false
 		}
 	}
-	return answered > 0
+	// With one replica, the new primary would be as alone as the old one.
+	return answered > 1
 }
 
 // strays names the replicas that a try which came to nothing has left paused.
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -71,9 +71,13 @@
 		primary       string
 		headlessSince tracker.Stamp
 		ordered       tracker.Stamp
-		// left are the members that have said they leave, or are surely gone: their
-		// logs count no more.
+		// left are the members that have said they leave, or whose address another has:
+		// they are gone once they are no longer registered.
 		left map[string]bool
+		// known are those that are registered.
+		known map[string]bool
+		// buried are members that are gone and whose every commit others hold.
+		buried map[string]bool
 		// recorded is when the roster was last written, reported when members were last
 		// logged.
 		recorded, reported tracker.Stamp
@@ -87,8 +91,13 @@
 
 	link struct {
 		conn *lender.Conn
-		// askedAt is when it was last asked.
+		// askedAt is when it was last asked; said is what it had received then, and
+		// before it what the last but one question showed.
 		askedAt tracker.Stamp
+		said    [2]tracker.Proof
+		// covered is a moment at which the member's log held all that the primary's did;
+		// goneAt when a member that has left was first seen to be gone.
+		covered, goneAt tracker.Stamp
 		// gone is set when another member answers at the address.
 		gone bool
 		Observation
@@ -97,7 +106,8 @@
 
 // Run watches over the group until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	k.links, k.left, k.uncertain = map[string]*link{}, map[string]bool{}, map[string]tracker.Stamp{}
+	k.links, k.uncertain = map[string]*link{}, map[string]tracker.Stamp{}
+	k.left, k.buried = map[string]bool{}, map[string]bool{}
 	// The holder before may have left an order open.
 	k.open = true
 	defer k.closeLinks()
@@ -192,17 +202,42 @@
 		}
 	}
 	asked.Wait()
+	v := k.view()
+	k.bury()
+	return v
+}
+
+// bury counts members out that have left. Until a replica has been seen to hold all
+// that the primary held after they had gone, they may have acknowledged commits that
+// no replica has.
+func (k *Keeper) bury() {
+	now := k.Clock()
 	for id, l := range k.links {
-		if l.gone {
-			k.left[id] = true
+		if !l.gone && (l.Answered || k.known[id] || !k.left[id]) {
+			l.goneAt = 0
+			continue
+		}
+		if l.goneAt == 0 {
+			l.goneAt = now
+		}
+		for _, r := range k.links {
+			if r.Answered && !r.Leaving && r.covered > l.goneAt {
+				k.Log("event", "member-counted-out", "group", k.Group.Name, "member", id, "covered-by", r.ID)
+				k.buried[id] = true
+				break
+			}
 		}
 	}
-	return k.view()
 }
 
 // list takes in who the members are now, and returns those that are new.
 func (k *Keeper) list() []*link {
-	members := k.withVanished(k.Members())
+	registered := k.Members()
+	k.known = map[string]bool{}
+	for _, m := range registered {
+		k.known[m.ID] = true
+	}
+	members := k.withVanished(registered)
 	k.forget(members)
 	var joined []*link
 	for _, m := range members {
@@ -231,17 +266,13 @@
 	return !calm || k.Clock()-l.askedAt >= calmInterval
 }
 
-// withVanished adds the members of the roster that are no longer registered and
-// have not said that they leave. Such a member may live, cut off from the store, and
-// go on acknowledging commits.
+// withVanished adds the members of the roster that are no longer registered. Such a
+// member may live, cut off from the store, and go on acknowledging commits; or it has
+// left, and took the only other copy of what it acknowledged last with it.
 func (k *Keeper) withVanished(members []tracker.Member) []tracker.Member {
-	known := map[string]bool{}
-	for _, m := range members {
-		known[m.ID] = true
-	}
 	all := slices.Clone(members)
 	for id, address := range k.Roster() {
-		if !known[id] && !k.left[id] {
+		if !k.known[id] && !k.buried[id] {
 			all = append(all, tracker.Member{ID: id, Group: k.Group.Name, Address: address, Leaving: true, Missing: true})
 		}
 	}
@@ -278,6 +309,7 @@
 			l.BehindSince = 0
 		} else if p != nil {
 			l.compare(now, p.Status.Received)
+			l.cover(p)
 		}
 		v.Members = append(v.Members, l.Observation)
 	}
@@ -309,6 +341,9 @@
 		return
 	}
 	l.noted(k.Clock(), s)
+	if s.Primary {
+		l.said = [2]tracker.Proof{{At: asked, Position: s.Received}, l.said[0]}
+	}
 	if k.Group.Saw(asked, l.ID, s) {
 		k.Changed()
 	}
@@ -334,6 +369,18 @@
 	l.Answered, l.Refused, l.Full, l.FailedSince, l.Status = true, false, false, 0, s
 }
 
+// cover notes that the member's log reaches what the primary said before.
+func (l *link) cover(p *link) {
+	if !l.Answered || l.ID == p.ID {
+		return
+	}
+	for _, s := range p.said {
+		if s.At != 0 && l.Status.Received.AtLeast(s.Position) {
+			l.covered = max(l.covered, s.At)
+		}
+	}
+}
+
 // compare notes since when the member stands still behind the primary.
 func (l *link) compare(now tracker.Stamp, primary orderer.Position) {
 	switch {
--- a/internal/tracker/group.go
+++ b/internal/tracker/group.go
@@ -72,6 +72,9 @@
 	old := g.members
 	g.members = make(map[string]*member, len(list))
 	for _, m := range list {
+		if m.Expired {
+			continue
+		}
 		x, ok := old[m.ID]
 		if !ok {
 			x = &member{}
--- a/internal/tracker/model.go
+++ b/internal/tracker/model.go
@@ -64,6 +64,9 @@
 		Slots int
 		// Leaving members end soon and take no new work.
 		Leaving bool
+		// Expired members said so long ago; they are sent nothing more, but may still
+		// receive the log and acknowledge commits.
+		Expired bool
 		// Missing members have vanished without saying that they leave.
 		Missing bool
 		// Primary is how the member sees itself.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -30,7 +30,7 @@
 	// leaves, so that the primary can be moved away from it. It must be sent nothing
 	// later than 7 s after.
 	goneKept = 5 * time.Second
-	// leavingKept is the same for a member that said it leaves.
+	// leavingKept is how long a member that said it leaves may still be sent work.
 	leavingKept = 6 * time.Second
 	// gatherTime is the pause after news, in which more may come: at a start each of
 	// 9 members registers, and without the pause each wakes every instance.
@@ -263,7 +263,9 @@
 		return false
 	}
 	before := *e
+	expired := e.Expired && m.Leaving
 	e.Member, e.missing = m, 0
+	e.Expired = expired
 	if !m.Leaving {
 		e.leaving = 0
 	} else if e.leaving == 0 {
@@ -271,7 +273,7 @@
 	}
 	same := before.Member
 	same.Revision = m.Revision
-	if same == m && before.missing == 0 {
+	if same == e.Member && before.missing == 0 {
 		return false
 	}
 	w.Log("event", "member", "member", m.ID, "group", m.Group, "zone", m.Zone, "primary", m.Primary, "leaving", m.Leaving, "revision", m.Revision)
@@ -298,7 +300,12 @@
 func (w *Watcher) expire() {
 	now, changed := w.Clock(), false
 	for key, e := range w.entries {
-		if e.missing != 0 && now-w.lapsed(e) > goneKept || e.leaving != 0 && now-e.leaving > leavingKept {
+		if e.leaving != 0 && now-e.leaving > leavingKept && !e.Expired {
+			w.Log("event", "member-expired", "member", e.ID, "group", e.Group)
+			e.Expired = true
+			changed = true
+		}
+		if e.missing != 0 && now-w.lapsed(e) > goneKept {
 			w.Log("event", "member-dropped", "member", e.ID, "group", e.Group)
 			delete(w.entries, key)
 			changed = true
