Keeper: no change begins right after an order that named the present primary

Such an order waits for a promotion's time like any other, and does promote if the member leads no more by then. The change that began 0.13 s later had the old primary step down; 0.6 s after the closing order it led again in term 2, which resumed the paused replicas, and commit 2.330 was acknowledged past the candidate. Now a change waits 1.5 s after a closing order, and orders are only closed when the duty's record says that one may be open.

--- a/internal/elector/change.go
+++ b/internal/elector/change.go
@@ -30,6 +30,11 @@
 	// steps down. What is left, 240 to 400 ms, is enough for the order, 24 ms, and for
 	// the candidate to receive the last commits, 12 ms; writes wait for so long.
 	stepDownPart = 0.6
+	// closeTime is how long no change begins after an order that named the present
+	// primary. The platform carries it out when a promotion's time has passed, and then
+	// it does promote if the member leads no more: a change that had its primary step
+	// down in between was undone, its replicas resumed, and a commit was lost.
+	closeTime = 1500 * time.Millisecond
 	// pauseRounds bounds how often members that have joined meanwhile are paused.
 	pauseRounds = 5
 )
@@ -82,7 +87,7 @@
 	if unproved != nil && m.old == nil {
 		return "", unproved
 	}
-	fence, err := k.Fence(ctx, k.roster())
+	fence, err := k.Fence(ctx, k.roster(), true)
 	if err != nil {
 		return "", errors.Wrap(err, "fence")
 	}
@@ -368,15 +373,16 @@
 	if p == nil || !p.Answered || !p.Status.Primary || !k.Holds(changeTime) {
 		return
 	}
-	fence, err := k.Fence(ctx, k.roster())
+	fence, err := k.Fence(ctx, k.roster(), true)
 	if err != nil {
 		k.Log("event", "order-not-closed", "group", k.Group.Name, "cause", err)
 		return
 	}
+	k.closed = k.Clock()
 	err = k.Promote(ctx, k.Group.Name, p.ID, fence)
 	k.Log("event", "order-closed", "group", k.Group.Name, "primary", p.ID, "fence", fence, "outcome", outcome(err))
 	if err == nil || k.Refused(err) {
-		k.open = false
+		k.open, k.unrecorded = false, true
 		return
 	}
 	k.Spend()
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -79,6 +79,8 @@
 		// Members gives the address of each member whose log may hold acknowledged
 		// commits.
 		Members map[string]string `json:"members"`
+		// Open is set while an order to promote may still be carried out.
+		Open bool `json:"order-open"`
 		// Took is how long the last promotion took to show, in milliseconds.
 		Took int64 `json:"promotion-ms"`
 	}
@@ -295,14 +297,15 @@
 // every fence used before: by other holders, and by this one in a call that may
 // still be carried out. While the store doesn't answer, the fence of the last record
 // serves, if no call under it is open.
-func (d *Duty) Fence(ctx context.Context, roster map[string]string) (int64, error) {
+// open says whether an order to promote may be carried out from now on.
+func (d *Duty) Fence(ctx context.Context, roster map[string]string, open bool) (int64, error) {
 	e := d.elector
 	e.mutex.Lock()
 	p, lease, spent := e.duty(d.group).record, e.lease, e.duty(d.group).spent
 	e.mutex.Unlock()
 	old := p.Revision
 	r := decode(p.Value)
-	r.Members = roster
+	r.Members, r.Open = roster, open
 	p.Value = e.encode(r)
 	now, ok, err := e.Store.Swap(ctx, p, lease)
 	if err != nil {
@@ -325,6 +328,14 @@
 	return now.Revision, nil
 }
 
+// Open reports whether an order to promote may be carried out that was sent before.
+func (d *Duty) Open() bool {
+	e := d.elector
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return decode(e.duty(d.group).record.Value).Open
+}
+
 // Took returns how long the group's last promotion took, 0 if that is not known.
 func (d *Duty) Took() time.Duration {
 	e := d.elector
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -44,9 +44,11 @@
 		Codec   messenger.MemberCodec
 		// Holds reports whether the duty is surely held for that much longer.
 		Holds func(d time.Duration) bool
-		// Fence returns a fence above all that were used for the group. Roster is
-		// recorded with it.
-		Fence func(ctx context.Context, roster map[string]string) (int64, error)
+		// Fence returns a fence above all that were used for the group. The roster, and
+		// whether an order to promote may be open, are recorded with it; Open returns
+		// the latter.
+		Fence func(ctx context.Context, roster map[string]string, open bool) (int64, error)
+		Open  func() bool
 		// Roster returns the addresses of the members as recorded last.
 		Roster func() map[string]string
 		// Spend notes that an order under the newest fence got no answer.
@@ -85,6 +87,8 @@
 		unrecorded bool
 		// open is set while an order to promote may still be carried out late.
 		open bool
+		// closed is when the last order was sent that was to close others.
+		closed tracker.Stamp
 		// uncertain is until when a resumption without an answer may take effect.
 		uncertain map[string]tracker.Stamp
 	}
@@ -108,8 +112,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	k.links, k.uncertain = map[string]*link{}, map[string]tracker.Stamp{}
 	k.left, k.buried = map[string]bool{}, map[string]bool{}
-	// The holder before may have left an order open.
-	k.open = true
+	k.open = k.Open()
 	defer k.closeLinks()
 	t := time.NewTicker(observeInterval)
 	defer t.Stop()
@@ -142,6 +145,10 @@
 
 func (k *Keeper) act(ctx context.Context, v View) {
 	d := Decide(v)
+	if d.Move != ReasonNone && v.Now-k.closed < closeTime {
+		k.Log("event", "move-waits", "group", k.Group.Name, "reason", d.Move, "for", "the order that closed others")
+		return
+	}
 	if d.Move != ReasonNone {
 		start := k.Clock()
 		k.Log("event", "move-begins", "group", k.Group.Name, "reason", d.Move, "primary", v.Primary)
@@ -172,7 +179,7 @@
 		return
 	}
 	k.recorded, k.unrecorded = now, false
-	_, err := k.Fence(ctx, roster)
+	_, err := k.Fence(ctx, roster, k.open)
 	k.Log("event", "roster", "group", k.Group.Name, "members", len(roster), "outcome", outcome(err))
 }
 
@@ -213,7 +220,7 @@
 func (k *Keeper) bury() {
 	now := k.Clock()
 	for id, l := range k.links {
-		if !l.gone && (l.Answered || k.known[id] || !k.left[id]) {
+		if k.buried[id] || !l.gone && (l.Answered || k.known[id] || !k.left[id]) {
 			l.goneAt = 0
 			continue
 		}
