--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,320 @@
+package dispatcher_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/dispatcher"
+	"github.com/oriolegw/oriolegw/internal/lender"
+	"github.com/oriolegw/oriolegw/internal/standin/liner"
+	"github.com/oriolegw/oriolegw/internal/standin/wirer"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/oriolegw/oriolegw/platform"
+	"github.com/shoenig/test/must"
+)
+
+const (
+	address = "10.8.0.1:5000"
+	// settle is longer than the stage needs until connections are open.
+	settle = 500 * time.Millisecond
+)
+
+type (
+	// stage is one instance before one group of three members.
+	stage struct {
+		net     *wirer.Net
+		group   *liner.Group
+		server  *dispatcher.Server
+		tracked *tracker.Group
+		pool    *lender.Pool
+		clock   func() tracker.Stamp
+		callers int
+
+		mutex     sync.Mutex
+		decisions []string
+	}
+
+	// caller is a caller's connection.
+	caller struct {
+		t    *testing.T
+		conn net.Conn
+		in   *bufio.Reader
+		n    int
+		name string
+	}
+)
+
+// routes has a database for each rule.
+var routes = map[string]tracker.Route{
+	"strict":  {Database: "strict", Group: "g", Rule: tracker.RulePrimary, Timeout: time.Second, Aim: 400 * time.Millisecond},
+	"bounded": {Database: "bounded", Group: "g", Rule: tracker.RuleBounded, Staleness: 1500 * time.Millisecond, Timeout: time.Second, Aim: 800 * time.Millisecond},
+	"own":     {Database: "own", Group: "g", Rule: tracker.RuleOwnWrites, Staleness: 2500 * time.Millisecond, Timeout: time.Second, Aim: 800 * time.Millisecond},
+}
+
+// play runs an instance before a group whose replicas are late by lag.
+func play(t *testing.T, lag time.Duration, happens func(t *testing.T, s *stage)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		n := wirer.New(1)
+		n.Latency = func(_, _ *wirer.Host) time.Duration { return time.Millisecond }
+		s := &stage{net: n, group: &liner.Group{
+			Name: "g", Net: n, Travel: 2 * time.Millisecond, Lag: lag, Promotion: 600 * time.Millisecond, Connections: 20, Work: 5 * time.Millisecond,
+		}}
+		s.group.Start(ctx, "a", "b", "c")
+		begin := time.Now()
+		s.clock = func() tracker.Stamp { return time.Since(begin) + time.Hour }
+		s.tracked = &tracker.Group{Name: "g", Zone: "b", Near: func(zone string) bool { return zone == "b" }}
+		s.tracked.Members(s.group.Registered())
+		host := n.Host("10.8.0.1", "b")
+		s.pool = &lender.Pool{Group: s.tracked, Network: host, Codec: platform.Lines{}, Who: "test", Clock: s.clock}
+		s.pool.Configure(20)
+		c := &tracker.Configuration{Version: 1, Routes: routes, TransactionIdle: time.Second}
+		b := &dispatcher.Backend{Group: s.tracked, Pool: s.pool, Suspect: func(string) {}}
+		none := func(string) {}
+		s.server = &dispatcher.Server{
+			Address: address, Network: host, Codec: platform.Lines{}, Clock: s.clock,
+			Configuration: func() *tracker.Configuration { return c },
+			Backend:       func(string) *dispatcher.Backend { return b },
+			Decide:        s.decide, Trace: func(...any) {},
+			Count: none, Refused: none, Retried: none, Served: func(tracker.Route, time.Duration) {},
+		}
+		var running sync.WaitGroup
+		running.Go(func() { _ = s.pool.Run(ctx) })
+		running.Go(func() { _ = s.server.Run(ctx) })
+		defer func() {
+			cancel()
+			running.Wait()
+			s.group.Wait()
+			if t.Failed() {
+				t.Log(strings.Join(s.decisions, ""))
+			}
+		}()
+		time.Sleep(settle)
+		happens(t, s)
+	})
+}
+
+func (s *stage) decide(part string, fields ...any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.decisions = append(s.decisions, part+" "+fmt.Sprintln(fields...))
+}
+
+// call opens a session.
+func (s *stage) call(t *testing.T, database string) *caller {
+	t.Helper()
+	s.callers++
+	conn, err := s.net.Host(fmt.Sprintf("10.7.0.%d", s.callers), "b").Dial(t.Context(), address)
+	must.NoError(t, err)
+	c := &caller{t: t, conn: conn, in: bufio.NewReader(conn), name: fmt.Sprintf("c%d", s.callers)}
+	fmt.Fprintf(conn, "STARTUP %s me\r\n", database)
+	must.Eq(t, "READY I -", c.line())
+	return c
+}
+
+func (c *caller) line() string {
+	c.t.Helper()
+	line, err := c.in.ReadString('\n')
+	must.NoError(c.t, err)
+	return strings.TrimSuffix(line, "\r\n")
+}
+
+// ask sends a statement and returns its answer in one line, without the position.
+func (c *caller) ask(text string) string {
+	c.t.Helper()
+	c.n++
+	fmt.Fprintf(c.conn, "QUERY %s-%d %s\r\n", c.name, c.n, text)
+	var words []string
+	for {
+		word, rest, _ := strings.Cut(c.line(), " ")
+		switch word {
+		case "DATAROW":
+			words = append(words, rest)
+		case "ERROR":
+			code, _, _ := strings.Cut(rest, " ")
+			words = append(words, code)
+		case "READY":
+			state, _, _ := strings.Cut(rest, " ")
+			return strings.Join(append(words, state), " ")
+		}
+	}
+}
+
+// ran counts how often members have run a statement that contains a text.
+func (s *stage) ran(text string) int {
+	n := 0
+	for _, id := range []string{"g-1", "g-2", "g-3"} {
+		for _, r := range s.group.Ran(id) {
+			if strings.Contains(r, text) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// A caller writes and reads at once. Replicas apply half a second late; without a
+// floor the read would go to one and show the time before the write.
+func TestOwnWriteIsRead(t *testing.T) {
+	play(t, 500*time.Millisecond, func(t *testing.T, s *stage) {
+		c := s.call(t, "own")
+		for i := range 20 {
+			must.Eq(t, "I", c.ask(fmt.Sprintf("PUT k v%d", i)))
+			must.Eq(t, fmt.Sprintf("v%d I", i), c.ask("FETCH k"))
+		}
+	})
+}
+
+// A bounded read may be old, and is served by the replica beside the instance.
+func TestBoundedReadGoesToReplica(t *testing.T) {
+	play(t, 20*time.Millisecond, func(t *testing.T, s *stage) {
+		w := s.call(t, "strict")
+		must.Eq(t, "I", w.ask("PUT k v"))
+		time.Sleep(time.Second)
+		must.Eq(t, "v I", s.call(t, "bounded").ask("FETCH k"))
+		must.Eq(t, 1, countIn(s.group.Ran("g-2"), "FETCH k"))
+	})
+}
+
+func countIn(list []string, text string) int {
+	return len(slices.DeleteFunc(slices.Clone(list), func(x string) bool { return !strings.Contains(x, text) }))
+}
+
+// Another member leads, and others have written there, while this instance still
+// takes the old primary for the primary. Its reads run at the old one and must not be
+// passed on: the transaction around them shows that it leads no more.
+func TestOldPrimaryIsNotBelieved(t *testing.T) {
+	play(t, 0, func(t *testing.T, s *stage) {
+		c := s.call(t, "strict")
+		must.Eq(t, "I", c.ask("PUT k old"))
+		s.group.Isolate("g-1", "g-2", "g-3")
+		must.NoError(t, s.group.Promote("g-2"))
+		time.Sleep(time.Second)
+		must.Eq(t, "g-1", s.tracked.Primary())
+		must.Eq(t, "BUSY I", c.ask("FETCH k"))
+		must.Eq(t, "BUSY I", c.ask("PUT k new"))
+	})
+}
+
+// The member runs a write and its answer is lost. The caller must hear that the
+// outcome is unknown, and the write must not be sent again.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	play(t, 0, func(t *testing.T, s *stage) {
+		c := s.call(t, "strict")
+		s.group.LoseAnswers("g-1", 1)
+		must.Eq(t, "INDOUBT I", c.ask("PUT k once"))
+		must.Eq(t, 1, s.ran("PUT k once"))
+		must.Eq(t, "once I", c.ask("FETCH k"))
+	})
+}
+
+// The answer to a commit is lost: the outcome is unknown. Before the commit, the loss
+// of the connection rolls back, and the caller may be told so.
+func TestTransactionFate(t *testing.T) {
+	t.Run("commit's answer lost", func(t *testing.T) {
+		play(t, 0, func(t *testing.T, s *stage) {
+			c := s.call(t, "strict")
+			must.Eq(t, "T", c.ask("BEGIN"))
+			must.Eq(t, "T", c.ask("PUT k in"))
+			s.group.LoseAnswers("g-1", 1)
+			must.Eq(t, "INDOUBT I", c.ask("COMMIT"))
+		})
+	})
+	t.Run("primary dies before the commit", func(t *testing.T) {
+		play(t, 0, func(t *testing.T, s *stage) {
+			c := s.call(t, "strict")
+			must.Eq(t, "T", c.ask("BEGIN"))
+			must.Eq(t, "T", c.ask("PUT k in"))
+			s.group.Crash("g-1")
+			must.Eq(t, "ABORTED E", c.ask("PUT k more"))
+			must.Eq(t, "MALFORMED E", c.ask("FETCH k"))
+			must.Eq(t, "I", c.ask("ROLLBACK"))
+		})
+	})
+	t.Run("caller rests too long", func(t *testing.T) {
+		play(t, 0, func(t *testing.T, s *stage) {
+			c := s.call(t, "strict")
+			must.Eq(t, "T", c.ask("BEGIN"))
+			must.Eq(t, "T", c.ask("PUT k in"))
+			time.Sleep(2 * time.Second)
+			must.Eq(t, "ABORTED I", c.ask("COMMIT"))
+			must.Eq(t, "none I", c.ask("FETCH k"))
+		})
+	})
+	t.Run("caller leaves", func(t *testing.T) {
+		play(t, 0, func(t *testing.T, s *stage) {
+			c := s.call(t, "strict")
+			must.Eq(t, "T", c.ask("BEGIN"))
+			must.Eq(t, "T", c.ask("PUT k in"))
+			must.NoError(t, c.conn.Close())
+			time.Sleep(time.Second)
+			must.Eq(t, "none I", s.call(t, "strict").ask("FETCH k"))
+		})
+	})
+}
+
+// Two callers share a connection to the member. Session values and prepared names of
+// one must not show to the other.
+func TestSessionsDoNotMix(t *testing.T) {
+	play(t, 0, func(t *testing.T, s *stage) {
+		a, b, plain := s.call(t, "strict"), s.call(t, "strict"), s.call(t, "strict")
+		must.Eq(t, "I", a.ask("SET color red"))
+		must.Eq(t, "I", b.ask("SET color blue"))
+		must.Eq(t, "I", b.ask("SET size big"))
+		must.Eq(t, "I", a.ask("PARSE s1 FETCH one"))
+		must.Eq(t, "I", b.ask("PARSE s1 PUT two"))
+		for range 3 {
+			must.Eq(t, "none with color=red I", a.ask("EXECUTE s1 k"))
+			must.Eq(t, "I", b.ask("EXECUTE s1 other value"))
+			must.Eq(t, "none with color=blue,size=big I", b.ask("FETCH k"))
+			must.Eq(t, "none I", plain.ask("FETCH k"))
+		}
+		must.Eq(t, "MALFORMED I", plain.ask("EXECUTE s1 k"))
+	})
+}
+
+// The instance is told to end. Sessions outside a transaction are closed between two
+// statements; one inside goes on until its end.
+func TestEnd(t *testing.T) {
+	play(t, 0, func(t *testing.T, s *stage) {
+		idle, open := s.call(t, "strict"), s.call(t, "strict")
+		must.Eq(t, "T", open.ask("BEGIN"))
+		must.Eq(t, "T", open.ask("PUT k v"))
+		s.server.End(false)
+		_, err := idle.in.ReadByte()
+		must.Error(t, err)
+		time.Sleep(300 * time.Millisecond)
+		must.Eq(t, "T", open.ask("PUT k2 v"))
+		must.Eq(t, "I", open.ask("COMMIT"))
+		_, err = open.in.ReadByte()
+		must.Error(t, err)
+	})
+}
+
+// Bad input costs nobody else anything.
+func TestBadInput(t *testing.T) {
+	play(t, 0, func(t *testing.T, s *stage) {
+		good := s.call(t, "strict")
+		bad := s.call(t, "strict")
+		must.Eq(t, "MALFORMED I", bad.ask("NONSENSE"))
+		must.Eq(t, "MALFORMED I", bad.ask("BEGIN SOMETHING"))
+		must.Eq(t, "MALFORMED I", bad.ask("COMMIT"))
+		must.Eq(t, "I", bad.ask("PUT k v"))
+		must.Eq(t, "v I", good.ask("FETCH k"))
+		conn, err := s.net.Host("10.7.1.1", "b").Dial(t.Context(), address)
+		must.NoError(t, err)
+		fmt.Fprintf(conn, "STARTUP nowhere me\r\n")
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		must.NoError(t, err)
+		must.Eq(t, "ERROR NODB nowhere\r\n", line)
+	})
+}
