The test of own writes lasts longer than the replicas are late

Cause: taking the floor out left TestOwnWriteIsRead green: 20 rounds took 0.3 s, and replicas that are 0.5 s late answered none of its reads.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -170,6 +170,7 @@
 		for i := range 20 {
 			must.Eq(t, "I", c.ask(fmt.Sprintf("PUT k v%d", i)))
 			must.Eq(t, fmt.Sprintf("v%d I", i), c.ask("FETCH k"))
+			time.Sleep(200 * time.Millisecond)
 		}
 	})
 }
