Reads go on while the primary is full: the replicas' positions prove how far the log must reach

Cause: in the seconds after all instances lose power the primary is full of their old connections (3 s). An acknowledged commit was received by some replica; once all of the roster and the registered have told what they received, the furthest position holds everything. A waiting read chooses anew when a proof comes.

--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -175,20 +175,23 @@
 	x.backend.Pool.Return(c)
 }
 
-// read answers a read outside a transaction.
+// read answers a read outside a transaction. While it waits for a connection, a proof
+// may come or grow too old; so what it may do is settled when it has one.
 func (x *exchange) read(ctx context.Context) messenger.Reply {
 	for {
-		atPrimary := true
-		if x.route.Rule != tracker.RulePrimary {
-			need, ok := x.backend.Group.Need(x.arrived, x.route, x.session.floor)
-			x.need, atPrimary = need, !ok
+		c, err := x.borrow(ctx, x.freshest)
+		if err != nil {
+			return x.refuse(reasonOf(err))
 		}
 		var reply messenger.Reply
-		var again bool
-		if atPrimary {
-			reply, again = x.readPrimary(ctx)
-		} else {
-			reply, again = x.readReplica(ctx)
+		again := true
+		switch {
+		case x.fresh():
+			reply, again = x.readAfter(c)
+		case c.Member == x.backend.Group.Primary():
+			reply, again = x.readPrimary(c)
+		default:
+			x.backend.Pool.Return(c)
 		}
 		if !again {
 			return reply
@@ -196,24 +199,37 @@
 	}
 }
 
+// fresh finds out which position a log must hold to answer. It is false when only the
+// primary itself can tell.
+func (x *exchange) fresh() bool {
+	x.need = orderer.Position{}
+	if x.route.Rule == tracker.RulePrimary {
+		return false
+	}
+	need, ok := x.backend.Group.Need(x.arrived, x.route, x.session.floor)
+	x.need = need
+	return ok
+}
+
+// freshest chooses among the members that may answer a read now.
+func (x *exchange) freshest() []string {
+	if x.fresh() {
+		return x.readers()
+	}
+	return x.primary()
+}
+
 // readPrimary reads inside a transaction of its own. A member that has lost the
 // lead refuses every statement of a transaction that may write, so an answer shows
 // that the member led when it ran the read: without that, an old primary that was
 // cut off from its replicas would answer with what others have overwritten.
-func (x *exchange) readPrimary(ctx context.Context) (messenger.Reply, bool) {
-	x.need = orderer.Position{}
-	c, err := x.borrow(ctx, x.primary)
-	if err != nil {
-		return x.refuse(reasonOf(err)), false
-	}
+func (x *exchange) readPrimary(c *lender.Conn) (messenger.Reply, bool) {
 	commands, lead := x.commands(c,
 		[]messenger.Command{{Kind: messenger.KindBegin}}, []messenger.Command{{Kind: messenger.KindRollback}})
 	asked := x.session.server.Clock()
 	replies, _, err := x.send(c, commands, x.patience())
 	if err != nil {
-		x.giveUp(c, err)
-		x.backend.suspect(c.Member)
-		return x.lateRead(x.retry(c.Member, "no-answer"))
+		return x.unanswered(c, err)
 	}
 	begun, r := replies[lead-1], replies[lead]
 	if begun.Code == messenger.CodeNone {
@@ -224,24 +240,26 @@
 	return x.settleRead(c, r)
 }
 
-// readReplica reads at any member whose log holds what the read needs; the member
-// itself checks that it does.
-func (x *exchange) readReplica(ctx context.Context) (messenger.Reply, bool) {
-	c, err := x.borrow(ctx, x.readers)
-	if err != nil {
-		return x.refuse(reasonOf(err)), false
-	}
+// readAfter reads at a member whose log holds what the read needs; the member itself
+// checks that it does.
+func (x *exchange) readAfter(c *lender.Conn) (messenger.Reply, bool) {
 	commands, lead := x.commands(c, nil, nil)
 	commands[lead].After = x.need
 	replies, _, err := x.send(c, commands, x.patience())
 	if err != nil {
-		x.giveUp(c, err)
-		x.backend.suspect(c.Member)
-		return x.lateRead(x.retry(c.Member, "no-answer"))
+		return x.unanswered(c, err)
 	}
 	return x.settleRead(c, replies[lead])
 }
 
+// unanswered deals with a read that got no answer in the time of this try.
+func (x *exchange) unanswered(c *lender.Conn, err error) (messenger.Reply, bool) {
+	member := c.Member
+	x.giveUp(c, err)
+	x.backend.suspect(member)
+	return x.lateRead(x.retry(member, "no-answer"))
+}
+
 // patience is how long this try of a read waits for its answer.
 func (x *exchange) patience() time.Time {
 	if x.tries > 1 {
@@ -388,35 +406,32 @@
 // could run by itself and be committed.
 func (x *exchange) bind(ctx context.Context) (messenger.Reply, bool) {
 	t := x.session.tx
+	x.arrived = t.arrived
 	for {
-		open, choose := messenger.Command{Kind: messenger.KindBegin}, x.primary
-		if t.readOnly && t.route.Rule != tracker.RulePrimary {
-			if need, ok := x.backend.Group.Need(t.arrived, t.route, x.session.floor); ok {
-				x.need = need
-				open, choose = messenger.Command{Kind: messenger.KindBeginReadOnly, After: need}, x.readers
-			}
+		choose := x.primary
+		if t.readOnly {
+			choose = x.freshest
 		}
 		c, err := x.borrow(ctx, choose)
 		if err != nil {
 			return x.refuse(reasonOf(err)), false
 		}
-		fit, _ := c.Fit(x.session.values, x.prepared, false)
-		asked := x.session.server.Clock()
-		replies, _, err := x.send(c, append(fit, open), time.Now().Add(beginTimeout))
-		if err != nil {
-			c.Close()
+		open := messenger.Command{Kind: messenger.KindBegin}
+		switch {
+		case t.readOnly && x.fresh():
+			open = messenger.Command{Kind: messenger.KindBeginReadOnly, After: x.need}
+		case c.Member != x.backend.Group.Primary():
 			x.backend.Pool.Return(c)
-			x.backend.suspect(c.Member)
+			continue
+		}
+		r, err := x.open(c, open)
+		if err != nil {
 			if x.retry(c.Member, "no-answer") {
 				continue
 			}
 			return x.refuse("no-answer"), false
 		}
-		r := replies[len(fit)]
 		if r.Code == messenger.CodeNone && r.State == messenger.StateOpen {
-			if open.Kind == messenger.KindBegin {
-				x.backend.Group.Prove(tracker.Proof{At: asked, Position: r.Position})
-			}
 			t.conn = c
 			return messenger.Reply{}, true
 		}
@@ -429,6 +444,24 @@
 	}
 }
 
+// open opens a transaction on a connection. Without an answer the connection is gone.
+func (x *exchange) open(c *lender.Conn, open messenger.Command) (messenger.Reply, error) {
+	fit, _ := c.Fit(x.session.values, x.prepared, false)
+	asked := x.session.server.Clock()
+	replies, _, err := x.send(c, append(fit, open), time.Now().Add(beginTimeout))
+	if err != nil {
+		c.Close()
+		x.backend.Pool.Return(c)
+		x.backend.suspect(c.Member)
+		return messenger.Reply{}, err
+	}
+	r := replies[len(fit)]
+	if r.Code == messenger.CodeNone && open.Kind == messenger.KindBegin {
+		x.backend.Group.Prove(tracker.Proof{At: asked, Position: r.Position})
+	}
+	return r, nil
+}
+
 // commit ends the open transaction. Without an answer its outcome is unknown, unless
 // it wrote nothing.
 func (x *exchange) commit(ctx context.Context) messenger.Reply {
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -118,6 +120,13 @@
 	d.record = p
 }
 
+// Roster lists the members that a group's record names.
+func (e *Elector) Roster(group string) []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.Sorted(maps.Keys(decode(e.duty(group).record.Value).Members))
+}
+
 func (e *Elector) duty(group string) *duty {
 	if e.duties == nil {
 		e.duties = map[string]*duty{}
--- a/internal/launcher/backend.go
+++ b/internal/launcher/backend.go
@@ -9,6 +9,7 @@
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
 const (
@@ -17,6 +18,9 @@
 	// proofAge is when a proof is renewed in a group that is used. Reads may be 1.5 to
 	// 2.5 s old; a proof that is renewed after 0.4 s leaves replicas a second to lag.
 	proofAge = 400 * time.Millisecond
+	// lateProof is when the replicas are asked instead: reads at the primary and writes
+	// have brought no proof for this long.
+	lateProof = time.Second
 	// proveTimeout bounds the renewal, and the wait for its connection.
 	proveTimeout = 300 * time.Millisecond
 	// searchInterval is how often members are asked who leads while nobody knows.
@@ -32,6 +36,9 @@
 	codec     messenger.MemberCodec
 	log       func(fields ...any)
 	suspicion chan string
+	// roster returns the members whose logs may hold acknowledged commits, and whether
+	// a commit is acknowledged by a replica at all.
+	roster func() (ids []string, synchronous bool)
 }
 
 // run keeps the pool, the proof and the belief who leads until the context ends.
@@ -55,16 +62,61 @@
 		case <-t.C:
 		}
 		p, ok := b.Group.Freshest()
-		if (!ok || b.clock()-p.At > proofAge) && b.Group.Primary() != "" {
-			b.renew(ctx)
+		if ok && b.clock()-p.At <= proofAge {
+			continue
 		}
+		var asked sync.WaitGroup
+		asked.Go(func() { b.renew(ctx) })
+		if !ok || b.clock()-p.At > lateProof {
+			asked.Go(func() { b.proveByReplicas(ctx) })
+		}
+		asked.Wait()
+	}
+}
+
+// proveByReplicas makes a proof without the primary. After all instances have lost
+// power, it is full of their old connections for up to 3 s, and without a proof every
+// read would wait there. An acknowledged commit was received by a replica, so when
+// every replica has told what it has received, the furthest holds all that was
+// acknowledged before they were asked.
+func (b *backend) proveByReplicas(ctx context.Context) {
+	ids, synchronous := b.roster()
+	if !synchronous || len(ids) < 2 {
+		return
+	}
+	asked := b.clock()
+	primary := b.Group.Primary()
+	said := make([]messenger.Status, len(ids))
+	answered := make([]bool, len(ids))
+	var asking sync.WaitGroup
+	for i, id := range ids {
+		if id != primary {
+			asking.Go(func() { said[i], answered[i] = b.ask(ctx, id) })
+		}
+	}
+	asking.Wait()
+	p := tracker.Proof{At: asked}
+	for i, id := range ids {
+		if id == primary {
+			continue
+		}
+		if !answered[i] {
+			return
+		}
+		p.Position = orderer.Max(p.Position, said[i].Received)
 	}
+	b.log("event", "proved-by-replicas", "group", b.Group.Name, "position", p.Position, "replicas", len(ids)-1)
+	b.Group.Prove(p)
+	b.Pool.Changed()
 }
 
 // renew opens a transaction at the primary and rolls it back. Only a member that
 // leads opens one, and it takes no slot.
 func (b *backend) renew(ctx context.Context) {
 	until := time.Now().Add(proveTimeout)
+	if b.Group.Primary() == "" {
+		return
+	}
 	c, err := b.Pool.Borrow(ctx, lender.Request{Until: until, Choose: func() []string { return []string{b.Group.Primary()} }})
 	if err != nil {
 		return
@@ -80,6 +132,7 @@
 	switch replies[0].Code {
 	case messenger.CodeNone:
 		b.Group.Prove(tracker.Proof{At: asked, Position: replies[0].Position})
+		b.Pool.Changed()
 	case messenger.CodeNotPrimary:
 		b.Group.Lost(c.Member)
 		b.Suspect(c.Member)
@@ -130,16 +183,17 @@
 func (b *backend) look(ctx context.Context) {
 	var asked sync.WaitGroup
 	for _, id := range b.Group.IDs() {
-		asked.Go(func() { b.ask(ctx, id) })
+		asked.Go(func() { _, _ = b.ask(ctx, id) })
 	}
 	asked.Wait()
 }
 
-func (b *backend) ask(ctx context.Context, id string) {
+// ask asks a member for its status, and takes it in.
+func (b *backend) ask(ctx context.Context, id string) (messenger.Status, bool) {
 	until := time.Now().Add(proveTimeout)
 	c, err := b.Pool.Borrow(ctx, lender.Request{Until: until, Choose: func() []string { return []string{id} }})
 	if err != nil {
-		return
+		return messenger.Status{}, false
 	}
 	defer b.Pool.Return(c)
 	asked := b.clock()
@@ -147,14 +201,15 @@
 	if err != nil {
 		c.Close()
 		b.Group.Unanswered(b.clock(), id, false)
-		return
+		return messenger.Status{}, false
 	}
 	s, err := b.codec.Status(replies[0])
 	if err != nil {
-		return
+		return messenger.Status{}, false
 	}
 	if b.Group.Saw(asked, id, s) {
 		b.log("event", "primary", "group", b.Group.Name, "member", b.Group.Primary(), "term", s.Term, "source", "status", "of", id)
 		b.Pool.Changed()
 	}
+	return s, true
 }
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -205,6 +206,7 @@
 	}
 	g := &tracker.Group{Name: group, Zone: i.Settings.Zone, Near: i.near}
 	b := &backend{clock: i.Clock, codec: i.Platform.MemberCodec, log: i.belief.Log, suspicion: make(chan string, 1)}
+	b.roster = func() ([]string, bool) { return i.roster(group) }
 	b.Backend = dispatcher.Backend{Group: g, Suspect: b.suspect, Pool: &lender.Pool{
 		Group: g, Network: i.Network, Codec: i.Platform.MemberCodec, Who: i.Settings.Name, Clock: i.Clock, Note: i.noteConnection(group),
 	}}
@@ -217,6 +219,21 @@
 	return b
 }
 
+// roster lists the members whose logs may hold acknowledged commits: those that are
+// registered, and those that the group's duty has on record.
+func (i *Instance) roster(group string) ([]string, bool) {
+	ids := i.elector.Roster(group)
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for _, m := range i.members[group] {
+		if !slices.Contains(ids, m.ID) {
+			ids = append(ids, m.ID)
+		}
+	}
+	c := i.configuration.Load()
+	return ids, c != nil && c.Groups[group].SyncReplicas > 0
+}
+
 // noteConnection logs failures to connect to a member.
 func (i *Instance) noteConnection(group string) func(member string, err error) {
 	connections := i.Journal.Kind("connection")
--- /dev/null
+++ b/internal/launcher/launcher_test.go
@@ -0,0 +1,313 @@
+package launcher_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/journaler"
+	"github.com/oriolegw/oriolegw/internal/launcher"
+	"github.com/oriolegw/oriolegw/internal/loader"
+	"github.com/oriolegw/oriolegw/internal/standin/liner"
+	"github.com/oriolegw/oriolegw/internal/standin/platformer"
+	"github.com/oriolegw/oriolegw/internal/standin/wirer"
+	"github.com/oriolegw/oriolegw/internal/storer"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/oriolegw/oriolegw/platform"
+	"github.com/shoenig/test/must"
+)
+
+const configuration = `{"version": %d, "routes": [
+	{"database": "strict", "type": "primary", "timeout_ms": 1000, "target_latency_ms": 400, "service": "g"},
+	{"database": "own", "type": "read_your_writes", "timeout_ms": 1000, "target_latency_ms": 800, "service": "g", "max_staleness_ms": 2500}%s],
+	"services": [{"name": "g", "max_conns": 12, "sync_replicas": 1}], "limits": {"tx_idle_ms": 3000}}`
+
+type (
+	// fleet is a platform, a group and some instances.
+	fleet struct {
+		t        *testing.T
+		net      *wirer.Net
+		store    *storer.Memory
+		group    *liner.Group
+		ctx      context.Context
+		running  sync.WaitGroup
+		log      lockedBuffer
+		callers  int
+		versions int
+	}
+
+	instance struct {
+		leave chan os.Signal
+		host  *wirer.Host
+		ended chan error
+	}
+
+	lockedBuffer struct {
+		mutex sync.Mutex
+		text  strings.Builder
+	}
+)
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.String()
+}
+
+// play runs a platform and a group, and what happens to them.
+func play(t *testing.T, happens func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		n := wirer.New(1)
+		n.Latency = func(_, _ *wirer.Host) time.Duration { return time.Millisecond }
+		f := &fleet{t: t, net: n, ctx: ctx, store: storer.NewMemory(), group: &liner.Group{
+			Name: "g", Net: n, Travel: 2 * time.Millisecond, Promotion: 600 * time.Millisecond, Connections: 12, Work: 5 * time.Millisecond,
+		}}
+		f.group.Start(ctx, "a", "b", "c")
+		p := &platformer.Platform{Address: "10.6.0.1:7000", Network: n.Host("10.6.0.1", "a"), Store: f.store, Promote: func(_, id string) error { return f.group.Promote(id) }}
+		f.running.Go(func() { _ = p.Run(ctx) })
+		f.running.Go(func() { f.register(ctx) })
+		f.configure("")
+		defer func() {
+			cancel()
+			f.running.Wait()
+			f.group.Wait()
+			time.Sleep(time.Minute) // connections of HTTP clients run out
+			if t.Failed() {
+				t.Log(f.log.String())
+			}
+		}()
+		happens(f)
+		must.SliceEmpty(t, f.group.Violations())
+	})
+}
+
+// register keeps the members' entries in the store as they are.
+func (f *fleet) register(ctx context.Context) {
+	held := map[string]storer.Pair{}
+	for ctx.Err() == nil {
+		for _, m := range f.group.Registered() {
+			phase, role := "ready", "replica"
+			if m.Leaving {
+				phase = "draining"
+			}
+			if m.Primary {
+				role = "primary"
+			}
+			value, _ := json.Marshal(map[string]any{"service": "g", "address": m.Address, "zone": m.Zone, "capacity": 3, "phase": phase, "db_role": role})
+			key := platform.PrefixMembers + m.ID
+			if string(held[key].Value) == string(value) {
+				continue
+			}
+			if p, ok, err := f.store.Swap(ctx, storer.Pair{Key: key, Value: value, Revision: held[key].Revision}, 0); err == nil && ok {
+				held[key] = p
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// configure publishes a version with more routes.
+func (f *fleet) configure(routes string) {
+	f.versions += 7
+	old, err := f.store.Get(f.ctx, platform.KeyConfiguration)
+	must.NoError(f.t, err)
+	old.Value = fmt.Appendf(nil, configuration, f.versions, routes)
+	_, ok, err := f.store.Swap(f.ctx, old, 0)
+	must.NoError(f.t, err)
+	must.True(f.t, ok)
+}
+
+func (f *fleet) start(ip, zone string) *instance {
+	i := &instance{leave: make(chan os.Signal, 1), host: f.net.Host(ip, zone), ended: make(chan error, 1)}
+	s := &loader.EntrySettings{
+		Name: "entry-" + ip, Zone: zone, Regions: map[string]string{"a": "x", "b": "y", "c": "z"},
+		Callers: ip + ":5000", Ready: ip + ":5001", Metrics: ip + ":5002", Store: "10.6.0.1:7000", Promotions: "10.6.0.1:7000", Shutdown: 6 * time.Second,
+	}
+	store := (&platform.Store{Address: s.Store, Network: i.host}).Open()
+	promotions := (&platform.Promotions{Address: s.Promotions, Network: i.host, Holder: s.Name}).Open()
+	journal := journaler.New(&f.log)
+	begin := time.Now().Add(-time.Hour)
+	x := &launcher.Instance{
+		Settings: s, Network: i.host, Journal: journal, Clock: func() tracker.Stamp { return time.Since(begin) }, Leave: i.leave,
+		Platform: launcher.Platform{
+			Store: store, Promote: promotions.Promote, PromoteRefused: func(err error) bool { return errors.Is(err, platform.ErrRefused) },
+			MemberCodec: platform.Lines{}, CallerCodec: platform.Lines{},
+			ConfigurationKey: platform.KeyConfiguration, MemberPrefix: platform.PrefixMembers,
+			DecodeConfiguration: platform.DecodeConfiguration, DecodeMember: platform.DecodeMember,
+		},
+	}
+	f.running.Go(func() { _ = journal.Run(f.ctx) })
+	f.running.Go(func() {
+		i.ended <- x.Run(f.ctx)
+		store.Close()
+	})
+	return i
+}
+
+// ready asks the balancer's question.
+func (f *fleet) ready(i *instance) int {
+	h := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return i.host.Dial(ctx, address) }, DisableKeepAlives: true}}
+	a, err := h.Get("http://" + i.host.IP + ":5001/ready")
+	must.NoError(f.t, err)
+	defer a.Body.Close()
+	_, _ = io.Copy(io.Discard, a.Body)
+	return a.StatusCode
+}
+
+// call opens a session and returns how statements are asked in it.
+func (f *fleet) call(i *instance, database string) func(text string) string {
+	f.callers++
+	conn, err := f.net.Host(fmt.Sprintf("10.7.0.%d", f.callers), "a").Dial(f.ctx, i.host.IP+":5000")
+	must.NoError(f.t, err)
+	in := bufio.NewReader(conn)
+	fmt.Fprintf(conn, "STARTUP %s me\r\n", database)
+	line, err := in.ReadString('\n')
+	must.NoError(f.t, err)
+	if strings.HasPrefix(line, "ERROR") {
+		return func(string) string { return strings.Fields(line)[1] }
+	}
+	n, name := 0, fmt.Sprintf("c%d", f.callers)
+	return func(text string) string {
+		n++
+		fmt.Fprintf(conn, "QUERY %s-%d %s\r\n", name, n, text)
+		var words []string
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return "closed"
+			}
+			f := strings.Fields(line)
+			switch f[0] {
+			case "DATAROW", "ERROR":
+				words = append(words, f[1])
+			case "READY":
+				return strings.Join(append(words, f[1]), " ")
+			}
+		}
+	}
+}
+
+// Two instances start, one serves a write and the other shows it; a route that is
+// added is there within the users' three seconds, and one that is taken away is not.
+func TestServe(t *testing.T) {
+	play(t, func(f *fleet) {
+		a, b := f.start("10.5.0.1", "a"), f.start("10.5.0.2", "b")
+		time.Sleep(3 * time.Second)
+		must.Eq(t, http.StatusOK, f.ready(a))
+		must.Eq(t, "I", f.call(a, "strict")("PUT k v"))
+		must.Eq(t, "v I", f.call(b, "strict")("FETCH k"))
+		must.Eq(t, "NODB", f.call(a, "added")("FETCH k"))
+		f.configure(`, {"database": "added", "type": "primary", "timeout_ms": 1000, "service": "g"}`)
+		time.Sleep(time.Second)
+		must.Eq(t, "v I", f.call(b, "added")("FETCH k"))
+		f.configure("")
+		time.Sleep(time.Second)
+		must.Eq(t, "NODB", f.call(b, "added")("FETCH k"))
+	})
+}
+
+// The primary dies. Callers' writes are refused as not run until another member leads,
+// about two seconds later; then one is acknowledged, and the one before is there.
+func TestPrimaryDies(t *testing.T) {
+	play(t, func(f *fleet) {
+		i := f.start("10.5.0.1", "a")
+		time.Sleep(3 * time.Second)
+		ask := f.call(i, "strict")
+		must.Eq(t, "I", ask("PUT k v"))
+		f.group.Crash("g-1")
+		time.Sleep(2500 * time.Millisecond)
+		must.Eq(t, "I", ask("PUT k2 v"))
+		must.Eq(t, "v I", ask("FETCH k"))
+	})
+}
+
+// The store forgets its history, or is away for a while, and a version comes in that
+// time. It is in force soon after.
+func TestStoreTrouble(t *testing.T) {
+	added := `, {"database": "added", "type": "primary", "timeout_ms": 1000, "service": "g"}`
+	t.Run("history lost", func(t *testing.T) {
+		play(t, func(f *fleet) {
+			i := f.start("10.5.0.1", "a")
+			time.Sleep(3 * time.Second)
+			f.configure(added)
+			f.store.Forget()
+			time.Sleep(time.Second)
+			must.Eq(t, "none I", f.call(i, "added")("FETCH k"))
+		})
+	})
+	t.Run("away", func(t *testing.T) {
+		play(t, func(f *fleet) {
+			i := f.start("10.5.0.1", "a")
+			time.Sleep(3 * time.Second)
+			f.configure(added)
+			f.store.SetFaults(func(x *storer.Faults) { x.Down = true })
+			time.Sleep(5 * time.Second)
+			must.Eq(t, "I", f.call(i, "strict")("PUT k v"))
+			f.store.SetFaults(func(x *storer.Faults) { x.Down = false })
+			time.Sleep(time.Second)
+			must.Eq(t, "v I", f.call(i, "added")("FETCH k"))
+		})
+	})
+}
+
+// An instance starts while others, which are gone without a word, still fill the
+// primary. Reads that may be old are served all the same: the replicas' positions show
+// how far the log must reach. Without that they would wait for the primary.
+func TestReadsWhilePrimaryIsFull(t *testing.T) {
+	play(t, func(f *fleet) {
+		old := f.start("10.5.0.1", "a")
+		time.Sleep(3 * time.Second)
+		must.Eq(t, "I", f.call(old, "strict")("PUT k v"))
+		for n := range 12 {
+			conn, err := f.net.Host(fmt.Sprintf("10.4.0.%d", n+1), "a").Dial(f.ctx, "10.9.1.1"+liner.Port)
+			must.NoError(t, err)
+			fmt.Fprintf(conn, "STARTUP g ghost g-1\r\n")
+		}
+		fresh := f.start("10.5.0.2", "b")
+		time.Sleep(2 * time.Second)
+		must.Eq(t, "v I", f.call(fresh, "own")("FETCH k"))
+		must.Eq(t, "BUSY I", f.call(fresh, "strict")("FETCH k"))
+	})
+}
+
+// The process is told to end: it says at once that it is not ready, answers what comes
+// while the balancer still sends, lets an open transaction end, and is gone in time.
+func TestLeave(t *testing.T) {
+	play(t, func(f *fleet) {
+		i := f.start("10.5.0.1", "a")
+		time.Sleep(3 * time.Second)
+		idle, open := f.call(i, "strict"), f.call(i, "strict")
+		must.Eq(t, "T", open("BEGIN"))
+		must.Eq(t, "T", open("PUT k v"))
+		begin := time.Now()
+		i.leave <- syscall.SIGTERM
+		time.Sleep(100 * time.Millisecond)
+		must.Eq(t, http.StatusServiceUnavailable, f.ready(i))
+		must.Eq(t, "none I", idle("FETCH other"))
+		time.Sleep(2300 * time.Millisecond)
+		must.Eq(t, "closed", idle("FETCH k"))
+		must.Eq(t, "I", open("COMMIT"))
+		must.NoError(t, <-i.ended)
+		must.Less(t, 6*time.Second, time.Since(begin))
+	})
+}
--- a/internal/storer/memory.go
+++ b/internal/storer/memory.go
@@ -20,10 +20,10 @@
 		history  []Pair
 		// forgotten is how many of the first changes can't be watched any more.
 		forgotten int64
-		changed  chan struct{}
-		next     Lease
-		faults   Faults
-		counts   map[string]int
+		changed   chan struct{}
+		next      Lease
+		faults    Faults
+		counts    map[string]int
 	}
 
 	// Faults are the ways in which the service fails.
