--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,8 @@
 # make run, make test and make fleet do everything on a fresh machine with Go.
+# A pipe fails when any part of it does: else a failed run behind grep exits 0.
+SHELL := /bin/bash
+.SHELLFLAGS := -o pipefail -ec
+
 BUILD := $(CURDIR)/build
 TOOLS := $(BUILD)/tools
 FIRST_PORT := 17000
@@ -26,10 +30,10 @@
 	cd tools && go build -o $@ mvdan.cc/gofumpt
 
 format: tools
-	$(TOOLS)/gofumpt -w cmd internal pkg
+	$(TOOLS)/gofumpt -w cmd internal pkg platform
 
 check: tools
-	@out=$$($(TOOLS)/gofumpt -l cmd internal pkg); if [ -n "$$out" ]; then echo "not formatted (make format):"; echo "$$out"; exit 1; fi
+	@out=$$($(TOOLS)/gofumpt -l cmd internal pkg platform); if [ -n "$$out" ]; then echo "not formatted (make format):"; echo "$$out"; exit 1; fi
 	go vet ./...
 	$(TOOLS)/staticcheck ./...
 
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -79,13 +79,13 @@
 		s.pool.Configure(20)
 		c := &tracker.Configuration{Version: 1, Routes: routes, TransactionIdle: time.Second}
 		b := &dispatcher.Backend{Group: s.tracked, Pool: s.pool, Suspect: func(string) {}}
-		none := func(string) {}
+		none := func(dispatcher.Reason) {}
 		s.server = &dispatcher.Server{
 			Address: address, Network: host, Codec: platform.Lines{}, Clock: s.clock,
 			Configuration: func() *tracker.Configuration { return c },
 			Backend:       func(string) *dispatcher.Backend { return b },
 			Decide:        s.decide, Trace: func(...any) {},
-			Count: none, Refused: none, Retried: none, Served: func(tracker.Route, time.Duration) {},
+			Count: func(string) {}, Refused: none, Retried: none, Served: func(tracker.Route, time.Duration) {},
 		}
 		var running sync.WaitGroup
 		running.Go(func() { _ = s.pool.Run(ctx) })
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -82,7 +82,7 @@
 }
 
 // refuse answers that the statement has not run, and when to come back.
-func (x *exchange) refuse(reason string) messenger.Reply {
+func (x *exchange) refuse(reason Reason) messenger.Reply {
 	s := x.session
 	s.server.refused(reason)
 	s.server.decide("statement", "id", x.statement.ID, "outcome", "refused", "reason", reason,
@@ -94,7 +94,7 @@
 }
 
 // abort answers that the transaction was rolled back.
-func (x *exchange) abort(reason string) messenger.Reply {
+func (x *exchange) abort(reason Reason) messenger.Reply {
 	s := x.session
 	s.server.refused(reason)
 	member := ""
@@ -103,14 +103,14 @@
 	}
 	s.server.decide("transaction", "id", x.statement.ID, "outcome", "aborted", "reason", reason, "group", x.route.Group, "member", member, "ms", x.elapsed())
 	s.fail()
-	return s.reply(messenger.CodeAborted, reason)
+	return s.reply(messenger.CodeAborted, string(reason))
 }
 
 // unknown answers that the statement may have taken effect.
 func (x *exchange) unknown(member string, cause error) messenger.Reply {
 	s := x.session
-	s.server.refused("outcome-unknown")
-	s.server.decide("statement", "id", x.statement.ID, "outcome", "unknown", "group", x.route.Group, "member", member, "cause", cause, "ms", x.elapsed())
+	s.server.refused(ReasonOutcomeUnknown)
+	s.server.decide("statement", "id", x.statement.ID, "outcome", "unknown", "reason", ReasonOutcomeUnknown, "group", x.route.Group, "member", member, "cause", cause, "ms", x.elapsed())
 	return s.reply(messenger.CodeOutcomeUnknown, "no answer from the primary")
 }
 
@@ -126,7 +126,7 @@
 }
 
 // retry notes a try that failed and reports whether there is time for another.
-func (x *exchange) retry(member, reason string) bool {
+func (x *exchange) retry(member string, reason Reason) bool {
 	x.tries++
 	x.tried = append(x.tried, member)
 	x.session.server.retried(reason)
@@ -257,7 +257,7 @@
 	member := c.Member
 	x.giveUp(c, err)
 	x.backend.suspect(member)
-	return x.lateRead(x.retry(member, "no-answer"))
+	return x.lateRead(x.retry(member, ReasonNoAnswer))
 }
 
 // patience is how long this try of a read waits for its answer.
@@ -278,7 +278,7 @@
 	if again {
 		return messenger.Reply{}, true
 	}
-	return x.refuse("no-answer"), false
+	return x.refuse(ReasonNoAnswer), false
 }
 
 // settleRead takes a member's answer to a read: passes it on, or reports that
@@ -299,16 +299,16 @@
 	case messenger.CodeBusy:
 		x.backend.Pool.Return(c)
 		time.Sleep(busyPause)
-		return x.lateRead(x.retry(member, r.Code.String()))
+		return x.lateRead(x.retry(member, reasonOfCode(r.Code)))
 	}
 	x.backend.Pool.Return(c)
-	if x.retry(member, r.Code.String()) {
+	if x.retry(member, reasonOfCode(r.Code)) {
 		return messenger.Reply{}, true
 	}
 	if r.Code == messenger.CodeFailed || r.Code == messenger.CodeTimeout {
 		return x.done(member, r), false
 	}
-	return x.refuse(r.Code.String()), false
+	return x.refuse(reasonOfCode(r.Code)), false
 }
 
 // write runs a write outside a transaction. Once it was sent it is never sent
@@ -332,8 +332,8 @@
 			if sent {
 				return x.unknown(member, err)
 			}
-			if !x.retry(member, "not-sent") {
-				return x.refuse("no-answer")
+			if !x.retry(member, ReasonNotSent) {
+				return x.refuse(ReasonNoAnswer)
 			}
 			continue
 		}
@@ -342,7 +342,7 @@
 			if x.again(c, r) {
 				continue
 			}
-			return x.refuse(r.Code.String())
+			return x.refuse(reasonOfCode(r.Code))
 		}
 		x.backend.Pool.Return(c)
 		if r.Code == messenger.CodeNone {
@@ -372,7 +372,7 @@
 	if r.Code == messenger.CodeBusy {
 		time.Sleep(busyPause)
 	}
-	return x.retry(member, r.Code.String())
+	return x.retry(member, reasonOfCode(r.Code))
 }
 
 // inTransaction runs a statement of the open transaction.
@@ -388,14 +388,14 @@
 	if err != nil {
 		t.conn.Close()
 		x.backend.suspect(t.conn.Member)
-		return x.abort("no-answer")
+		return x.abort(ReasonNoAnswer)
 	}
 	r := replies[lead]
 	if r.Code != messenger.CodeNone || r.State != messenger.StateOpen {
 		if r.Code == messenger.CodeNotPrimary {
 			x.backend.lost(t.conn.Member)
 		}
-		return x.abort(r.Code.String())
+		return x.abort(reasonOfCode(r.Code))
 	}
 	t.wrote = t.wrote || x.writes
 	return x.done(t.conn.Member, r)
@@ -426,10 +426,10 @@
 		}
 		r, err := x.open(c, open)
 		if err != nil {
-			if x.retry(c.Member, "no-answer") {
+			if x.retry(c.Member, ReasonNoAnswer) {
 				continue
 			}
-			return x.refuse("no-answer"), false
+			return x.refuse(ReasonNoAnswer), false
 		}
 		if r.Code == messenger.CodeNone && r.State == messenger.StateOpen {
 			t.conn = c
@@ -439,7 +439,7 @@
 			x.backend.Group.Behind(x.session.server.Clock(), c.Member, x.need)
 		}
 		if !x.again(c, r) {
-			return x.refuse(r.Code.String()), false
+			return x.refuse(reasonOfCode(r.Code)), false
 		}
 	}
 }
@@ -478,7 +478,7 @@
 		t.conn.Close()
 		x.backend.suspect(member)
 		if !t.wrote {
-			return s.ended(x.abort("no-answer"))
+			return s.ended(x.abort(ReasonNoAnswer))
 		}
 		return s.ended(x.unknown(member, err))
 	}
@@ -489,9 +489,9 @@
 		}
 	case r.Code == messenger.CodeNotPrimary:
 		x.backend.lost(t.conn.Member)
-		return s.ended(x.abort(r.Code.String()))
+		return s.ended(x.abort(reasonOfCode(r.Code)))
 	case r.Code.NotRun() || r.Code == messenger.CodeAborted:
-		return s.ended(x.abort(r.Code.String()))
+		return s.ended(x.abort(reasonOfCode(r.Code)))
 	}
 	member, idle := t.conn.Member, r.State == messenger.StateIdle
 	if idle {
@@ -509,7 +509,7 @@
 			return messenger.Reply{}, err
 		}
 		r := replies[0]
-		if r.Code != messenger.CodeBusy || r.State != messenger.StateOpen || !x.retry(t.conn.Member, r.Code.String()) {
+		if r.Code != messenger.CodeBusy || r.State != messenger.StateOpen || !x.retry(t.conn.Member, reasonOfCode(r.Code)) {
 			return r, nil
 		}
 		time.Sleep(busyPause)
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -61,8 +61,9 @@
 		Decide func(part string, fields ...any)
 		Trace  func(fields ...any)
 		// Count, Refused, Retried and Served feed the metrics.
-		Count, Refused, Retried func(name string)
-		Served                  func(r tracker.Route, took time.Duration)
+		Count            func(name string)
+		Refused, Retried func(reason Reason)
+		Served           func(r tracker.Route, took time.Duration)
 
 		sessions sync.WaitGroup
 		mutex    sync.Mutex
@@ -76,6 +77,11 @@
 const (
 	mayEndNow  = 1
 	mustEndNow = 2
+
+	// CountAccepted, CountMalformed and CountStatements are what Count is told.
+	CountAccepted   = "callers-accepted"
+	CountMalformed  = "callers-malformed"
+	CountStatements = "statements"
 )
 
 // Run accepts callers until the context ends, and returns when all sessions have.
@@ -99,7 +105,7 @@
 }
 
 func (s *Server) start(ctx context.Context, c net.Conn) {
-	s.count("callers-accepted")
+	s.count(CountAccepted)
 	x := &session{
 		server: s, net: c, statements: s.Codec.Statements(c),
 		values: lender.Values{}, prepared: map[string]lender.Prepared{},
@@ -178,8 +184,8 @@
 
 func (s *Server) decide(part string, fields ...any) { s.Decide(part, fields...) }
 func (s *Server) count(name string)                 { s.Count(name) }
-func (s *Server) refused(reason string)             { s.Refused(reason) }
-func (s *Server) retried(reason string)             { s.Retried(reason) }
+func (s *Server) refused(reason Reason)             { s.Refused(reason) }
+func (s *Server) retried(reason Reason)             { s.Retried(reason) }
 
 func (s *Server) served(r tracker.Route, took time.Duration) { s.Served(r, took) }
 
@@ -203,15 +209,3 @@
 	_, _, waiting, _ := b.Pool.Load()
 	return shortestComeBack + time.Duration(waiting)*busyPause
 }
-
-// reasonOf names why no connection was lent.
-func reasonOf(err error) string {
-	switch {
-	case errors.Is(err, lender.ErrNobody):
-		return "no-primary"
-	case errors.Is(err, lender.ErrFull):
-		return "no-connection"
-	default:
-		return "leaving"
-	}
-}
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -64,7 +64,7 @@
 	_ = s.net.SetDeadline(time.Now().Add(startTimeout))
 	start, err := s.statements.Start()
 	if err != nil {
-		s.server.count("callers-malformed")
+		s.server.count(CountMalformed)
 		s.answerStart(messenger.Reply{Code: messenger.CodeMalformed, Detail: "want a start message"})
 		return false
 	}
@@ -131,7 +131,8 @@
 	if s.tx == nil || s.tx.conn == nil || s.server.mayEnd() && !s.server.mustEnd() {
 		return
 	}
-	s.server.decide("transaction", "outcome", "rested-too-long", "database", s.database, "member", s.tx.conn.Member)
+	s.server.refused(ReasonRestedTooLong)
+	s.server.decide("transaction", "outcome", "aborted", "reason", ReasonRestedTooLong, "database", s.database, "member", s.tx.conn.Member)
 	s.fail()
 }
 
@@ -160,7 +161,7 @@
 
 // handle answers one statement.
 func (s *session) handle(ctx context.Context, q messenger.Statement) messenger.Reply {
-	s.server.count("statements")
+	s.server.count(CountStatements)
 	if q.Kind == messenger.KindUnknown {
 		return s.reply(messenger.CodeMalformed, "statement not understood")
 	}
--- /dev/null
+++ b/internal/elector/decide_test.go
@@ -0,0 +1,105 @@
+package elector_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/elector"
+	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/shoenig/test/must"
+)
+
+const now = time.Minute
+
+// healthy is a group whose primary p and replicas q, r answer.
+func healthy() elector.View {
+	member := func(id string, primary bool) elector.Observation {
+		return elector.Observation{
+			Member: tracker.Member{ID: id, Slots: 3}, Answered: true,
+			Status: messenger.Status{Primary: primary, Term: 1},
+		}
+	}
+	return elector.View{Now: now, Primary: "p", Members: []elector.Observation{member("p", true), member("q", false), member("r", false)}}
+}
+
+func silent(since time.Duration) func(*elector.Observation) {
+	return func(o *elector.Observation) { o.Answered, o.FailedSince = false, now-since }
+}
+
+func TestDecide(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(v *elector.View)
+		want   elector.Reason
+	}{
+		{"all is well", func(*elector.View) {}, elector.ReasonNone},
+		{"primary slow for a moment", func(v *elector.View) { silent(500 * time.Millisecond)(&v.Members[0]) }, elector.ReasonNone},
+		{"primary silent", func(v *elector.View) { silent(time.Second)(&v.Members[0]) }, elector.ReasonSilent},
+		{"primary refuses connections", func(v *elector.View) {
+			silent(300 * time.Millisecond)(&v.Members[0])
+			v.Members[0].Refused = true
+		}, elector.ReasonRefused},
+		{"primary full lives", func(v *elector.View) {
+			silent(5 * time.Second)(&v.Members[0])
+			v.Members[0].Full = true
+			v.Members[1].Status.Busy, v.Members[2].Status.Busy = 9, 9
+		}, elector.ReasonNone},
+		{"primary full while replicas are free", func(v *elector.View) {
+			silent(5 * time.Second)(&v.Members[0])
+			v.Members[0].Full = true
+		}, elector.ReasonOverloaded},
+		{"primary full right after this process began", func(v *elector.View) {
+			silent(2 * time.Second)(&v.Members[0])
+			v.Members[0].Full, v.Booted = true, now-2*time.Second
+		}, elector.ReasonNone},
+		{"primary leaves", func(v *elector.View) { v.Members[0].Leaving = true }, elector.ReasonLeaving},
+		{"all leave", func(v *elector.View) {
+			for i := range v.Members {
+				v.Members[i].Leaving = true
+			}
+		}, elector.ReasonNone},
+		{"replicas stand still", func(v *elector.View) {
+			v.Members[1].BehindSince, v.Members[2].BehindSince = now-2*time.Second, now-2*time.Second
+		}, elector.ReasonStandstill},
+		{"one replica stands still", func(v *elector.View) { v.Members[1].BehindSince = now - 2*time.Second }, elector.ReasonNone},
+		{"the only replica stands still", func(v *elector.View) {
+			v.Members = v.Members[:2]
+			v.Members[1].BehindSince = now - 2*time.Second
+		}, elector.ReasonNone},
+		{"overloaded beside free replicas", func(v *elector.View) { v.Members[0].OverloadedSince = now - time.Second }, elector.ReasonOverloaded},
+		{"overloaded, moved just before", func(v *elector.View) {
+			v.Members[0].OverloadedSince, v.Ordered = now-time.Second, now-3*time.Second
+		}, elector.ReasonNone},
+		{"all overloaded", func(v *elector.View) {
+			v.Members[0].OverloadedSince = now - time.Second
+			v.Members[1].Status.Busy, v.Members[2].Status.Busy = 9, 9
+		}, elector.ReasonNone},
+		{"nobody leads", func(v *elector.View) {
+			v.Members[0].Status.Primary, v.HeadlessSince = false, now-3*time.Second
+		}, elector.ReasonHeadless},
+		{"nobody leads while a promotion is under way", func(v *elector.View) {
+			v.Members[0].Status.Primary, v.HeadlessSince, v.Ordered = false, now-3*time.Second, now-time.Second
+		}, elector.ReasonNone},
+		{"nobody answers", func(v *elector.View) {
+			v.Primary, v.HeadlessSince = "", now-3*time.Second
+			for i := range v.Members {
+				silent(time.Second)(&v.Members[i])
+			}
+		}, elector.ReasonNone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := healthy()
+			c.change(&v)
+			must.Eq(t, c.want, elector.Decide(v).Move)
+		})
+	}
+}
+
+// A replica was paused for a change that came to nothing. It is resumed, but not while
+// the pause is new: the change may be under way.
+func TestDecideResumes(t *testing.T) {
+	v := healthy()
+	v.Members[1].PausedSince, v.Members[2].PausedSince = now-2*time.Second, now-100*time.Millisecond
+	must.Eq(t, []string{"q"}, elector.Decide(v).Resume)
+}
--- /dev/null
+++ b/internal/elector/elector_test.go
@@ -0,0 +1,134 @@
+package elector_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/elector"
+	"github.com/oriolegw/oriolegw/internal/storer"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/oriolegw/oriolegw/internal/watcher"
+	"github.com/shoenig/test/must"
+)
+
+// holder is one instance that wants the duty.
+type holder struct {
+	elector *elector.Elector
+	duty    atomic.Pointer[elector.Duty]
+	cancel  context.CancelFunc
+	ended   chan error
+}
+
+func startHolder(ctx context.Context, m *storer.Memory, name string, clock func() tracker.Stamp) *holder {
+	ctx, cancel := context.WithCancel(ctx)
+	h := &holder{cancel: cancel, ended: make(chan error, 2)}
+	h.elector = &elector.Elector{
+		Store: m, Clock: clock, Name: name, Groups: func() []string { return []string{"g"} },
+		Keep: func(ctx context.Context, _ string, d *elector.Duty) error {
+			h.duty.Store(d)
+			<-ctx.Done()
+			return ctx.Err()
+		},
+		Log: func(...any) {},
+	}
+	go func() { h.ended <- h.elector.Run(ctx) }()
+	w := &watcher.Watcher{
+		Source: m, Clock: clock, DutyPrefix: elector.DutyPrefix, ConfigurationKey: "configuration", MemberPrefix: "member/",
+		Members: func([]tracker.Member) {}, Duty: h.elector.Saw, Log: func(...any) {},
+	}
+	go func() { h.ended <- w.Run(ctx) }()
+	return h
+}
+
+func (h *holder) holds() bool {
+	d := h.duty.Load()
+	return d != nil && d.Holds(0)
+}
+
+func playDuty(t *testing.T, happens func(t *testing.T, m *storer.Memory, a, b *holder)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		m, begin := storer.NewMemory(), time.Now()
+		clock := func() tracker.Stamp { return time.Since(begin) + time.Hour }
+		a, b := startHolder(ctx, m, "a", clock), startHolder(ctx, m, "b", clock)
+		time.Sleep(2 * time.Second)
+		defer func() {
+			cancel()
+			for _, h := range []*holder{a, b} {
+				<-h.ended
+				<-h.ended
+			}
+		}()
+		happens(t, m, a, b)
+	})
+}
+
+// Two instances see a duty that nobody has: one takes it and keeps it.
+func TestOneHolder(t *testing.T) {
+	playDuty(t, func(t *testing.T, m *storer.Memory, a, b *holder) {
+		for range 100 {
+			must.NotEq(t, a.holds(), b.holds())
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// The holder ends: the other one has the duty at once, under a higher fence.
+func TestHolderEnds(t *testing.T) {
+	playDuty(t, func(t *testing.T, m *storer.Memory, a, b *holder) {
+		first, other := a, b
+		if b.holds() {
+			first, other = b, a
+		}
+		before, err := first.duty.Load().Fence(t.Context(), nil, false)
+		must.NoError(t, err)
+		first.cancel()
+		time.Sleep(500 * time.Millisecond)
+		must.False(t, first.holds())
+		must.True(t, other.holds())
+		after, err := other.duty.Load().Fence(t.Context(), nil, false)
+		must.NoError(t, err)
+		must.Greater(t, before, after)
+	})
+}
+
+// The store is away for longer than the lease. The holder must stop to act before the
+// lease can have run out there; when the store is back, one has the duty again.
+func TestStoreAway(t *testing.T) {
+	playDuty(t, func(t *testing.T, m *storer.Memory, a, b *holder) {
+		m.SetFaults(func(f *storer.Faults) { f.Down = true })
+		time.Sleep(2500 * time.Millisecond)
+		must.False(t, a.holds())
+		must.False(t, b.holds())
+		m.SetFaults(func(f *storer.Faults) { f.Down = false })
+		m.Lapse()
+		time.Sleep(3 * time.Second)
+		must.NotEq(t, a.holds(), b.holds())
+	})
+}
+
+// While the store is away for a moment, the fence of the last record serves for one
+// order; not for another when that got no answer.
+func TestFenceWithoutStore(t *testing.T) {
+	playDuty(t, func(t *testing.T, m *storer.Memory, a, b *holder) {
+		d := a.duty.Load()
+		if !a.holds() {
+			d = b.duty.Load()
+		}
+		fence, err := d.Fence(t.Context(), map[string]string{"m": "10.0.0.1:1"}, true)
+		must.NoError(t, err)
+		m.SetFaults(func(f *storer.Faults) { f.Down = true })
+		again, err := d.Fence(t.Context(), nil, true)
+		must.NoError(t, err)
+		must.Eq(t, fence, again)
+		d.Spend()
+		_, err = d.Fence(t.Context(), nil, true)
+		must.Error(t, err)
+		must.Eq(t, map[string]string{"m": "10.0.0.1:1"}, d.Roster())
+		must.True(t, d.Open())
+	})
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -67,6 +68,8 @@
 		Leave <-chan os.Signal
 
 		metrics       tally.Scope
+		unregister    io.Closer
+		served        map[tracker.Rule]tally.Histogram
 		register      *reporter.Register
 		configuration atomic.Pointer[tracker.Configuration]
 		leaving       atomic.Bool
@@ -114,6 +117,9 @@
 	cancel()
 	<-elected
 	i.running.Wait()
+	if failed := i.unregister.Close(); failed != nil {
+		i.belief.Log("event", "metrics-not-closed", "cause", failed)
+	}
 	i.belief.Log("event", "stopped", "after-ms", time.Since(started).Milliseconds(), "cause", err)
 	return err
 }
@@ -122,7 +128,7 @@
 	i.ctx, i.booted = ctx, i.Clock()
 	i.belief = i.Journal.Kind("belief")
 	i.register = &reporter.Register{}
-	i.metrics, _ = i.register.Open(map[string]string{reporter.TagInstance: i.Settings.Name})
+	i.metrics, i.unregister = i.register.Open(map[string]string{reporter.TagInstance: i.Settings.Name})
 	i.backends, i.members = map[string]*backend{}, map[string][]tracker.Member{}
 	requests, traces := i.Journal.Kind("request"), i.Journal.Kind("served")
 	i.server = &dispatcher.Server{
@@ -131,17 +137,16 @@
 		Backend:       func(group string) *dispatcher.Backend { return &i.backend(group).Backend },
 		Decide:        func(part string, f ...any) { requests.Log(append([]any{"of", part}, f...)...) },
 		Trace:         traces.Log,
-		Count:         func(name string) { i.metrics.Counter(name).Inc(1) },
-		Refused:       func(reason string) { i.metrics.Counter("refused." + reason).Inc(1) },
-		Retried:       func(reason string) { i.metrics.Counter("retry." + reason).Inc(1) },
-		Served: func(r tracker.Route, took time.Duration) {
-			i.metrics.Timer("served").Record(took)
-		},
+		Count:         func(name string) { i.metrics.Counter(metricPrefix + name).Inc(1) },
+		Refused:       func(r dispatcher.Reason) { i.metrics.Counter(metricRefused + string(r)).Inc(1) },
+		Retried:       func(r dispatcher.Reason) { i.metrics.Counter(metricRetried + string(r)).Inc(1) },
+		Served:        func(r tracker.Route, took time.Duration) { i.served[r.Rule].RecordDuration(took) },
 	}
 	i.elector = &elector.Elector{
 		Store: i.Platform.Store, Clock: i.Clock, Name: i.Settings.Name + "-" + started(),
 		Groups: i.groups, Keep: i.keep, Log: i.Journal.Kind("duty").Log,
 	}
+	i.declareMetrics()
 }
 
 // started tells the lives of one instance apart.
@@ -239,10 +244,10 @@
 	connections := i.Journal.Kind("connection")
 	return func(member string, err error) {
 		if err == nil {
-			i.metrics.Counter("connections.opened").Inc(1)
+			i.metrics.Counter(metricOpened).Inc(1)
 			return
 		}
-		i.metrics.Counter("connections.failed").Inc(1)
+		i.metrics.Counter(metricFailed).Inc(1)
 		connections.Log("event", "connect-failed", "group", group, "member", member, "cause", err)
 	}
 }
--- /dev/null
+++ b/internal/lender/lender_test.go
@@ -0,0 +1,192 @@
+package lender_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/lender"
+	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/standin/liner"
+	"github.com/oriolegw/oriolegw/internal/standin/wirer"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/oriolegw/oriolegw/platform"
+	"github.com/shoenig/test/must"
+)
+
+// stage is a group and the pools of some instances before it.
+type stage struct {
+	net   *wirer.Net
+	group *liner.Group
+	pools []*lender.Pool
+}
+
+// play runs a group whose members take few connections, and pools of n instances.
+func play(t *testing.T, connections, n int, happens func(t *testing.T, s *stage)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &stage{net: wirer.New(1)}
+		s.net.Latency = func(_, _ *wirer.Host) time.Duration { return time.Millisecond }
+		s.group = &liner.Group{Name: "g", Net: s.net, Travel: time.Millisecond, Promotion: time.Second, Connections: connections, Work: 20 * time.Millisecond}
+		s.group.Start(ctx, "a", "b", "c")
+		var running sync.WaitGroup
+		begin := time.Now()
+		for i := range n {
+			g := &tracker.Group{Name: "g", Zone: "a", Near: func(zone string) bool { return zone == "a" }}
+			g.Members(s.group.Registered())
+			p := &lender.Pool{
+				Group: g, Network: s.net.Host(fmt.Sprintf("10.8.0.%d", i+1), "a"), Codec: platform.Lines{},
+				Who: "test", Clock: func() tracker.Stamp { return time.Since(begin) + time.Hour },
+			}
+			p.Configure(connections)
+			s.pools = append(s.pools, p)
+			running.Go(func() { _ = p.Run(ctx) })
+		}
+		defer func() {
+			cancel()
+			running.Wait()
+			s.group.Wait()
+		}()
+		time.Sleep(time.Second)
+		happens(t, s)
+	})
+}
+
+func primary() []string { return []string{"g-1"} }
+
+// use borrows a connection to the primary, runs a statement on it and gives it back.
+func use(ctx context.Context, p *lender.Pool, priority int, within time.Duration) error {
+	c, err := p.Borrow(ctx, lender.Request{Choose: primary, Priority: priority, Until: time.Now().Add(within)})
+	if err != nil {
+		return err
+	}
+	_, _, err = c.Exchange([]messenger.Command{{ID: "x", Kind: messenger.KindRead, Text: "FETCH k"}}, time.Now().Add(time.Second))
+	p.Return(c)
+	return err
+}
+
+// load runs callers of one pool, one statement after the other, and counts.
+func load(t *testing.T, p *lender.Pool, callers int, within, lasts time.Duration) (served, refused int) {
+	t.Helper()
+	var mutex sync.Mutex
+	var running sync.WaitGroup
+	until := time.Now().Add(lasts)
+	for range callers {
+		running.Go(func() {
+			for time.Now().Before(until) {
+				err := use(t.Context(), p, 1, within)
+				mutex.Lock()
+				if err == nil {
+					served++
+				} else {
+					refused++
+				}
+				mutex.Unlock()
+				if err != nil {
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		})
+	}
+	running.Wait()
+	return served, refused
+}
+
+// Saturation: forty callers at one instance before a member that takes six
+// connections, of which it may have three. Callers that can't be served in their time
+// are told at once rather than held, and the connections are never idle meanwhile.
+func TestSaturation(t *testing.T) {
+	play(t, 6, 1, func(t *testing.T, s *stage) {
+		served, refused := load(t, s.pools[0], 40, 100*time.Millisecond, 5*time.Second)
+		must.Greater(t, 600, served) // 3 connections, 22 ms a loan: 680 at most
+		must.Greater(t, 0, refused)
+		begin := time.Now()
+		var waiting sync.WaitGroup
+		for range 60 {
+			waiting.Go(func() { _ = use(t.Context(), s.pools[0], 1, time.Second) })
+		}
+		synctest.Wait()
+		must.ErrorIs(t, use(t.Context(), s.pools[0], 1, 50*time.Millisecond), lender.ErrFull)
+		must.Eq(t, 0, time.Since(begin))
+		waiting.Wait()
+	})
+}
+
+// Uneven callers: one of three instances gets nearly all. It must get more than an
+// equal share of the nine connections, within a second, and the others keep theirs.
+func TestSharesFollowDemand(t *testing.T) {
+	play(t, 12, 3, func(t *testing.T, s *stage) {
+		var busy sync.WaitGroup
+		busy.Go(func() { load(t, s.pools[0], 20, time.Second, 3*time.Second) })
+		time.Sleep(time.Second)
+		open, _, _, _ := s.pools[0].Load()
+		must.Greater(t, 6, open)
+		must.NoError(t, use(t.Context(), s.pools[1], 1, 100*time.Millisecond))
+		must.NoError(t, use(t.Context(), s.pools[2], 1, 100*time.Millisecond))
+		busy.Wait()
+		time.Sleep(time.Second)
+		for _, p := range s.pools {
+			open, idle, _, _ := p.Load()
+			must.Eq(t, 3, open)
+			must.Eq(t, 3, idle)
+		}
+	})
+}
+
+// A burst of short work must not open a connection for each request: the one that is
+// lent comes back within the time that a new one takes.
+func TestShortWorkOpensFew(t *testing.T) {
+	play(t, 20, 1, func(t *testing.T, s *stage) {
+		_, _, _, before := s.pools[0].Load()
+		load(t, s.pools[0], 2, time.Second, 2*time.Second)
+		_, _, _, after := s.pools[0].Load()
+		must.Eq(t, before, after)
+	})
+}
+
+// Urgent work and other work wait for the same connections: the urgent goes first.
+func TestPriority(t *testing.T) {
+	play(t, 2, 1, func(t *testing.T, s *stage) {
+		var order []int
+		var mutex sync.Mutex
+		var running sync.WaitGroup
+		for _, priority := range []int{2, 2, 2, 0} {
+			running.Go(func() {
+				must.NoError(t, use(t.Context(), s.pools[0], priority, 5*time.Second))
+				mutex.Lock()
+				defer mutex.Unlock()
+				order = append(order, priority)
+			})
+			time.Sleep(time.Millisecond)
+		}
+		running.Wait()
+		must.Eq(t, []int{2, 0, 2, 2}, order)
+	})
+}
+
+// A member that is full refuses connections. Each refusal costs it work, so an
+// instance asks again only after a pause that grows.
+func TestFullMemberIsNotHammered(t *testing.T) {
+	play(t, 2, 3, func(t *testing.T, s *stage) {
+		_, _, _, before := s.pools[0].Load()
+		load(t, s.pools[0], 20, 200*time.Millisecond, 5*time.Second)
+		_, _, _, after := s.pools[0].Load()
+		must.Less(t, 40, after-before)
+	})
+}
+
+// A member closes an idle connection. A write on it would have an unknown outcome
+// although it never ran: the pool must notice before it lends the connection. The
+// network in memory can't be asked whether bytes wait, so here the exchange fails and
+// says that it may have been sent.
+func TestClosedConnection(t *testing.T) {
+	play(t, 20, 1, func(t *testing.T, s *stage) {
+		s.group.Crash("g-1")
+		err := use(t.Context(), s.pools[0], 1, 100*time.Millisecond)
+		must.Error(t, err)
+	})
+}
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -315,7 +315,9 @@
 			w.lent <- c
 			continue
 		}
-		p.connectFor(ids)
+		if time.Since(w.arrived) >= growAfter || !p.expects(ids) {
+			p.connectFor(ids)
+		}
 		i++
 	}
 }
--- a/internal/standin/liner/member.go
+++ b/internal/standin/liner/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"slices"
@@ -34,6 +35,8 @@
 // talk serves one connection.
 func (m *Member) talk(c net.Conn) {
 	defer c.Close()
+	stop := context.AfterFunc(m.group.ctx, func() { _ = c.Close() })
+	defer stop()
 	in := bufio.NewReader(c)
 	s := &session{member: m, state: "I", values: map[string]string{}, prepared: map[string]string{}, out: bufio.NewWriter(c)}
 	line, err := in.ReadString('\n')
--- a/internal/storer/contract_test.go
+++ b/internal/storer/contract_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/go-kit/log"
 	"github.com/oriolegw/oriolegw/internal/standin/keeper"
+	"github.com/oriolegw/oriolegw/internal/standin/platformer"
 	"github.com/oriolegw/oriolegw/internal/standin/wirer"
 	"github.com/oriolegw/oriolegw/internal/storer"
+	"github.com/oriolegw/oriolegw/platform"
 	"github.com/shoenig/test/must"
 )
 
@@ -164,3 +166,27 @@
 		})
 	}
 }
+
+// TestPlatform runs the contract over the users' platform's calls, against the
+// stand-in of that platform.
+func TestPlatform(t *testing.T) {
+	for _, c := range contract {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, m := wirer.New(1), storer.NewMemory()
+				ctx, cancel := context.WithCancel(context.Background())
+				p := &platformer.Platform{Address: "10.0.0.1:7000", Network: n.Host("10.0.0.1", "platform"), Store: m}
+				ended := make(chan error, 1)
+				go func() { ended <- p.Run(ctx) }()
+				synctest.Wait()
+				s := (&platform.Store{Address: p.Address, Network: n.Host("10.0.0.2", "a")}).Open()
+				defer func() {
+					s.Close()
+					cancel()
+					<-ended
+				}()
+				c.run(t, ctx, s, m)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/watcher/watcher_test.go
@@ -0,0 +1,178 @@
+package watcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/storer"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/oriolegw/oriolegw/internal/watcher"
+	"github.com/shoenig/test/must"
+)
+
+// stage is a watcher over a store, and what it has told.
+type stage struct {
+	store *storer.Memory
+	pairs map[string]storer.Pair
+
+	mutex    sync.Mutex
+	versions []int64
+	members  map[string]tracker.Member
+}
+
+func play(t *testing.T, happens func(t *testing.T, s *stage)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &stage{store: storer.NewMemory(), pairs: map[string]storer.Pair{}}
+		begin := time.Now()
+		w := &watcher.Watcher{
+			Source: s.store, Clock: func() tracker.Stamp { return time.Since(begin) + time.Hour },
+			ConfigurationKey: "configuration", MemberPrefix: "member/", DutyPrefix: "duty/",
+			DecodeConfiguration: func(value []byte) (*tracker.Configuration, error) {
+				c := &tracker.Configuration{}
+				return c, json.Unmarshal(value, &c.Version)
+			},
+			DecodeMember: func(key string, value []byte, revision int64) (tracker.Member, error) {
+				return tracker.Member{ID: strings.TrimPrefix(key, "member/"), Leaving: string(value) == "leaving", Revision: revision}, nil
+			},
+			Configured: func(c *tracker.Configuration) {
+				s.mutex.Lock()
+				defer s.mutex.Unlock()
+				s.versions = append(s.versions, c.Version)
+			},
+			Members: func(list []tracker.Member) {
+				s.mutex.Lock()
+				defer s.mutex.Unlock()
+				s.members = map[string]tracker.Member{}
+				for _, m := range list {
+					s.members[m.ID] = m
+				}
+			},
+			Duty: func(storer.Pair) {}, Log: func(...any) {},
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(ctx) }()
+		defer func() {
+			cancel()
+			<-ended
+		}()
+		s.put(t, "configuration", "7")
+		s.put(t, "member/m", "ready")
+		time.Sleep(time.Second)
+		must.True(t, s.usable("m"))
+		happens(t, s)
+	})
+}
+
+func (s *stage) put(t *testing.T, key, value string) {
+	t.Helper()
+	p, ok, err := s.store.Swap(t.Context(), storer.Pair{Key: key, Value: []byte(value), Revision: s.pairs[key].Revision}, 0)
+	must.NoError(t, err)
+	must.True(t, ok)
+	s.pairs[key] = p
+}
+
+func (s *stage) remove(t *testing.T, key string) {
+	t.Helper()
+	ok, err := s.store.Delete(t.Context(), s.pairs[key])
+	must.NoError(t, err)
+	must.True(t, ok)
+	s.pairs[key] = storer.Pair{}
+}
+
+// usable reports whether new work may go to a member.
+func (s *stage) usable(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	m, ok := s.members[id]
+	return ok && !m.Leaving && !m.Expired
+}
+
+func (s *stage) known(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	_, ok := s.members[id]
+	return ok
+}
+
+func (s *stage) away(away bool) { s.store.SetFaults(func(f *storer.Faults) { f.Down = away }) }
+
+// Versions only rise, whatever is read in which order, and a value that can't be read
+// leaves the one in force.
+func TestVersionsRise(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		for _, v := range []string{"9", "8", "nonsense", "9", "12"} {
+			s.put(t, "configuration", v)
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.Eq(t, []int64{7, 9, 12}, s.versions)
+	})
+}
+
+// An entry that vanishes while the store is well is gone at once: nothing new is sent.
+func TestEntryVanishes(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		s.remove(t, "member/m")
+		time.Sleep(500 * time.Millisecond)
+		must.False(t, s.usable("m"))
+		must.True(t, s.known("m"))
+		time.Sleep(6 * time.Second)
+		must.False(t, s.known("m"))
+	})
+}
+
+// The store was away, and entries have lapsed meanwhile. Members that live are back two
+// seconds after its return; until then they must be used, or all would stand still.
+func TestEntryLapsesInOutage(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		s.away(true)
+		time.Sleep(4 * time.Second)
+		// The store drops the entry, and answers nobody before and after.
+		s.away(false)
+		s.remove(t, "member/m")
+		s.away(true)
+		time.Sleep(time.Second)
+		s.away(false)
+		time.Sleep(1500 * time.Millisecond)
+		must.True(t, s.usable("m"))
+		time.Sleep(2 * time.Second)
+		must.False(t, s.usable("m"))
+	})
+}
+
+// A member said that it leaves while this instance was turned away by the store. The
+// time in which it may still be used runs from when the store was last heard, not from
+// when the news came: else requests reach it long after it may be gone.
+func TestLeavingLearnedLate(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		s.put(t, "member/m", "leaving")
+		s.away(true)
+		time.Sleep(8 * time.Second)
+		s.away(false)
+		time.Sleep(time.Second)
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		must.True(t, s.members["m"].Expired)
+	})
+}
+
+// A member that leaves is used no more, but stays known while it is registered: it may
+// still acknowledge commits.
+func TestLeaving(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		s.put(t, "member/m", "leaving")
+		time.Sleep(time.Second)
+		must.False(t, s.usable("m"))
+		time.Sleep(10 * time.Second)
+		must.True(t, s.known("m"))
+		s.remove(t, "member/m")
+		time.Sleep(500 * time.Millisecond)
+		must.False(t, s.known("m"))
+	})
+}
