--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -20,6 +20,8 @@
 	bucketSize = 400
 	// LinesPerSecond is how many lines of one kind are written a second.
 	LinesPerSecond = 400
+	// TimeFormat is that of a line's ts, in UTC.
+	TimeFormat = "2006-01-02T15:04:05.000Z"
 	// droppedInterval is how often lines that were dropped are told.
 	droppedInterval = 5 * time.Second
 )
@@ -125,7 +127,7 @@
 
 func encode(part string, fields []any) []byte {
 	var b bytes.Buffer
-	all := append([]any{"ts", time.Now().UTC().Format("15:04:05.000"), "part", part}, fields...)
+	all := append([]any{"ts", time.Now().UTC().Format(TimeFormat), "part", part}, fields...)
 	if err := log.NewLogfmtLogger(&b).Log(all...); err != nil {
 		return []byte("part=journal event=line-not-encoded of=" + part + "\n")
 	}
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -32,7 +32,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		_ = j.Run(ctx)
-		must.Eq(t, "ts=00:00:00.000 part=request id=5c0e outcome=\"two words\"\n", r.text.String())
+		must.Eq(t, "ts=2000-01-01T00:00:00.000Z part=request id=5c0e outcome=\"two words\"\n", r.text.String())
 	})
 }
 
