--- a/internal/tracker/group.go
+++ b/internal/tracker/group.go
@@ -18,9 +18,12 @@
 	// proofsKept is how long proofs are kept: longer than the stalest read of the
 	// users' routes, 2.5 s.
 	proofsKept = 4 * time.Second
-	// behindFor is how long a replica that lacked a position is left alone by reads
-	// that need it. Replicas are 20 to 150 ms behind on a calm day.
-	behindFor = 60 * time.Millisecond
+	// behindFirst is how long a replica that lacked a position is left alone by reads
+	// that need it. Replicas are 20 to 150 ms behind on a calm day. Each further time
+	// in a row doubles it up to behindLast: one that is seconds behind is asked in vain
+	// by every read otherwise, 24 ms and a connection each.
+	behindFirst = 60 * time.Millisecond
+	behindLast  = 480 * time.Millisecond
 	// failedFor is how long a member is asked last after a connection to it failed.
 	// Probes of the group's keeper find it well again sooner.
 	failedFor = 400 * time.Millisecond
@@ -55,13 +58,14 @@
 		// position is the end of the member's log when it last answered.
 		position orderer.Position
 		// behind is a position that the member lacked at behindAt.
-		behind   orderer.Position
-		behindAt Stamp
-		failedAt Stamp
-		failed   bool
-		latency  time.Duration
-		sampled  Stamp
-		inFlight int
+		behind    orderer.Position
+		behindAt  Stamp
+		behindFor time.Duration
+		failedAt  Stamp
+		failed    bool
+		latency   time.Duration
+		sampled   Stamp
+		inFlight  int
 	}
 )
 
@@ -258,7 +262,7 @@
 	if m.position.AtLeast(need) || m.behind.IsZero() {
 		return false
 	}
-	return need.AtLeast(m.behind) && now-m.behindAt < behindFor
+	return need.AtLeast(m.behind) && now-m.behindAt < m.behindFor
 }
 
 const (
@@ -318,6 +322,9 @@
 	if !p.IsZero() {
 		m.position = p
 	}
+	if !m.behind.IsZero() && m.position.AtLeast(m.behind) {
+		m.behind, m.behindFor = orderer.Position{}, 0
+	}
 	if m.latency == 0 {
 		m.latency = took
 	}
@@ -345,6 +352,10 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if m, ok := g.members[id]; ok {
+		// Reads that were under way together count once.
+		if now-m.behindAt >= m.behindFor {
+			m.behindFor = min(max(2*m.behindFor, behindFirst), behindLast)
+		}
 		m.behind, m.behindAt = need, now
 		m.position = orderer.Position{}
 	}
--- a/internal/tracker/group_test.go
+++ b/internal/tracker/group_test.go
@@ -1,6 +1,7 @@
 package tracker_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -82,6 +83,20 @@
 		must.SliceContains(t, g.Readers(at(10), place(1, 5)), "q")
 		must.SliceContains(t, g.Readers(at(100), need), "q")
 	})
+	t.Run("behind for long", func(t *testing.T) {
+		g := group()
+		asked := 0
+		for ms := 0; ms < 5000; ms += 10 {
+			if slices.Contains(g.Readers(at(ms), need), "q") {
+				asked++
+				g.Behind(at(ms), "q", need)
+			}
+		}
+		must.LessEq(t, 15, asked) // one in 60 ms would be 84
+		g.Answered(at(5000), "q", time.Millisecond, need)
+		g.Behind(at(5000), "q", place(1, 20))
+		must.SliceContains(t, g.Readers(at(5070), place(1, 20)), "q")
+	})
 	t.Run("failed", func(t *testing.T) {
 		g := group()
 		g.Unanswered(at(0), "q", false)
