--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -47,6 +47,8 @@
 	// need is the position that the read's log must hold, zero on the primary.
 	need  orderer.Position
 	tries int
+	// waited is how long it waited for connections, over all tries.
+	waited time.Duration
 }
 
 func (x *exchange) deadline() time.Time { return x.start.Add(x.route.Timeout) }
@@ -78,6 +80,8 @@
 }
 
 func (x *exchange) borrow(ctx context.Context, choose func() []string) (*lender.Conn, error) {
+	begin := time.Now()
+	defer func() { x.waited += time.Since(begin) }()
 	return x.backend.Pool.Borrow(ctx, lender.Request{Choose: choose, Priority: x.route.Priority, Until: x.holdUntil()})
 }
 
@@ -86,7 +90,7 @@
 	s := x.session
 	s.server.refused(reason)
 	s.server.decide("statement", "id", x.statement.ID, "outcome", "refused", "reason", reason,
-		"group", x.route.Group, "primary", x.backend.Group.Primary(), "tries", x.tries, "ms", x.elapsed())
+		"group", x.route.Group, "primary", x.backend.Group.Primary(), "tries", x.tries, "waited-ms", x.waited.Milliseconds(), "ms", x.elapsed())
 	if s.tx != nil {
 		s.fail()
 	}
@@ -120,7 +124,8 @@
 func (x *exchange) done(member string, r messenger.Reply) messenger.Reply {
 	s := x.session
 	s.server.served(x.route, time.Since(x.start))
-	s.server.trace(x.statement.ID, x.route.Group, member, x.need, x.tries, r.Code, x.elapsed())
+	s.server.Trace("id", x.statement.ID, "group", x.route.Group, "member", member, "need", x.need, "tries", x.tries,
+		"outcome", r.Code, "waited-ms", x.waited.Milliseconds(), "ms", x.elapsed())
 	r.State = s.state
 	return r
 }
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -15,7 +15,6 @@
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/networker"
 	"github.com/oriolegw/oriolegw/internal/tracker"
-	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
 const (
@@ -189,10 +188,6 @@
 
 func (s *Server) served(r tracker.Route, took time.Duration) { s.Served(r, took) }
 
-func (s *Server) trace(id, group, member string, need orderer.Position, tries int, c messenger.Code, ms int64) {
-	s.Trace("id", id, "group", group, "member", member, "need", need, "tries", tries, "outcome", c, "ms", ms)
-}
-
 // lost takes in that a member says it is not the primary.
 func (b *Backend) lost(member string) {
 	b.Group.Lost(member)
