--- a/internal/elector/change.go
+++ b/internal/elector/change.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/pauser"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
@@ -131,7 +132,7 @@
 		if time.Now().After(until) {
 			return false, nil
 		}
-		if err := sleep(ctx, leadInterval); err != nil {
+		if err := pauser.Pause(ctx, leadInterval); err != nil {
 			return false, err
 		}
 		k.ask(ctx, m.to)
@@ -308,7 +309,7 @@
 			k.leads(m, ordered)
 			return nil
 		}
-		if err := sleep(ctx, leadInterval); err != nil {
+		if err := pauser.Pause(ctx, leadInterval); err != nil {
 			return err
 		}
 	}
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -5,14 +5,12 @@
 	"maps"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/pauser"
 	"github.com/oriolegw/oriolegw/internal/tracker"
-	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
 const (
@@ -88,20 +86,6 @@
 		// uncertain is until when a resumption without an answer may take effect.
 		uncertain map[string]tracker.Stamp
 	}
-
-	link struct {
-		conn *lender.Conn
-		// askedAt is when it was last asked; said is what it had received then, and
-		// before it what the last but one question showed.
-		askedAt tracker.Stamp
-		said    [2]tracker.Proof
-		// covered is a moment at which the member's log held all that the primary's did;
-		// goneAt when a member that has left was first seen to be gone.
-		covered, goneAt tracker.Stamp
-		// gone is set when another member answers at the address.
-		gone bool
-		Observation
-	}
 )
 
 // Run watches over the group until the context ends.
@@ -152,7 +136,7 @@
 		k.Log("event", "move-ended", "group", k.Group.Name, "reason", d.Move, "from", v.Primary, "to", to,
 			"outcome", outcome(err), "ms", (k.Clock() - start).Milliseconds())
 		if err != nil {
-			_ = sleep(ctx, retryPause)
+			_ = pauser.Pause(ctx, retryPause)
 		}
 		return
 	}
@@ -186,15 +170,6 @@
 	return err.Error()
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 // observe asks all members at once.
 func (k *Keeper) observe(ctx context.Context) View {
 	k.list()
@@ -325,127 +300,3 @@
 	v.Primary, v.HeadlessSince = k.primary, k.headlessSince
 	return v
 }
-
-// ask asks a member for its status, on the open connection first and then on a
-// fresh one: a connection can go silent while the member lives.
-func (k *Keeper) ask(ctx context.Context, l *link) {
-	asked := k.Clock()
-	l.askedAt = asked
-	s, err := k.command(ctx, l, messenger.Command{Kind: messenger.KindStatus})
-	var refused *lender.RefusedError
-	l.Full = errors.As(err, &refused) && refused.Code == messenger.CodeTooManyConnections
-	// When another member has the address, this one is gone.
-	l.gone = l.gone || refused != nil && refused.Code == messenger.CodeWrongMember
-	if err != nil {
-		if l.Answered || l.FailedSince == 0 {
-			l.FailedSince = asked
-		}
-		l.Answered, l.Refused = false, errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-		return
-	}
-	l.noted(k.Clock(), s)
-	if s.Primary {
-		l.said = [2]tracker.Proof{{At: asked, Position: s.Received}, l.said[0]}
-	}
-	if k.Group.Saw(asked, l.ID, s) {
-		k.Changed()
-	}
-}
-
-// noted takes in a member's status.
-func (l *link) noted(now tracker.Stamp, s messenger.Status) {
-	if s.Received != l.Status.Received {
-		l.BehindSince = 0
-	}
-	switch {
-	case s.PausedFor <= s.Term:
-		l.PausedSince = 0
-	case l.PausedSince == 0:
-		l.PausedSince = now
-	}
-	switch long := queueFactor * max(1, l.Slots); {
-	case s.Busy < long:
-		l.OverloadedSince = 0
-	case l.OverloadedSince == 0:
-		l.OverloadedSince = now
-	}
-	l.Answered, l.Refused, l.Full, l.FailedSince, l.Status = true, false, false, 0, s
-}
-
-// cover notes that the member's log reaches what the primary said before.
-func (l *link) cover(p *link) {
-	if !l.Answered || l.ID == p.ID {
-		return
-	}
-	for _, s := range p.said {
-		if s.At != 0 && l.Status.Received.AtLeast(s.Position) {
-			l.covered = max(l.covered, s.At)
-		}
-	}
-}
-
-// compare notes since when the member stands still behind the primary.
-func (l *link) compare(now tracker.Stamp, primary orderer.Position) {
-	switch {
-	case l.Status.Received.AtLeast(primary):
-		l.BehindSince = 0
-	case l.BehindSince == 0:
-		l.BehindSince = now
-	}
-}
-
-// command sends a command of the keeper's own and decodes the status that answers
-// it. Without an answer it is sent once more on a fresh connection.
-func (k *Keeper) command(ctx context.Context, l *link, c messenger.Command) (messenger.Status, error) {
-	if l.conn != nil {
-		if s, err := k.send(l, c); err == nil {
-			return s, nil
-		}
-		l.close()
-	}
-	return k.commandOnce(ctx, l, c)
-}
-
-// commandOnce sends a command on a fresh connection, which stays open.
-func (k *Keeper) commandOnce(ctx context.Context, l *link, c messenger.Command) (messenger.Status, error) {
-	l.close()
-	dial, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	conn, err := k.Connect(dial, l.Member)
-	if err != nil {
-		return messenger.Status{}, err
-	}
-	l.conn = conn
-	s, err := k.send(l, c)
-	if err != nil {
-		l.close()
-	}
-	return s, err
-}
-
-func (k *Keeper) send(l *link, c messenger.Command) (messenger.Status, error) {
-	replies, _, err := l.conn.Exchange([]messenger.Command{c}, time.Now().Add(askTimeout))
-	if err != nil {
-		return messenger.Status{}, err
-	}
-	if replies[0].Code == messenger.CodeBusy {
-		// A member without a free slot lives; what it said last still holds.
-		if c.Kind == messenger.KindStatus && l.Answered {
-			return l.Status, nil
-		}
-	}
-	return k.Codec.Status(replies[0])
-}
-
-func (l *link) close() {
-	if l.conn != nil {
-		l.conn.Close()
-		l.conn = nil
-	}
-}
-
-func (k *Keeper) closeLinks() {
-	for _, l := range k.links {
-		l.close()
-	}
-}
--- a/internal/launcher/backend.go
+++ b/internal/launcher/backend.go
@@ -8,6 +8,7 @@
 	"github.com/oriolegw/oriolegw/internal/dispatcher"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/pauser"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
@@ -168,7 +169,7 @@
 		case member := <-b.suspicion:
 			if member == b.Group.Primary() || b.Group.Primary() == "" {
 				b.look(ctx)
-				if sleep(ctx, suspicionPause) != nil {
+				if pauser.Pause(ctx, suspicionPause) != nil {
 					return
 				}
 			}
@@ -180,15 +181,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 // look asks all members for their status.
 func (b *backend) look(ctx context.Context) {
 	var asked sync.WaitGroup
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -20,6 +20,7 @@
 	"github.com/oriolegw/oriolegw/internal/loader"
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/networker"
+	"github.com/oriolegw/oriolegw/internal/pauser"
 	"github.com/oriolegw/oriolegw/internal/reporter"
 	"github.com/oriolegw/oriolegw/internal/storer"
 	"github.com/oriolegw/oriolegw/internal/tracker"
@@ -294,7 +295,7 @@
 	told := time.Now()
 	grace := i.Settings.Shutdown
 	wait := func(until time.Duration) {
-		for time.Since(told) < until && sleep(ctx, endPoll) == nil {
+		for time.Since(told) < until && pauser.Pause(ctx, endPoll) == nil {
 			if time.Since(told) > rotationTime && i.server.Sessions() == 0 {
 				return
 			}
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -3,12 +3,12 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -29,10 +29,14 @@
 	"github.com/shoenig/test/must"
 )
 
-const configuration = `{"version": %d, "routes": [
-	{"database": "strict", "type": "primary", "timeout_ms": 1000, "target_latency_ms": 400, "service": "g"},
-	{"database": "own", "type": "read_your_writes", "timeout_ms": 1000, "target_latency_ms": 800, "service": "g", "max_staleness_ms": 2500}%s],
-	"services": [{"name": "g", "max_conns": 12, "sync_replicas": 1}], "limits": {"tx_idle_ms": 3000}}`
+// routes are there in every version; added is in some.
+var (
+	routes = []tracker.Route{
+		{Database: "strict", Group: "g", Rule: tracker.RulePrimary, Timeout: time.Second, Aim: 400 * time.Millisecond},
+		{Database: "own", Group: "g", Rule: tracker.RuleOwnWrites, Timeout: time.Second, Aim: 800 * time.Millisecond, Staleness: 2500 * time.Millisecond},
+	}
+	added = tracker.Route{Database: "added", Group: "g", Rule: tracker.RulePrimary, Timeout: time.Second}
+)
 
 type (
 	// fleet is a platform, a group and some instances.
@@ -45,7 +49,7 @@
 		running  sync.WaitGroup
 		log      lockedBuffer
 		callers  int
-		versions int
+		versions int64
 	}
 
 	instance struct {
@@ -86,7 +90,7 @@
 		p := &platformer.Platform{Address: "10.6.0.1:7000", Network: n.Host("10.6.0.1", "a"), Store: f.store, Promote: func(_, id string) error { return f.group.Promote(id) }}
 		f.running.Go(func() { _ = p.Run(ctx) })
 		f.running.Go(func() { f.register(ctx) })
-		f.configure("")
+		f.configure()
 		defer func() {
 			cancel()
 			f.running.Wait()
@@ -106,14 +110,7 @@
 	held := map[string]storer.Pair{}
 	for ctx.Err() == nil {
 		for _, m := range f.group.Registered() {
-			phase, role := "ready", "replica"
-			if m.Leaving {
-				phase = "draining"
-			}
-			if m.Primary {
-				role = "primary"
-			}
-			value, _ := json.Marshal(map[string]any{"service": "g", "address": m.Address, "zone": m.Zone, "capacity": 3, "phase": phase, "db_role": role})
+			value := platformer.Entry(m)
 			key := platform.PrefixMembers + m.ID
 			if string(held[key].Value) == string(value) {
 				continue
@@ -126,12 +123,19 @@
 	}
 }
 
-// configure publishes a version with more routes.
-func (f *fleet) configure(routes string) {
+// configure publishes a version with the usual routes and more.
+func (f *fleet) configure(more ...tracker.Route) {
 	f.versions += 7
+	c := tracker.Configuration{
+		Version: f.versions, TransactionIdle: 3 * time.Second, Routes: map[string]tracker.Route{},
+		Groups: map[string]tracker.GroupSettings{"g": {Connections: 12, SyncReplicas: 1}},
+	}
+	for _, r := range slices.Concat(routes, more) {
+		c.Routes[r.Database] = r
+	}
 	old, err := f.store.Get(f.ctx, platform.KeyConfiguration)
 	must.NoError(f.t, err)
-	old.Value = fmt.Appendf(nil, configuration, f.versions, routes)
+	old.Value = platformer.Configuration(c)
 	_, ok, err := f.store.Swap(f.ctx, old, 0)
 	must.NoError(f.t, err)
 	must.True(f.t, ok)
@@ -217,10 +221,10 @@
 		must.Eq(t, "I", f.call(a, "strict")("PUT k v"))
 		must.Eq(t, "v I", f.call(b, "strict")("FETCH k"))
 		must.Eq(t, "NODB", f.call(a, "added")("FETCH k"))
-		f.configure(`, {"database": "added", "type": "primary", "timeout_ms": 1000, "service": "g"}`)
+		f.configure(added)
 		time.Sleep(time.Second)
 		must.Eq(t, "v I", f.call(b, "added")("FETCH k"))
-		f.configure("")
+		f.configure()
 		time.Sleep(time.Second)
 		must.Eq(t, "NODB", f.call(b, "added")("FETCH k"))
 	})
@@ -244,7 +248,6 @@
 // The store forgets its history, or is away for a while, and a version comes in that
 // time. It is in force soon after.
 func TestStoreTrouble(t *testing.T) {
-	added := `, {"database": "added", "type": "primary", "timeout_ms": 1000, "service": "g"}`
 	t.Run("history lost", func(t *testing.T) {
 		play(t, func(f *fleet) {
 			i := f.start("10.5.0.1", "a")
--- a/internal/standin/platformer/platformer.go
+++ b/internal/standin/platformer/platformer.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/networker"
 	"github.com/oriolegw/oriolegw/internal/storer"
+	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
 type (
@@ -236,3 +237,47 @@
 	}
 	reply(w, http.StatusOK, map[string]string{})
 }
+
+// Entry is what a member writes of itself.
+func Entry(m tracker.Member) []byte {
+	phase, role := "ready", "replica"
+	if m.Leaving {
+		phase = "draining"
+	}
+	if m.Primary {
+		role = "primary"
+	}
+	return encode(map[string]any{
+		"service": m.Group, "address": m.Address, "zone": m.Zone, "capacity": m.Slots, "phase": phase, "db_role": role,
+	})
+}
+
+var typeWords = map[tracker.Rule]string{
+	tracker.RulePrimary: "primary", tracker.RuleBounded: "bounded_staleness", tracker.RuleOwnWrites: "read_your_writes",
+}
+
+// Configuration is what an operator writes.
+func Configuration(c tracker.Configuration) []byte {
+	routes, services := []any{}, []any{}
+	for _, r := range c.Routes {
+		routes = append(routes, map[string]any{
+			"database": r.Database, "service": r.Group, "type": typeWords[r.Rule], "priority": r.Priority,
+			"timeout_ms": r.Timeout.Milliseconds(), "target_latency_ms": r.Aim.Milliseconds(), "max_staleness_ms": r.Staleness.Milliseconds(),
+		})
+	}
+	for name, g := range c.Groups {
+		services = append(services, map[string]any{"name": name, "max_conns": g.Connections, "sync_replicas": g.SyncReplicas})
+	}
+	return encode(map[string]any{
+		"version": c.Version, "routes": routes, "services": services,
+		"limits": map[string]any{"tx_idle_ms": c.TransactionIdle.Milliseconds()},
+	})
+}
+
+func encode(v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic("platformer: " + err.Error())
+	}
+	return text
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/pauser"
 	"github.com/oriolegw/oriolegw/internal/storer"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
@@ -149,7 +150,7 @@
 			// After an outage everything is read again: what a watch has missed while
 			// its history was dropped shows nowhere else.
 			whole = true
-			if err := sleep(ctx, pause/2+rand.N(pause/2)); err != nil {
+			if err := pauser.Pause(ctx, pause/2+rand.N(pause/2)); err != nil {
 				return err
 			}
 			pause = min(2*pause, lastPause)
@@ -158,7 +159,7 @@
 		pause = firstPause
 		if whole || len(u.pairs) > 0 {
 			revision = next
-			if err := sleep(ctx, gatherTime); err != nil {
+			if err := pauser.Pause(ctx, gatherTime); err != nil {
 				return err
 			}
 		}
@@ -166,15 +167,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 func (w *Watcher) apply(u update) {
 	if u.err != nil {
 		if !w.outage {
