A duty taken without an answer is acted on; a soak of the fleet on the platform's stand-ins

The instance did not know and renewed the lease all the same, so nobody watched over the group for good; when its primary left, nobody led. Now the record names the lease, and an instance that finds its own record acts on it. TestTakingWithoutAnswer fails without that.

--- a/Makefile
+++ b/Makefile
@@ -77,3 +77,9 @@
 .PHONY: faults
 faults: build
 	$(FLEET) -faults
+
+# soak-platform plays random faults over entry instances, the platform's stand-in and a
+# group of line members, on virtual time: make soak-platform SEEDS=100 FROM=1
+.PHONY: soak-platform
+soak-platform:
+	go test ./internal/launcher -run 'TestSoak$$' -count=1 -timeout 60m -v -seeds=$(SEEDS) -from=$(FROM) | grep -vE '^(=== RUN|    --- PASS)'
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -83,6 +83,8 @@
 	// record is a duty's value in the store.
 	record struct {
 		Holder string `json:"holder"`
+		// Lease is the one that the record hangs on.
+		Lease int64 `json:"lease"`
 		// Members gives the address of each member whose log may hold acknowledged
 		// commits.
 		Members map[string]string `json:"members"`
@@ -126,6 +128,13 @@
 	d.record = p
 }
 
+// own reports whether a record is this instance's under the lease that it has: the
+// call that took the duty got no answer, and took effect.
+func (e *Elector) own(d *duty) bool {
+	r := decode(d.record.Value)
+	return d.record.Revision != 0 && e.lease != 0 && r.Holder == e.Name && r.Lease == int64(e.lease)
+}
+
 // Roster lists the members that a group's record names.
 func (e *Elector) Roster(group string) []string {
 	e.mutex.Lock()
@@ -156,6 +165,9 @@
 			d.taking = now + rand.N(d.jitter())
 		}
 		due := free && now >= d.taking
+		if !d.held && e.own(d) {
+			e.begin(ctx, g, d)
+		}
 		e.mutex.Unlock()
 		if due {
 			e.take(ctx, g, d)
@@ -222,7 +234,7 @@
 		lease = l
 		e.mutex.Unlock()
 	}
-	value := e.encode(decode(old))
+	value := e.encode(decode(old), lease)
 	now, ok, err := e.Store.Swap(ctx, storer.Pair{Key: DutyPrefix + group, Value: value}, lease)
 	if errors.Is(err, storer.ErrLeaseLost) {
 		e.mutex.Lock()
@@ -245,16 +257,21 @@
 	if !ok || d.held {
 		return
 	}
+	e.begin(ctx, group, d)
+}
+
+// begin has the duty's keeper run; the mutex is held.
+func (e *Elector) begin(ctx context.Context, group string, d *duty) {
 	d.held = true
-	e.Log("event", "duty-taken", "group", group, "fence", now.Revision)
+	e.Log("event", "duty-taken", "group", group, "fence", d.record.Revision)
 	keep, cancel := context.WithCancel(ctx)
 	d.cancel, d.ended = cancel, make(chan error, 1)
 	go func() { d.ended <- e.Keep(keep, group, &Duty{elector: e, group: group}) }()
 }
 
-// encode writes a record in this instance's name.
-func (e *Elector) encode(r record) []byte {
-	r.Holder = e.Name
+// encode writes a record in this instance's name, under a lease.
+func (e *Elector) encode(r record, lease storer.Lease) []byte {
+	r.Holder, r.Lease = e.Name, int64(lease)
 	text, err := json.Marshal(r)
 	if err != nil {
 		panic("elector: record: " + err.Error())
@@ -327,7 +344,7 @@
 	old := p.Revision
 	r := decode(p.Value)
 	r.Members, r.Open = roster, open
-	p.Value = e.encode(r)
+	p.Value = e.encode(r, lease)
 	now, ok, err := e.Store.Swap(ctx, p, lease)
 	if err != nil {
 		if spent || old == 0 || !d.Holds(0) {
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -132,3 +132,15 @@
 		must.True(t, d.Open())
 	})
 }
+
+// The call that takes a duty takes effect and its answer is lost. The instance finds
+// its own record in the store; if it did not act on it, nobody ever would, as its lease
+// is renewed: the group would have no keeper for good.
+func TestTakingWithoutAnswer(t *testing.T) {
+	playDuty(t, func(t *testing.T, m *storer.Memory, a, b *holder) {
+		m.SetFaults(func(f *storer.Faults) { f.LoseAnswers = 2 })
+		m.Lapse()
+		time.Sleep(4 * time.Second)
+		must.NotEq(t, a.holds(), b.holds())
+	})
+}
--- a/internal/standin/liner/group.go
+++ b/internal/standin/liner/group.go
@@ -129,9 +129,12 @@
 	g.Net.Kill(g.members[id].IP)
 }
 
-// Crash stops a member with its log; Return brings it back as what it then is.
+// Crash stops a member with its log.
 func (g *Group) Crash(id string) { g.Net.Kill(g.members[id].IP) }
 
+// Return brings a crashed member back with its log.
+func (g *Group) Return(id string) { g.Net.Revive(g.members[id].IP) }
+
 // Isolate keeps a replica from receiving from whoever leads.
 func (g *Group) Isolate(id string, others ...string) {
 	g.set(id, func(m *Member) {
@@ -205,6 +208,16 @@
 	return len(g.acknowledged)
 }
 
+// Log returns the commits that the leader has, oldest first.
+func (g *Group) Log() []Entry {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if p := g.leader(); p != nil {
+		return slices.Clone(p.log)
+	}
+	return nil
+}
+
 // Violations returns the acknowledged commits that a promoted member lacked.
 func (g *Group) Violations() []string {
 	g.mutex.Lock()
