Keeper: a member without a slot for a question gives no proof

Ruled out: the floor of a session's own commits, the proof by replicas. TestBusyIsNoProof fails without the change.

--- a/internal/elector/change_test.go
+++ b/internal/elector/change_test.go
@@ -24,6 +24,9 @@
 	group *liner.Group
 	net   *wirer.Net
 	duty  *fakeDuty
+	clock func() tracker.Stamp
+	// tracked is what the keeper tells of the group.
+	tracked *tracker.Group
 
 	mutex  sync.Mutex
 	events []string
@@ -64,8 +67,10 @@
 }
 
 func (s *stage) keeper(host *wirer.Host, clock func() tracker.Stamp) *elector.Keeper {
+	s.tracked = &tracker.Group{Name: s.group.Name, Zone: "a", Near: func(string) bool { return false }}
+	s.tracked.Members(s.group.Registered())
 	return &elector.Keeper{
-		Group: &tracker.Group{Name: s.group.Name, Zone: "a", Near: func(string) bool { return false }},
+		Group: s.tracked,
 		Clock: clock, Codec: platform.Lines{}, Members: s.group.Registered,
 		Connect: func(ctx context.Context, m tracker.Member) (*lender.Conn, error) {
 			return lender.Connect(ctx, host, platform.Lines{}, m, "keeper")
@@ -92,6 +97,7 @@
 		s.group.Start(ctx, "a", "b", "c")
 		begin := time.Now()
 		clock := func() tracker.Stamp { return time.Since(begin) }
+		s.clock = clock
 		var running sync.WaitGroup
 		for i := range 3 {
 			h := net.Host(fmt.Sprintf("10.8.0.%d", i+1), "a")
@@ -253,3 +259,23 @@
 		must.NotEq(t, "g-1", s.leader())
 	})
 }
+
+// The primary has no slot for questions while callers write on. What it said before is
+// no proof of where its log is now: a caller that reads its own write would be sent to a
+// replica that lacks it.
+func TestBusyIsNoProof(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		time.Sleep(2 * time.Second)
+		s.group.Busy("g-1", true)
+		time.Sleep(50 * time.Millisecond)
+		since := s.clock()
+		time.Sleep(500 * time.Millisecond)
+		p, ok := s.tracked.Freshest()
+		must.True(t, ok)
+		must.Less(t, since, p.At)
+		s.group.Busy("g-1", false)
+		time.Sleep(time.Second)
+		p, _ = s.tracked.Freshest()
+		must.Greater(t, since, p.At)
+	})
+}
--- a/internal/elector/link.go
+++ b/internal/elector/link.go
@@ -12,6 +12,9 @@
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
+// errBusy means that a member had no slot for a question.
+var errBusy = errors.New("no slot free")
+
 // link is a member as its keeper knows it, and the connection to it.
 type link struct {
 	conn *lender.Conn
@@ -37,6 +40,10 @@
 	l.Full = errors.As(err, &refused) && refused.Code == messenger.CodeTooManyConnections
 	// When another member has the address, this one is gone.
 	l.gone = l.gone || refused != nil && refused.Code == messenger.CodeWrongMember
+	if errors.Is(err, errBusy) && l.Status.Term > 0 {
+		l.busy(k.Clock())
+		return
+	}
 	if err != nil {
 		if l.Answered || l.FailedSince == 0 {
 			l.FailedSince = asked
@@ -53,6 +60,16 @@
 	}
 }
 
+// busy takes in that the member has no slot for a question. It lives; what it said
+// before is no news of its log: taken for new, it made a proof that lacked commits
+// acknowledged since, and reads of old data.
+func (l *link) busy(now tracker.Stamp) {
+	l.Answered, l.Refused, l.Full, l.FailedSince = true, false, false, 0
+	if l.OverloadedSince == 0 {
+		l.OverloadedSince = now
+	}
+}
+
 // noted takes in a member's status.
 func (l *link) noted(now tracker.Stamp, s messenger.Status) {
 	if s.Received != l.Status.Received {
@@ -99,8 +116,9 @@
 // it. Without an answer it is sent once more on a fresh connection.
 func (k *Keeper) command(ctx context.Context, l *link, c messenger.Command) (messenger.Status, error) {
 	if l.conn != nil {
-		if s, err := k.send(l, c); err == nil {
-			return s, nil
+		s, err := k.send(l, c)
+		if err == nil || errors.Is(err, errBusy) {
+			return s, err
 		}
 		l.close()
 	}
@@ -118,7 +136,7 @@
 	}
 	l.conn = conn
 	s, err := k.send(l, c)
-	if err != nil {
+	if err != nil && !errors.Is(err, errBusy) {
 		l.close()
 	}
 	return s, err
@@ -130,10 +148,7 @@
 		return messenger.Status{}, err
 	}
 	if replies[0].Code == messenger.CodeBusy {
-		// A member without a free slot lives; what it said last still holds.
-		if c.Kind == messenger.KindStatus && l.Answered {
-			return l.Status, nil
-		}
+		return messenger.Status{}, errBusy
 	}
 	return k.Codec.Status(replies[0])
 }
--- a/internal/standin/liner/group.go
+++ b/internal/standin/liner/group.go
@@ -70,6 +70,8 @@
 		// loseAnswers is how many of the next writes run without an answer.
 		loseAnswers int
 		conns       int
+		// busy members have no slot for a question about their status.
+		busy bool
 		// Ran lists the ids and texts of what was run, for tests.
 		ran []string
 	}
@@ -155,6 +157,9 @@
 // LoseAnswers has the next writes at a member run without an answer.
 func (g *Group) LoseAnswers(id string, n int) { g.set(id, func(m *Member) { m.loseAnswers = n }) }
 
+// Busy has a member answer questions about its status with BUSY, or no more.
+func (g *Group) Busy(id string, busy bool) { g.set(id, func(m *Member) { m.busy = busy }) }
+
 func (g *Group) set(id string, change func(*Member)) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/standin/liner/member.go
+++ b/internal/standin/liner/member.go
@@ -133,8 +133,11 @@
 	}
 	g.mutex.Lock()
 	m.ran = append(m.ran, id+" "+text)
-	leads, term := m.primary, m.term
+	leads, term, busy := m.primary, m.term, m.busy
 	g.mutex.Unlock()
+	if busy && word == "STATUS" {
+		return s.fail("BUSY")
+	}
 	switch word {
 	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
 		return s.order(word, rest)
