--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -35,9 +35,12 @@
 	// queueFactor is how many statements a slot must have for the queue to be long. At
 	// three, a statement waits twice as long as it runs.
 	queueFactor = 3
-	// movePause is the least time between the last change of the lead and one that
-	// only evens out load: open transactions are rolled back by each.
-	movePause = 8 * time.Second
+	// firstMovePause is the least time between the last change of the lead and one that
+	// only evens out load: open transactions are rolled back by each. When a group is
+	// overloaded again soon, the move was no cure, as where all slots are too few; the
+	// pause is four times as long then, up to lastMovePause.
+	firstMovePause = 8 * time.Second
+	lastMovePause  = 2 * time.Minute
 	// lingerTime is how long members keep connections whose other end has lost power.
 	// An instance that has just started may find a member full of those.
 	lingerTime = 3500 * time.Millisecond
@@ -76,6 +79,8 @@
 		HeadlessSince tracker.Stamp
 		// Ordered is when a promotion was last ordered.
 		Ordered tracker.Stamp
+		// MovePause is the least time between two changes that only even out load.
+		MovePause time.Duration
 		// Booted is when this process started.
 		Booted tracker.Stamp
 	}
@@ -160,7 +165,7 @@
 // mayRelieve reports whether a replica could take the lead over from an overloaded
 // primary, and the last change is long enough ago.
 func mayRelieve(v View, p *Observation) bool {
-	if v.Ordered != 0 && v.Now-v.Ordered < movePause {
+	if v.Ordered != 0 && v.Now-v.Ordered < max(v.MovePause, firstMovePause) {
 		return false
 	}
 	for _, m := range v.Members {
--- a/internal/elector/decide_test.go
+++ b/internal/elector/decide_test.go
@@ -103,3 +103,13 @@
 	v.Members[1].PausedSince, v.Members[2].PausedSince = now-2*time.Second, now-100*time.Millisecond
 	must.Eq(t, []string{"q"}, elector.Decide(v).Resume)
 }
+
+// A group is overloaded again soon after its lead was moved for that: all its slots are
+// too few. Moving on and on would only roll transactions back.
+func TestMovesForLoadAreSpaced(t *testing.T) {
+	v := healthy()
+	v.Members[0].OverloadedSince, v.Ordered = now-time.Second, now-20*time.Second
+	must.Eq(t, elector.ReasonOverloaded, elector.Decide(v).Move)
+	v.MovePause = 32 * time.Second
+	must.Eq(t, elector.ReasonNone, elector.Decide(v).Move)
+}
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -81,6 +81,10 @@
 		unrecorded bool
 		// open is set while an order to promote may still be carried out late.
 		open bool
+		// movePause is the least time between two moves for load, relieved when the last
+		// one was.
+		movePause time.Duration
+		relieved  tracker.Stamp
 		// closed is when the last order was sent that was to close others.
 		closed tracker.Stamp
 		// uncertain is until when a resumption without an answer may take effect.
@@ -130,6 +134,7 @@
 		return
 	}
 	if d.Move != ReasonNone {
+		k.relieve(d.Move)
 		start := k.Clock()
 		k.Log("event", "move-begins", "group", k.Group.Name, "reason", d.Move, "primary", v.Primary)
 		to, err := k.change(ctx, v)
@@ -151,6 +156,20 @@
 	k.record(ctx)
 }
 
+// relieve sets the pause after a move for load.
+func (k *Keeper) relieve(r Reason) {
+	if r != ReasonOverloaded {
+		return
+	}
+	now := k.Clock()
+	if k.relieved != 0 && now-k.relieved < 2*k.movePause {
+		k.movePause = min(4*k.movePause, lastMovePause)
+	} else {
+		k.movePause = firstMovePause
+	}
+	k.relieved = now
+}
+
 // record writes the roster when it has changed, for the next holder: a member that
 // has vanished may hold acknowledged commits that nobody else has.
 func (k *Keeper) record(ctx context.Context) {
@@ -269,7 +288,7 @@
 
 func (k *Keeper) view() View {
 	now := k.Clock()
-	v := View{Now: now, Ordered: k.ordered, Booted: k.Booted}
+	v := View{Now: now, Ordered: k.ordered, Booted: k.Booted, MovePause: k.movePause}
 	if k.primary == "" {
 		k.primary = k.Group.Primary()
 	}
