A duty is adopted under its own lease only; failed state commands are noticed; plainer names

Cause, from reading the diff: a refused taking adopted a record of this instance's even if it hung on a lease that had run out; a SET or PARSE of ours that failed left the connection's record of the session's state wrong. No other behaviour changes.

--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -167,9 +167,24 @@
 		return replies, sent, err
 	}
 	g.Answered(stamp, c.Member, time.Since(now), replies[len(replies)-1].Position)
+	x.checkState(c, commands, replies)
 	return replies, sent, nil
 }
 
+// checkState has the connection give up its record of the session's state when a
+// command that sets it failed: the next statement would run with another's values.
+func (x *exchange) checkState(c *lender.Conn, commands []messenger.Command, replies []messenger.Reply) {
+	for i, r := range replies {
+		switch commands[i].Kind {
+		case messenger.KindSet, messenger.KindReset, messenger.KindPrepareRead, messenger.KindPrepareWrite:
+			if r.Code != messenger.CodeNone {
+				c.Forget()
+				x.session.server.decide("statement", "id", x.statement.ID, "outcome", "state-not-set", "member", c.Member, "code", r.Code)
+			}
+		}
+	}
+}
+
 // giveUp leaves a connection whose answer is late to itself: the member goes on
 // working undisturbed, and the connection comes back when it is done.
 func (x *exchange) giveUp(c *lender.Conn, err error) {
--- a/internal/elector/change.go
+++ b/internal/elector/change.go
@@ -183,7 +183,7 @@
 		term = max(term, m.Status.Term, m.Status.Received.Term)
 		l := k.links[m.ID]
 		// A primary that has stepped down is a replica like the others.
-		if (m.ID != v.Primary || m.Answered && !m.Status.Primary) && !k.buried[m.ID] {
+		if (m.ID != v.Primary || m.Answered && !m.Status.Primary) && !k.countedOut[m.ID] {
 			list = append(list, l)
 		}
 	}
@@ -223,7 +223,7 @@
 func (k *Keeper) roster() map[string]string {
 	all := map[string]string{}
 	for id, l := range k.links {
-		if !k.buried[id] {
+		if !k.countedOut[id] {
 			all[id] = l.Address
 		}
 	}
--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -25,9 +25,9 @@
 	// replica: its commits are not acknowledged meanwhile. Replicas receive within a
 	// network trip, at most 12 ms one way.
 	standstillAfter = 1200 * time.Millisecond
-	// headlessAfter is for how long no member must lead: longer than a promotion that
+	// leaderlessAfter is for how long no member must lead: longer than a promotion that
 	// another instance has ordered takes to show, 600 to 1,000 ms.
-	headlessAfter = 2 * time.Second
+	leaderlessAfter = 2 * time.Second
 	// overloadedAfter is for how long the primary must have had a long queue while a
 	// replica had none: longer than the bursts of a calm day, and short against the
 	// seconds that a member stays slow.
@@ -44,9 +44,9 @@
 	// lingerTime is how long members keep connections whose other end has lost power.
 	// An instance that has just started may find a member full of those.
 	lingerTime = 3500 * time.Millisecond
-	// strayPause is for how long a replica must have been paused while nobody changes
+	// leftPausedAfter is for how long a replica must have been paused while nobody changes
 	// the primary, before it is resumed.
-	strayPause = time.Second
+	leftPausedAfter = time.Second
 )
 
 type (
@@ -75,8 +75,8 @@
 		Members []Observation
 		// Primary is the member that led when it was last asked.
 		Primary string
-		// HeadlessSince is since when no member is known to lead, 0 when one is.
-		HeadlessSince tracker.Stamp
+		// LeaderlessSince is since when no member is known to lead, 0 when one is.
+		LeaderlessSince tracker.Stamp
 		// Ordered is when a promotion was last ordered.
 		Ordered tracker.Stamp
 		// MovePause is the least time between two changes that only even out load.
@@ -104,7 +104,7 @@
 	ReasonSilent     Reason = "primary-silent"
 	ReasonLeaving    Reason = "primary-leaving"
 	ReasonStandstill Reason = "replicas-standing-still"
-	ReasonHeadless   Reason = "nobody-leads"
+	ReasonLeaderless   Reason = "nobody-leads"
 	ReasonOverloaded Reason = "primary-overloaded"
 )
 
@@ -117,8 +117,8 @@
 		}
 	}
 	if p == nil || p.Answered && !p.Status.Primary {
-		if v.HeadlessSince != 0 && anyAnswered(v) && v.Now-v.HeadlessSince > headlessAfter && v.Now-v.Ordered > headlessAfter {
-			return Verdict{Move: ReasonHeadless}
+		if v.LeaderlessSince != 0 && anyAnswered(v) && v.Now-v.LeaderlessSince > leaderlessAfter && v.Now-v.Ordered > leaderlessAfter {
+			return Verdict{Move: ReasonLeaderless}
 		}
 		return Verdict{}
 	}
@@ -140,7 +140,7 @@
 	if overloaded(v, p) {
 		return Verdict{Move: ReasonOverloaded}
 	}
-	return Verdict{Resume: strays(v)}
+	return Verdict{Resume: leftPaused(v)}
 }
 
 // overloaded reports whether the primary can't keep up while a replica could.
@@ -231,11 +231,11 @@
 	return o.BehindSince != 0 && now-o.BehindSince > catchUpTime
 }
 
-// strays names the replicas that a try which came to nothing has left paused.
-func strays(v View) []string {
+// leftPaused names the replicas that a try which came to nothing has left paused.
+func leftPaused(v View) []string {
 	var ids []string
 	for _, m := range v.Members {
-		if m.Answered && !m.Status.Primary && m.PausedSince != 0 && v.Now-m.PausedSince > strayPause {
+		if m.Answered && !m.Status.Primary && m.PausedSince != 0 && v.Now-m.PausedSince > leftPausedAfter {
 			ids = append(ids, m.ID)
 		}
 	}
--- a/internal/elector/decide_test.go
+++ b/internal/elector/decide_test.go
@@ -76,13 +76,13 @@
 			v.Members[1].Status.Busy, v.Members[2].Status.Busy = 9, 9
 		}, elector.ReasonNone},
 		{"nobody leads", func(v *elector.View) {
-			v.Members[0].Status.Primary, v.HeadlessSince = false, now-3*time.Second
-		}, elector.ReasonHeadless},
+			v.Members[0].Status.Primary, v.LeaderlessSince = false, now-3*time.Second
+		}, elector.ReasonLeaderless},
 		{"nobody leads while a promotion is under way", func(v *elector.View) {
-			v.Members[0].Status.Primary, v.HeadlessSince, v.Ordered = false, now-3*time.Second, now-time.Second
+			v.Members[0].Status.Primary, v.LeaderlessSince, v.Ordered = false, now-3*time.Second, now-time.Second
 		}, elector.ReasonNone},
 		{"nobody answers", func(v *elector.View) {
-			v.Primary, v.HeadlessSince = "", now-3*time.Second
+			v.Primary, v.LeaderlessSince = "", now-3*time.Second
 			for i := range v.Members {
 				silent(time.Second)(&v.Members[i])
 			}
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -247,14 +247,11 @@
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if !ok {
-		// A call of ours whose answer was lost may have taken it.
-		ok = decode(now.Value).Holder == e.Name
-	}
 	if now.Revision > d.record.Revision {
 		d.record = now
 	}
-	if !ok || d.held {
+	// A call of ours whose answer was lost may have taken it.
+	if (!ok && !e.own(d)) || d.held {
 		return
 	}
 	e.begin(ctx, group, d)
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -65,15 +65,15 @@
 
 		links         map[string]*link
 		primary       string
-		headlessSince tracker.Stamp
+		leaderlessSince tracker.Stamp
 		ordered       tracker.Stamp
 		// left are the members that have said they leave, or whose address another has:
 		// they are gone once they are no longer registered.
 		left map[string]bool
 		// known are those that are registered.
 		known map[string]bool
-		// buried are members that are gone and whose every commit others hold.
-		buried map[string]bool
+		// countedOut are members that are gone and whose every commit others hold.
+		countedOut map[string]bool
 		// recorded is when the roster was last written, reported when members were last
 		// logged.
 		recorded, reported tracker.Stamp
@@ -95,7 +95,7 @@
 // Run watches over the group until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.links, k.uncertain = map[string]*link{}, map[string]tracker.Stamp{}
-	k.left, k.buried = map[string]bool{}, map[string]bool{}
+	k.left, k.countedOut = map[string]bool{}, map[string]bool{}
 	k.open = k.Open()
 	defer k.closeLinks()
 	t := time.NewTicker(observeInterval)
@@ -127,6 +127,7 @@
 	}
 }
 
+// act does what Decide says, one thing a round.
 func (k *Keeper) act(ctx context.Context, v View) {
 	d := Decide(v)
 	if d.Move != ReasonNone && v.Now-k.closed < closeTime {
@@ -134,7 +135,7 @@
 		return
 	}
 	if d.Move != ReasonNone {
-		k.relieve(d.Move)
+		k.spaceMoves(d.Move)
 		start := k.Clock()
 		k.Log("event", "move-begins", "group", k.Group.Name, "reason", d.Move, "primary", v.Primary)
 		to, err := k.change(ctx, v)
@@ -156,8 +157,8 @@
 	k.record(ctx)
 }
 
-// relieve sets the pause after a move for load.
-func (k *Keeper) relieve(r Reason) {
+// spaceMoves sets the pause after a move for load.
+func (k *Keeper) spaceMoves(r Reason) {
 	if r != ReasonOverloaded {
 		return
 	}
@@ -200,17 +201,17 @@
 	}
 	asked.Wait()
 	v := k.view()
-	k.bury()
+	k.countOut()
 	return v
 }
 
-// bury counts members out that have left. Until a replica has been seen to hold all
+// countOut counts members out that have left. Until a replica has been seen to hold all
 // that the primary held after they had gone, they may have acknowledged commits that
 // no replica has.
-func (k *Keeper) bury() {
+func (k *Keeper) countOut() {
 	now := k.Clock()
 	for id, l := range k.links {
-		if k.buried[id] || !l.gone && (l.Answered || k.known[id] || !k.left[id]) {
+		if k.countedOut[id] || !l.gone && (l.Answered || k.known[id] || !k.left[id]) {
 			l.goneAt = 0
 			continue
 		}
@@ -220,7 +221,7 @@
 		for _, r := range k.links {
 			if r.Answered && !r.Leaving && r.covered > l.goneAt {
 				k.Log("event", "member-counted-out", "group", k.Group.Name, "member", id, "covered-by", r.ID)
-				k.buried[id] = true
+				k.countedOut[id] = true
 				break
 			}
 		}
@@ -269,7 +270,7 @@
 func (k *Keeper) withVanished(members []tracker.Member) []tracker.Member {
 	all := slices.Clone(members)
 	for id, address := range k.Roster() {
-		if !k.known[id] && !k.buried[id] {
+		if !k.known[id] && !k.countedOut[id] {
 			all = append(all, tracker.Member{ID: id, Group: k.Group.Name, Address: address, Leaving: true, Missing: true})
 		}
 	}
@@ -312,10 +313,10 @@
 	}
 	switch {
 	case p != nil && (!p.Answered || p.Status.Primary):
-		k.headlessSince = 0
-	case k.headlessSince == 0:
-		k.headlessSince = now
+		k.leaderlessSince = 0
+	case k.leaderlessSince == 0:
+		k.leaderlessSince = now
 	}
-	v.Primary, v.HeadlessSince = k.primary, k.headlessSince
+	v.Primary, v.LeaderlessSince = k.primary, k.leaderlessSince
 	return v
 }
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -146,14 +146,14 @@
 		Served:        func(r tracker.Route, took time.Duration) { i.served[r.Rule].RecordDuration(took) },
 	}
 	i.elector = &elector.Elector{
-		Store: i.Platform.Store, Clock: i.Clock, Name: i.Settings.Name + "-" + started(),
+		Store: i.Platform.Store, Clock: i.Clock, Name: i.Settings.Name + "-" + life(),
 		Groups: i.groups, Keep: i.keep, Log: i.Journal.Kind("duty").Log,
 	}
 	i.declareMetrics()
 }
 
-// started tells the lives of one instance apart.
-func started() string { return time.Now().UTC().Format("150405.000000") }
+// life tells the lives of one instance apart.
+func life() string { return time.Now().UTC().Format("150405.000000") }
 
 func (i *Instance) watcher() *watcher.Watcher {
 	return &watcher.Watcher{
