--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -104,7 +104,7 @@
 	ReasonSilent     Reason = "primary-silent"
 	ReasonLeaving    Reason = "primary-leaving"
 	ReasonStandstill Reason = "replicas-standing-still"
-	ReasonLeaderless   Reason = "nobody-leads"
+	ReasonLeaderless Reason = "nobody-leads"
 	ReasonOverloaded Reason = "primary-overloaded"
 )
 
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -63,10 +63,10 @@
 		Changed func()
 		Log     func(fields ...any)
 
-		links         map[string]*link
-		primary       string
+		links           map[string]*link
+		primary         string
 		leaderlessSince tracker.Stamp
-		ordered       tracker.Stamp
+		ordered         tracker.Stamp
 		// left are the members that have said they leave, or whose address another has:
 		// they are gone once they are no longer registered.
 		left map[string]bool
