--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -96,13 +96,17 @@
 	i.prepare(ctx)
 	i.belief.Log("event", "start", "name", i.Settings.Name, "zone", i.Settings.Zone, "callers", i.Settings.Callers)
 
-	parts := make(chan error, 4)
-	go func() { parts <- i.servePages(ctx, i.Settings.Ready, i.readyPage()) }()
+	parts, running := make(chan error, 4), 0
+	run := func(part func(context.Context) error) {
+		running++
+		go func() { parts <- part(ctx) }()
+	}
+	run(func(ctx context.Context) error { return i.servePages(ctx, i.Settings.Ready, i.readyPage()) })
 	if i.Settings.Metrics != "" {
-		go func() { parts <- i.servePages(ctx, i.Settings.Metrics, i.metricsPage()) }()
+		run(func(ctx context.Context) error { return i.servePages(ctx, i.Settings.Metrics, i.metricsPage()) })
 	}
-	go func() { parts <- i.server.Run(ctx) }()
-	go func() { parts <- i.watcher().Run(ctx) }()
+	run(i.server.Run)
+	run(i.watcher().Run)
 	electing, stopElecting := context.WithCancel(ctx)
 	defer stopElecting()
 	elected := make(chan error, 1)
@@ -115,9 +119,14 @@
 		stopElecting()
 		i.leave(ctx)
 	case err = <-parts:
+		running--
 	case <-ctx.Done():
 	}
 	cancel()
+	// Whoever starts next at these addresses must find them free.
+	for ; running > 0; running-- {
+		<-parts
+	}
 	<-elected
 	i.running.Wait()
 	if failed := i.unregister.Close(); failed != nil {
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -333,3 +333,17 @@
 		must.Less(t, 6*time.Second, time.Since(begin))
 	})
 }
+
+// An instance that was told to end is followed by another at its addresses, at once.
+// Were one of its parts still to listen, the new one could not start.
+func TestStartAfterEnd(t *testing.T) {
+	play(t, func(f *fleet) {
+		for range 5 {
+			i := f.start("10.5.0.1", "a")
+			time.Sleep(2 * time.Second)
+			must.Eq(t, http.StatusOK, f.ready(i))
+			i.leave <- syscall.SIGTERM
+			must.NoError(t, <-i.ended)
+		}
+	})
+}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -111,6 +111,7 @@
 			s.put(t, "configuration", v)
 			time.Sleep(100 * time.Millisecond)
 		}
+		time.Sleep(time.Second)
 		must.Eq(t, []int64{7, 9, 12}, s.versions)
 	})
 }
