Keeper: without synchronous replicas only a member that reaches the old primary's log leads

Cause, from reading the change procedure: where commits are acknowledged by the primary alone, an old primary that nobody could follow was left for the furthest replica, and what callers had been told last was gone. Now the old primary leads again, and is left alone for 3 s, since each try is a second without writes.

--- a/internal/elector/change.go
+++ b/internal/elector/change.go
@@ -32,17 +32,22 @@
 	// it does promote if the member leads no more: a change that had its primary step
 	// down in between was undone, its replicas resumed, and a commit was lost.
 	closeTime = 1500 * time.Millisecond
+	// moveBackPause is how long a primary that nobody could follow keeps the lead: each
+	// try costs its callers a promotion's time without writes.
+	moveBackPause = 3 * time.Second
 	// pauseRounds bounds how often members that have joined meanwhile are paused.
 	pauseRounds = 5
 )
 
 var (
-	errNoProof   = errors.New("not every replica answers: an acknowledged commit might be lost")
-	errNoMember  = errors.New("no member to promote")
-	errNotHeld   = errors.New("duty is not surely held")
-	errNotLead   = errors.New("the promoted member does not lead")
-	errUncertain = errors.New("a replica may be resumed by an order sent before")
-	errJoining   = errors.New("members keep joining")
+	errNoProof = errors.New("not every replica answers: an acknowledged commit might be lost")
+	// errOnlyPrimary holds where commits are acknowledged without a replica.
+	errOnlyPrimary = errors.New("only the primary surely has every acknowledged commit")
+	errNoMember    = errors.New("no member to promote")
+	errNotHeld     = errors.New("duty is not surely held")
+	errNotLead     = errors.New("the promoted member does not lead")
+	errUncertain   = errors.New("a replica may be resumed by an order sent before")
+	errJoining     = errors.New("members keep joining")
 )
 
 // move is one change of the lead under way.
@@ -80,6 +85,9 @@
 		return "", errNoMember
 	}
 	unproved := k.accounted(replicas)
+	if unproved == nil && k.Synchronous() == 0 && m.old != nil {
+		unproved = errOnlyPrimary
+	}
 	if unproved != nil && (m.old == nil || !slices.ContainsFunc(replicas, k.candidate)) {
 		return "", unproved
 	}
@@ -115,7 +123,7 @@
 		return k.gather(ctx, m, replicas)
 	default:
 		k.Log("event", "nobody-caught-up", "group", k.Group.Name, "need", m.old.Status.Received, "cause", unproved)
-		m.to = m.old
+		m.to, k.movedBack = m.old, k.Clock()
 		return nil
 	}
 }
--- a/internal/elector/change_test.go
+++ b/internal/elector/change_test.go
@@ -25,6 +25,8 @@
 	net   *wirer.Net
 	duty  *fakeDuty
 	clock func() tracker.Stamp
+	// synchronous is how many replicas the keeper is told to hold each commit.
+	synchronous int
 	// tracked is what the keeper tells of the group.
 	tracked *tracker.Group
 
@@ -80,7 +82,7 @@
 		Open:        func() bool { return s.duty.open },
 		Promote:     func(_ context.Context, _, id string, _ int64) error { return s.group.Promote(id) },
 		Refused:     func(error) bool { return true },
-		Synchronous: func() int { return 1 }, Changed: func() {}, Log: s.log,
+		Synchronous: func() int { return s.synchronous }, Changed: func() {}, Log: s.log,
 	}
 }
 
@@ -91,7 +93,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		net := wirer.New(1)
 		net.Latency = func(_, _ *wirer.Host) time.Duration { return time.Millisecond }
-		s := &stage{net: net, duty: &fakeDuty{}, group: &liner.Group{
+		s := &stage{net: net, synchronous: 1, duty: &fakeDuty{}, group: &liner.Group{
 			Name: "g", Net: net, Travel: 12 * time.Millisecond, Promotion: 600 * time.Millisecond, Connections: 20, Work: time.Millisecond,
 		}}
 		s.group.Start(ctx, "a", "b", "c")
@@ -279,3 +281,22 @@
 		must.Greater(t, since, p.At)
 	})
 }
+
+// The group acknowledges without a replica, and the primary that is to leave is cut off
+// from all of them. Only its own log has what callers were told last: after it has
+// stepped down and nobody reached its log, it leads again.
+func TestUnsynchronousPrimaryIsNotLeftBehind(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		time.Sleep(2 * time.Second)
+		s.synchronous = 0
+		s.group.Isolate("g-2", "g-1")
+		s.group.Isolate("g-3", "g-1")
+		s.group.Leave("g-1")
+		time.Sleep(3 * time.Second)
+		must.Eq(t, "g-1", s.leader())
+		s.group.Rejoin("g-2")
+		s.group.Rejoin("g-3")
+		time.Sleep(4 * time.Second)
+		must.NotEq(t, "g-1", s.leader())
+	})
+}
--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -108,6 +108,11 @@
 	ReasonOverloaded Reason = "primary-overloaded"
 )
 
+// primaryLives reports whether the lead moves away from a primary that still works.
+func (r Reason) primaryLives() bool {
+	return r == ReasonLeaving || r == ReasonStandstill || r == ReasonOverloaded
+}
+
 // Decide says whether the lead should move.
 func Decide(v View) Verdict {
 	var p *Observation
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -85,6 +85,8 @@
 		// one was.
 		movePause time.Duration
 		relieved  tracker.Stamp
+		// movedBack is when a change last gave the lead back to the old primary.
+		movedBack tracker.Stamp
 		// closed is when the last order was sent that was to close others.
 		closed tracker.Stamp
 		// uncertain is until when a resumption without an answer may take effect.
@@ -134,6 +136,9 @@
 		k.Log("event", "move-waits", "group", k.Group.Name, "reason", d.Move, "for", "the order that closed others")
 		return
 	}
+	if k.movedBack != 0 && v.Now-k.movedBack < moveBackPause && d.Move.primaryLives() {
+		return
+	}
 	if d.Move != ReasonNone {
 		k.spaceMoves(d.Move)
 		start := k.Clock()
