--- a/internal/elector/change.go
+++ b/internal/elector/change.go
@@ -66,8 +66,8 @@
 // answers steps down first. Then nothing more is acknowledged, and a member whose log
 // reaches the old primary's holds everything. Moving the lead without it, with all
 // replicas but the candidate paused, has no gap for writers, but a replica that joins
-// meanwhile can acknowledge a commit which is still on its way to the candidate: one
-// was lost so in about one of twenty releases.
+// meanwhile can acknowledge a commit which is still on its way to the candidate, and
+// callers lose it.
 //
 // When no member reaches the old primary's log, or it doesn't answer, all replicas
 // have to be read: what was acknowledged is on one of them, so it is on the one with
--- a/internal/elector/change_test.go
+++ b/internal/elector/change_test.go
@@ -300,3 +300,21 @@
 		must.NotEq(t, "g-1", s.leader())
 	})
 }
+
+// The only replica that received dies, and then the primary. The one that is left lacks
+// what callers were told last, so it must not lead, however long nobody does; when the
+// other is back, that one leads.
+func TestOnlyReceiverIsGoneWithPrimary(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		time.Sleep(2 * time.Second)
+		s.group.Isolate("g-2", "g-1")
+		time.Sleep(time.Second)
+		s.group.Crash("g-3")
+		s.group.Crash("g-1")
+		time.Sleep(5 * time.Second)
+		must.NotEq(t, "g-2", s.leader())
+		s.group.Return("g-3")
+		time.Sleep(4 * time.Second)
+		must.Eq(t, "g-3", s.leader())
+	})
+}
