Idle connections are no longer closed once their last deadline has passed

Cause: before lending an idle connection the pool looks whether it is silent, through raw.Read, which fails when the read deadline of the last exchange has passed.

The look now uses raw.Control, which knows no deadline. TestIdleOutlivesDeadline uses a real socket and fails without the change.

--- a/internal/lender/conn.go
+++ b/internal/lender/conn.go
@@ -226,12 +226,21 @@
 	if err != nil {
 		return false
 	}
+	// Not raw.Read: it fails once the deadline of the last exchange has passed, and a
+	// connection that nobody had used for a moment would be taken for one that is closed.
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = e == syscall.EAGAIN
-		return true
-	})
+	err = raw.Control(func(fd uintptr) { quiet = nothingToRead(int(fd)) })
 	return err == nil && quiet
 }
+
+// nothingToRead reports whether a socket is open and has neither bytes nor an end to
+// read.
+func nothingToRead(fd int) bool {
+	var b [1]byte
+	for {
+		_, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err != syscall.EINTR {
+			return err == syscall.EAGAIN
+		}
+	}
+}
--- /dev/null
+++ b/internal/lender/idle_test.go
@@ -0,0 +1,81 @@
+package lender_test
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/lender"
+	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/networker"
+	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/oriolegw/oriolegw/platform"
+	"github.com/shoenig/test/must"
+)
+
+// answer is a member on a real socket that says yes to everything; it returns how many
+// connections it has taken so far.
+func answer(t *testing.T) (address string, taken chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	taken = make(chan struct{}, 16)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			taken <- struct{}{}
+			go func() {
+				defer func() { _ = c.Close() }()
+				in := bufio.NewReader(c)
+				for reply := "READY I 1.1\r\n"; ; reply = "COMPLETE -\r\nREADY I 1.1\r\n" {
+					if _, err := in.ReadString('\n'); err != nil {
+						return
+					}
+					if _, err := c.Write([]byte(reply)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-ended
+	})
+	return l.Addr().String(), taken
+}
+
+// Callers come once a second, each try with a deadline that passes before the next
+// caller comes. The connection of the first is open and silent, so the second gets it.
+// Taken for closed because of the old deadline, each caller costs the member a new
+// connection, which holds one of its slots as long as a statement does.
+func TestIdleOutlivesDeadline(t *testing.T) {
+	address, taken := answer(t)
+	g := &tracker.Group{Name: "g", Zone: "a", Near: func(string) bool { return true }}
+	g.Members([]tracker.Member{{ID: "g-1", Group: "g", Address: address, Zone: "a", Slots: 3}})
+	p := &lender.Pool{
+		Group: g, Network: networker.TCP{}, Codec: platform.Lines{}, Who: "test",
+		Clock: func() tracker.Stamp { return time.Hour },
+	}
+	// Run is what closes connections for want of use; without it only their state decides.
+	c, err := lender.Connect(t.Context(), networker.TCP{}, platform.Lines{}, tracker.Member{ID: "g-1", Group: "g", Address: address}, "test")
+	must.NoError(t, err)
+	<-taken
+	deadline := time.Now().Add(50 * time.Millisecond)
+	_, _, err = c.Exchange([]messenger.Command{{Kind: messenger.KindStatus}}, deadline)
+	must.NoError(t, err)
+	p.Return(c)
+	time.Sleep(time.Until(deadline) + time.Millisecond)
+
+	again, err := p.Borrow(t.Context(), lender.Request{Choose: primary, Until: time.Now().Add(time.Second)})
+	must.NoError(t, err)
+	must.Eq(t, c, again)
+	must.Eq(t, 0, len(taken))
+	again.Close()
+}
