Idle connections stay open where the member has places left

Cause: an instance gave its last connection to a member up after 0.6 s without use. That rule is for members with fewer places than instances (79 before 51); where there are enough (83 before 195) each statement of a small instance paid for a new connection, which holds a slot as long as a statement does.

Before an idle connection is given up, its member is asked how many connections it has; below 0.6 of what it takes the connection stays for another 5 s. Goroutines of the pool are now waited for at its end.

--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -196,6 +196,33 @@
 	})
 }
 
+// Few callers: an instance uses a member once in several seconds. The member has places
+// left, so the connection stays open and no caller pays for a new one, which takes a
+// slot for as long as a statement does.
+func TestIdleConnectionStaysWhereThereIsRoom(t *testing.T) {
+	play(t, 20, 3, func(t *testing.T, s *stage) {
+		_, _, _, before := s.pools[0].Load()
+		for range 4 {
+			time.Sleep(5 * time.Second)
+			must.NoError(t, use(t.Context(), s.pools[0], 1, time.Second))
+		}
+		_, _, _, after := s.pools[0].Load()
+		must.Eq(t, before, after)
+	})
+}
+
+// As above, but other instances hold most of the member's places. The connection is
+// given up, so that whoever has work finds a place.
+func TestIdleConnectionGoesWherePlacesAreShort(t *testing.T) {
+	play(t, 4, 3, func(t *testing.T, s *stage) {
+		time.Sleep(2 * time.Second)
+		for _, p := range s.pools {
+			open, _, _, _ := p.Load()
+			must.Less(t, 3, open) // one to each of three members where there is room
+		}
+	})
+}
+
 // A member closes an idle connection. A write on it would have an unknown outcome
 // although it never ran: the pool must notice before it lends the connection. The
 // network in memory can't be asked whether bytes wait, so here the exchange fails and
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -33,10 +33,19 @@
 	spareFor = 150 * time.Millisecond
 	// tendInterval is how often idle connections are looked through.
 	tendInterval = 50 * time.Millisecond
-	// keptFor is how long the kept connection may idle. Whoever came first would hold a
-	// place for good that others need, and would not learn that they are refused. Each
-	// of 9 instances uses a primary some 10 times a second, each of 79 about once.
+	// keptFor is how long the kept connection may idle before the member is asked how
+	// full it is. Whoever came first would hold a place for good that others need, and
+	// would not learn that they are refused. Each of 9 instances uses a primary some 10
+	// times a second, each of 79 about once.
 	keptFor = 600 * time.Millisecond
+	// askAgain is how long a connection that was left open may idle until the member is
+	// asked again. A question takes a slot for 0.5 ms, a new connection for 12 to 27.
+	askAgain = 5 * time.Second
+	// askTimeout bounds the question.
+	askTimeout = 300 * time.Millisecond
+	// roomyPart is the part of a member's connections up to which idle ones are kept.
+	// The rest is for those that come back together after all have lost power.
+	roomyPart = 0.6
 	// scarceFor is how long a member counts as scarce after it had no place. Where there
 	// are more instances than places, none keeps an idle connection: 79 instances that
 	// kept one of 51 places each refused 6% on a calm day.
@@ -86,13 +95,17 @@
 		// Note, when set, is told of connections won and lost.
 		Note func(member string, err error)
 
-		mutex   sync.Mutex
-		limit   int
-		members map[string]*place
-		waiting []*waiter
-		usual   time.Duration
-		ctx     context.Context
-		closed  bool
+		mutex sync.Mutex
+		// connections is how many a member takes from all instances, limit how many of
+		// them this one may hold.
+		connections, limit int
+		members            map[string]*place
+		waiting            []*waiter
+		usual              time.Duration
+		ctx                context.Context
+		closed             bool
+		// working are the openings and questions under way.
+		working sync.WaitGroup
 		// opened counts connections made, for metrics.
 		opened int
 	}
@@ -127,6 +140,7 @@
 		select {
 		case <-ctx.Done():
 			p.close()
+			p.working.Wait()
 			return ctx.Err()
 		case now := <-t.C:
 			p.tend(now)
@@ -138,7 +152,7 @@
 func (p *Pool) Configure(connections int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.limit = max(1, int(float64(connections)*largestPart))
+	p.connections, p.limit = connections, max(1, int(float64(connections)*largestPart))
 }
 
 // Changed has waiting requests choose again, after members or the primary changed.
@@ -372,11 +386,11 @@
 	}
 	m.connecting++
 	p.opened++
-	go p.open(p.ctx, member)
+	p.working.Go(func() { p.open(p.ctx, member) })
 	return true
 }
 
-// open makes a connection and hands it out; its end is seen by connecting.
+// open makes a connection and hands it out.
 func (p *Pool) open(ctx context.Context, member tracker.Member) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
@@ -447,13 +461,17 @@
 
 func (p *Pool) shrink(m *place, now time.Time, registered bool) {
 	kept := max(1, p.Kept)
-	if !registered || m.scarce(now) || !m.wanted(now) {
+	if !registered || m.scarce(now) {
 		kept = 0
 	}
+	wanted := m.wanted(now)
 	m.idle = slices.DeleteFunc(m.idle, func(c *Conn) bool {
 		spare := m.open > kept && now.Sub(c.idleFrom) > spareFor
 		if !spare && c.silent() {
-			return false
+			if !wanted {
+				p.working.Go(func() { p.reconsider(c) })
+			}
+			return !wanted
 		}
 		m.open--
 		c.End()
@@ -461,6 +479,38 @@
 	})
 }
 
+// reconsider asks the member of a connection that has idled for long whether it is
+// short of places, and ends the connection if so.
+func (p *Pool) reconsider(c *Conn) {
+	room := p.roomy(c)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	m := p.place(c.Member)
+	if !room {
+		m.open--
+		c.End()
+		return
+	}
+	m.usedAt = time.Now().Add(askAgain - keptFor)
+	p.put(c)
+}
+
+// roomy reports whether the member that a connection leads to has places left.
+func (p *Pool) roomy(c *Conn) bool {
+	replies, _, err := c.Exchange([]messenger.Command{{Kind: messenger.KindStatus}}, time.Now().Add(askTimeout))
+	if err != nil {
+		c.Close()
+		return false
+	}
+	s, err := p.Codec.Status(replies[0])
+	if err != nil {
+		return false
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return float64(s.Connections) <= roomyPart*float64(p.connections)
+}
+
 func (p *Pool) close() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
