An overloaded group with two late replicas moves its lead twice within seconds

Ruled out: the choice of the replica (the late one was chosen when it moved).

While a replica that is late could lead, the pause between such moves is 2.5 s.

--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -41,6 +41,10 @@
 	// pause is four times as long then, up to lastMovePause.
 	firstMovePause = 8 * time.Second
 	lastMovePause  = 2 * time.Minute
+	// lateMovePause takes its place while a replica that is late could take the lead. Such
+	// a move is a cure each time: the member that was late leads, and the old primary
+	// answers reads. With two late replicas, one member had all the reads for 12 s.
+	lateMovePause = 2500 * time.Millisecond
 	// lingerTime is how long members keep connections whose other end has lost power.
 	// An instance that has just started may find a member full of those.
 	lingerTime = 3500 * time.Millisecond
@@ -173,15 +177,17 @@
 // mayRelieve reports whether a replica could take the lead over from an overloaded
 // primary, and the last change is long enough ago.
 func mayRelieve(v View, p *Observation) bool {
-	if v.Ordered != 0 && v.Now-v.Ordered < max(v.MovePause, firstMovePause) {
-		return false
-	}
+	free, late := false, false
 	for _, m := range v.Members {
 		if m.ID != p.ID && m.Answered && !m.Leaving && !m.standsStill(v.Now) && m.Status.Busy <= m.Slots {
-			return true
+			free, late = true, late || m.late()
 		}
 	}
-	return false
+	pause := max(v.MovePause, firstMovePause)
+	if late {
+		pause = lateMovePause
+	}
+	return free && (v.Ordered == 0 || v.Now-v.Ordered >= pause)
 }
 
 func anyAnswered(v View) bool {
--- a/internal/elector/decide_test.go
+++ b/internal/elector/decide_test.go
@@ -71,6 +71,14 @@
 		{"overloaded, moved just before", func(v *elector.View) {
 			v.Members[0].OverloadedSince, v.Ordered = now-time.Second, now-3*time.Second
 		}, elector.ReasonNone},
+		{"overloaded, moved just before, another replica is late", func(v *elector.View) {
+			v.Members[0].OverloadedSince, v.Ordered = now-time.Second, now-3*time.Second
+			v.Members[2].Status.LagMillis = 40000
+		}, elector.ReasonOverloaded},
+		{"overloaded, moved a second before, another replica is late", func(v *elector.View) {
+			v.Members[0].OverloadedSince, v.Ordered = now-time.Second, now-time.Second
+			v.Members[2].Status.LagMillis = 40000
+		}, elector.ReasonNone},
 		{"all overloaded", func(v *elector.View) {
 			v.Members[0].OverloadedSince = now - time.Second
 			v.Members[1].Status.Busy, v.Members[2].Status.Busy = 9, 9
