A full member is asked for a place again after at most 0.3 s

Ruled out: slots (10 to 14 statements at five slots), calls of the store.

A member that is dark still waits up to a second.

--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -25,6 +25,10 @@
 	// which were refused together don't come back together.
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = time.Second
+	// lastFullBackoff takes the place of lastBackoff after a refusal: the member lives,
+	// and places become free all the time. At 1 s, 79 instances before 51 places refused
+	// 1.2% of the statements at their busiest hours, at 0.3 s 0.6%.
+	lastFullBackoff = 300 * time.Millisecond
 	// connectingAtOnce is how many connections to one member are opened at a time:
 	// each holds one of its 3 to 6 slots.
 	connectingAtOnce = 2
@@ -468,12 +472,13 @@
 		return
 	}
 	var refused *RefusedError
+	longest := lastBackoff
 	if errors.As(err, &refused) && refused.Code == messenger.CodeTooManyConnections {
-		m.fullAt = time.Now()
+		m.fullAt, longest = time.Now(), lastFullBackoff
 	} else {
 		p.Group.Unanswered(p.Clock(), member.ID, false)
 	}
-	m.backoff = min(max(2*m.backoff, firstBackoff), lastBackoff)
+	m.backoff = min(max(2*m.backoff, firstBackoff), longest)
 	m.notBefore = time.Now().Add(m.backoff/2 + rand.N(m.backoff/2))
 	p.serve()
 }
