A primary without places moves its lead to a late replica; lines for members without room

All reads came to the primary, whose 22 connections were taken, mostly by transactions that rest; its slots were free (2 statements at 3 slots), so it did not count as overloaded. 1,250 statements were refused for want of a connection in five seconds. Ruled out: the store, which was down from 4 to 8 s (the duty had been taken again at 8.3, no move was tried after); a member that refuses the keeper (it was in).

A primary of whose connections 0.9 are taken for 0.8 s moves its lead when a late replica could take it. TestCrowdedPrimaryIsRelieved fails without. A line (part=belief event=room) says when new work to a member begins and ceases to be held back.

--- a/internal/elector/change_test.go
+++ b/internal/elector/change_test.go
@@ -82,7 +82,7 @@
 		Open:        func() bool { return s.duty.open },
 		Promote:     func(_ context.Context, _, id string, _ int64) error { return s.group.Promote(id) },
 		Refused:     func(error) bool { return true },
-		Synchronous: func() int { return s.synchronous }, Changed: func() {}, Log: s.log,
+		Synchronous: func() int { return s.synchronous }, Connections: func() int { return s.group.Connections }, Changed: func() {}, Log: s.log,
 	}
 }
 
@@ -289,6 +289,25 @@
 	})
 }
 
+// Transactions rest on nearly all connections of the primary and one replica is late:
+// reads find no place, though the primary's slots are free. The late replica takes the
+// lead, and the old primary answers reads.
+func TestCrowdedPrimaryIsRelieved(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		time.Sleep(time.Second)
+		s.group.Late("g-2", 10*time.Millisecond)
+		s.group.Late("g-3", 10*time.Second)
+		h := s.net.Host("10.8.2.1", "a")
+		for range 14 { // with three writers and the keeper 18 of 20
+			c := connect(t.Context(), s.group, h, "g-1")
+			must.NotNil(t, c)
+			defer c.Close()
+		}
+		time.Sleep(3 * time.Second)
+		must.Eq(t, "g-3", s.leader())
+	})
+}
+
 // read asks the first member for one row after the other.
 func read(ctx context.Context, g *liner.Group, h *wirer.Host) {
 	for _, m := range g.Registered() {
--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -3,6 +3,7 @@
 package elector
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/messenger"
@@ -35,6 +36,9 @@
 	// queueFactor is how many statements a slot must have for the queue to be long. At
 	// three, a statement waits twice as long as it runs.
 	queueFactor = 3
+	// crowdedPart is the part of a member's connections that are taken when the rest is
+	// only changing hands.
+	crowdedPart = 0.9
 	// firstMovePause is the least time between the last change of the lead and one that
 	// only evens out load: open transactions are rolled back by each. When a group is
 	// overloaded again soon, the move was no cure, as where all slots are too few; the
@@ -72,8 +76,9 @@
 		// BehindSince is since when the replica has stood still at a position that the
 		// primary has passed, 0 when it does not; PausedSince since when it is paused.
 		BehindSince, PausedSince tracker.Stamp
-		// OverloadedSince is since when the member's queue is long, 0 when it is not.
-		OverloadedSince tracker.Stamp
+		// OverloadedSince is since when the member's queue is long, 0 when it is not;
+		// CrowdedSince since when nearly all of its connections are taken.
+		OverloadedSince, CrowdedSince tracker.Stamp
 	}
 
 	// View is what the holder of a duty knows of its group.
@@ -149,7 +154,7 @@
 	if standstill(v, p) {
 		return Verdict{Move: ReasonStandstill}
 	}
-	if overloaded(v, p) {
+	if overloaded(v, p) || crowded(v, p) {
 		return Verdict{Move: ReasonOverloaded}
 	}
 	return Verdict{Resume: leftPaused(v)}
@@ -168,6 +173,16 @@
 	return mayRelieve(v, p)
 }
 
+// crowded reports whether the primary has no place left for another connection while a
+// replica is too late for reads. Its queue may be short: transactions rest on most of its
+// connections, and the reads that replicas can't answer find none.
+func crowded(v View, p *Observation) bool {
+	if p.CrowdedSince == 0 || v.Now-p.CrowdedSince < overloadedAfter {
+		return false
+	}
+	return slices.ContainsFunc(v.Members, func(m Observation) bool { return m.ID != p.ID && m.relieves(v.Now) && m.late() }) && mayRelieve(v, p)
+}
+
 // full reports whether the primary has had no place for a connection for too long,
 // while a replica has little to do.
 func full(v View, p *Observation) bool {
@@ -179,7 +194,7 @@
 func mayRelieve(v View, p *Observation) bool {
 	free, late := false, false
 	for _, m := range v.Members {
-		if m.ID != p.ID && m.Answered && !m.Leaving && !m.standsStill(v.Now) && m.Status.Busy <= m.Slots {
+		if m.ID != p.ID && m.relieves(v.Now) {
 			free, late = true, late || m.late()
 		}
 	}
@@ -245,6 +260,11 @@
 	return o.BehindSince != 0 && now-o.BehindSince > catchUpTime
 }
 
+// relieves reports whether the member could lead and has little to do.
+func (o *Observation) relieves(now tracker.Stamp) bool {
+	return o.Answered && !o.Leaving && !o.standsStill(now) && o.Status.Busy <= o.Slots
+}
+
 // late reports whether the member is too late to answer most reads.
 func (o *Observation) late() bool {
 	return o.Status.LagMillis >= lateReplica.Milliseconds()
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -57,6 +57,9 @@
 		Refused func(error) bool
 		// Synchronous is how many replicas hold a commit before it is acknowledged.
 		Synchronous func() int
+		// Connections is how many connections a member takes from all instances, 0 when
+		// that isn't known.
+		Connections func() int
 		// Booted is when this process started.
 		Booted tracker.Stamp
 		// Changed is told that the lead has moved.
@@ -250,7 +253,7 @@
 			k.links[m.ID] = l
 			joined = append(joined, l)
 		}
-		l.Member = m
+		l.Member, l.places = m, k.Connections()
 		if m.Leaving && !m.Missing {
 			k.left[m.ID] = true
 		}
--- a/internal/elector/link.go
+++ b/internal/elector/link.go
@@ -25,6 +25,8 @@
 	// covered is a moment at which the member's log held all that the primary's did;
 	// goneAt when a member that has left was first seen to be gone.
 	covered, goneAt tracker.Stamp
+	// places is how many connections the member takes, 0 when that isn't known.
+	places int
 	// gone is set when another member answers at the address.
 	gone bool
 	Observation
@@ -72,6 +74,12 @@
 
 // noted takes in a member's status.
 func (l *link) noted(now tracker.Stamp, s messenger.Status) {
+	switch {
+	case l.places == 0 || float64(s.Connections) < crowdedPart*float64(l.places):
+		l.CrowdedSince = 0
+	case l.CrowdedSince == 0:
+		l.CrowdedSince = now
+	}
 	if s.Received != l.Status.Received {
 		l.BehindSince = 0
 	}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -227,6 +227,9 @@
 	b.roster = func() ([]string, bool) { return i.roster(group) }
 	b.Backend = dispatcher.Backend{Group: g, Suspect: b.suspect, Pool: &lender.Pool{
 		Group: g, Network: i.Network, Codec: i.Platform.MemberCodec, Who: i.Settings.Name, Clock: i.Clock, Note: i.noteConnection(group),
+		NoteRoom: func(member string, room bool) {
+			i.belief.Log("event", "room", "group", group, "member", member, "room", room)
+		},
 	}}
 	g.Members(i.members[group])
 	if c := i.configuration.Load(); c != nil {
@@ -290,7 +293,8 @@
 			c := i.configuration.Load()
 			return c.Groups[group].SyncReplicas
 		},
-		Booted: i.booted, Changed: b.Pool.Changed,
+		Connections: func() int { return i.configuration.Load().Groups[group].Connections },
+		Booted:      i.booted, Changed: b.Pool.Changed,
 		Log: i.Journal.Kind("duty").Log,
 	}
 	return k.Run(ctx)
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -61,6 +61,9 @@
 		Kept int
 		// Note, when set, is told of connections won and lost.
 		Note func(member string, err error)
+		// NoteRoom, when set, is told when new work to a member begins to be held back for
+		// want of room there, and when it no longer is.
+		NoteRoom func(member string, room bool)
 
 		mutex sync.Mutex
 		// connections is how many a member takes from all instances, limit how many of
--- a/internal/lender/room.go
+++ b/internal/lender/room.go
@@ -13,6 +13,9 @@
 	defer p.mutex.Unlock()
 	now := time.Now()
 	m := p.place(member)
+	if m.pace.Free() && p.NoteRoom != nil {
+		p.NoteRoom(member, false)
+	}
 	m.pace.Refused(now)
 	p.resumeLater(m, now)
 }
@@ -40,5 +43,10 @@
 func (p *Pool) Room(member string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.place(member).pace.Served()
+	m := p.place(member)
+	paced := !m.pace.Free()
+	m.pace.Served()
+	if paced && m.pace.Free() && p.NoteRoom != nil {
+		p.NoteRoom(member, true)
+	}
 }
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -42,6 +42,9 @@
 	return max(0, p.next.Sub(now))
 }
 
+// Free reports whether nothing is held back.
+func (p *Pacer) Free() bool { return p.interval == 0 }
+
 // Sent takes in that new work goes to the member.
 func (p *Pacer) Sent(now time.Time) { p.space(now) }
 
