--- a/cmd/oriolegw-edge/main.go
+++ b/cmd/oriolegw-edge/main.go
@@ -45,16 +45,17 @@
 		fmt.Fprintln(os.Stderr, "oriolegw-edge:", err)
 		os.Exit(2)
 	}
-	os.Exit(run(s))
+	os.Exit(run(*file, s))
 }
 
 // run serves until the process is told to end, and returns the exit code.
-func run(s *loader.EntrySettings) int {
+func run(file string, s *loader.EntrySettings) int {
 	debug.SetGCPercent(collectAt)
 	leave := make(chan os.Signal, 1)
 	signal.Notify(leave, os.Interrupt, syscall.SIGTERM)
-	// The settings hold nothing that can change while the process runs.
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 
 	journal := journaler.New(os.Stdout)
 	writing, stop := context.WithCancel(context.Background())
@@ -68,6 +69,7 @@
 	promotions := (&platform.Promotions{Address: s.Promotions, Network: n, Holder: s.Name}).Open()
 	i := &launcher.Instance{
 		Settings: s, Network: n, Journal: journal, Clock: launcher.Boottime, Leave: leave,
+		Reload: reload, Reread: func() (*loader.EntrySettings, error) { return loader.LoadEntry(file) },
 		Platform: launcher.Platform{
 			Store:          (&platform.Store{Address: s.Store, Network: n}).Open(),
 			Promote:        promotions.Promote,
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"reflect"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -67,6 +68,9 @@
 		Clock    func() tracker.Stamp
 		// Leave is received from when the process is told to end.
 		Leave <-chan os.Signal
+		// Reload is received from when the settings may have changed; Reread reads them.
+		Reload <-chan os.Signal
+		Reread func() (*loader.EntrySettings, error)
 
 		metrics       tally.Scope
 		unregister    io.Closer
@@ -96,7 +100,7 @@
 	i.prepare(ctx)
 	i.belief.Log("event", "start", "name", i.Settings.Name, "zone", i.Settings.Zone, "callers", i.Settings.Callers)
 
-	parts, running := make(chan error, 4), 0
+	parts, running := make(chan error, 5), 0
 	run := func(part func(context.Context) error) {
 		running++
 		go func() { parts <- part(ctx) }()
@@ -106,6 +110,7 @@
 		run(func(ctx context.Context) error { return i.servePages(ctx, i.Settings.Metrics, i.metricsPage()) })
 	}
 	run(i.server.Run)
+	run(i.reload)
 	run(i.watcher().Run)
 	electing, stopElecting := context.WithCancel(ctx)
 	defer stopElecting()
@@ -300,6 +305,26 @@
 	return k.Run(ctx)
 }
 
+// reload says what became of the settings when the process is told that they may have
+// changed. None of them is taken over: addresses and zone are those of the machine, and
+// the rest holds for a whole life. Nothing is cut.
+func (i *Instance) reload(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case s := <-i.Reload:
+			outcome := "unchanged"
+			if now, err := i.Reread(); err != nil {
+				outcome = err.Error()
+			} else if !reflect.DeepEqual(now, i.Settings) {
+				outcome = "changed, in force from the next start"
+			}
+			i.belief.Log("event", "reload", "signal", s, "settings", outcome)
+		}
+	}
+}
+
 // leave ends the instance without cutting a request: the balancer is told first,
 // sessions outside a transaction end once it sends no more callers, and open
 // transactions have half of the time.
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -56,8 +57,11 @@
 
 	instance struct {
 		leave chan os.Signal
-		host  *wirer.Host
-		ended chan error
+		// reload tells it that its settings may have changed; next is what it reads then.
+		reload chan os.Signal
+		next   atomic.Pointer[loader.EntrySettings]
+		host   *wirer.Host
+		ended  chan error
 		// kill ends it at once.
 		kill context.CancelFunc
 	}
@@ -160,19 +164,24 @@
 	must.True(f.t, ok)
 }
 
-func (f *fleet) start(ip, zone string) *instance {
-	ctx, kill := context.WithCancel(f.ctx)
-	i := &instance{leave: make(chan os.Signal, 1), host: f.net.Host(ip, zone), ended: make(chan error, 1), kill: kill}
-	s := &loader.EntrySettings{
+func (f *fleet) settings(ip, zone string) *loader.EntrySettings {
+	return &loader.EntrySettings{
 		Name: "entry-" + ip, Zone: zone, Regions: map[string]string{"a": "x", "b": "y", "c": "z"},
 		Callers: ip + ":5000", Ready: ip + ":5001", Metrics: ip + ":5002", Store: "10.6.0.1:7000", Promotions: "10.6.0.1:7000", Shutdown: 6 * time.Second, InForce: 3 * time.Second,
 	}
+}
+
+func (f *fleet) start(ip, zone string) *instance {
+	ctx, kill := context.WithCancel(f.ctx)
+	i := &instance{leave: make(chan os.Signal, 1), reload: make(chan os.Signal, 1), host: f.net.Host(ip, zone), ended: make(chan error, 1), kill: kill}
+	s := f.settings(ip, zone)
 	store := (&platform.Store{Address: s.Store, Network: i.host}).Open()
 	promotions := (&platform.Promotions{Address: s.Promotions, Network: i.host, Holder: s.Name}).Open()
 	journal := journaler.New(&f.log)
 	begin := time.Now().Add(-time.Hour)
 	x := &launcher.Instance{
 		Settings: s, Network: i.host, Journal: journal, Clock: func() tracker.Stamp { return time.Since(begin) }, Leave: i.leave,
+		Reload: i.reload, Reread: func() (*loader.EntrySettings, error) { return i.next.Load(), nil },
 		Platform: launcher.Platform{
 			Store: store, Promote: promotions.Promote, PromoteRefused: func(err error) bool { return errors.Is(err, platform.ErrRefused) },
 			MemberCodec: platform.Lines{}, CallerCodec: platform.Lines{},
@@ -251,6 +260,28 @@
 	})
 }
 
+// The settings may have changed: the process is told twice, and they have the second time.
+// The log says so each time, and a caller in the middle of a session notices nothing.
+func TestReload(t *testing.T) {
+	play(t, func(f *fleet) {
+		i := f.start("10.5.0.1", "a")
+		time.Sleep(3 * time.Second)
+		ask := f.call(i, "strict")
+		must.Eq(t, "I", ask("PUT k v"))
+		s := f.settings(i.host.IP, "a")
+		for _, shutdown := range []time.Duration{s.Shutdown, 2 * s.Shutdown} {
+			changed := *s
+			changed.Shutdown = shutdown
+			i.next.Store(&changed)
+			i.reload <- syscall.SIGHUP
+			time.Sleep(time.Second)
+			must.Eq(t, "v I", ask("FETCH k"))
+		}
+		must.StrContains(t, f.log.String(), "event=reload signal=hangup settings=unchanged")
+		must.StrContains(t, f.log.String(), `event=reload signal=hangup settings="changed, in force from the next start"`)
+	})
+}
+
 // The primary dies. Callers' writes are refused as not run until another member leads,
 // about two seconds later; then one is acknowledged, and the one before is there.
 func TestPrimaryDies(t *testing.T) {
--- a/internal/lender/idle.go
+++ b/internal/lender/idle.go
@@ -60,8 +60,8 @@
 // scarce reports whether the member had no place a short time ago.
 func (m *place) scarce(now time.Time) bool { return now.Sub(m.fullAt) < scarceFor }
 
-// wanted reports whether a connection to the member is worth to be kept: it was used a
-// short time ago, or the instance is new.
+// wanted reports whether a connection to the member is worth keeping unasked: it was
+// used a short time ago, or the instance is new.
 func (m *place) wanted(now time.Time) bool {
 	if m.usedAt.IsZero() {
 		m.usedAt = now
@@ -77,6 +77,8 @@
 	return ok && m.scarce(time.Now())
 }
 
+// shrink ends a member's idle connections that are closed, or spare for too long, and
+// reconsiders the others when nobody has used the member for long.
 func (p *Pool) shrink(m *place, now time.Time, registered bool) {
 	kept, spareTime := max(1, p.Kept), spareFor
 	if m.scarce(now) {
@@ -116,7 +118,9 @@
 	p.put(c)
 }
 
-// roomy reports whether the member that a connection leads to has places left.
+// roomy reports whether the member that a connection leads to has places left. One that
+// doesn't answer counts as one that has none: an idle connection that went silent is ended
+// here before anybody is lent it, and why is for the next opening to show.
 func (p *Pool) roomy(c *Conn) bool {
 	replies, _, err := c.Exchange([]messenger.Command{{Kind: messenger.KindStatus}}, time.Now().Add(askTimeout))
 	if err != nil {
--- a/internal/lender/room.go
+++ b/internal/lender/room.go
@@ -1,8 +1,6 @@
 package lender
 
-import (
-	"time"
-)
+import "time"
 
 // This file holds work back from members that have no room for it.
 
