Spare connections wait three seconds within half of an instance's share

Cause: a connection beyond the first was closed after 150 ms without use. An opening holds a slot for 12 ms, half as long as a statement.

Change: as many as half of connections / instances that hold them may idle for 3 s; beyond that 150 ms as before. With 22 places before 9 instances the share is two, so one is kept as before. Kept, which nobody set, is gone.

Ruled out: a constant number of kept connections (starves 9 instances before 22 places after a loss of power).

Failed first: TestOverlappingStatements (42 openings instead of at most 3).

--- a/internal/carrier/hold.go
+++ b/internal/carrier/hold.go
@@ -35,14 +35,29 @@
 	// holders are the addresses to borrow from, the first one first; "" is this instance.
 	// None where connections aren't concentrated.
 	holders []string
+	// sharers is how many instances hold connections.
+	sharers int
 }
 
 // holders returns from whom to borrow a group's connections; nothing where each instance
 // has its own.
 func (c *Carrier) holders(group string) []string {
-	now := c.Clock()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	return c.holding(group).holders
+}
+
+// Sharers returns how many instances hold connections to a group's members. It implements
+// lender.Pool's Sharers.
+func (c *Carrier) Sharers(group string) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.holding(group).sharers
+}
+
+// holding returns who holds a group's connections; the mutex is held.
+func (c *Carrier) holding(group string) *holding {
+	now := c.Clock()
 	if c.holdings == nil {
 		c.holdings = map[string]*holding{}
 	}
@@ -52,17 +67,18 @@
 		c.holdings[group] = h
 	}
 	if ok && now-h.at < holdersFor {
-		return h.holders
+		return h
 	}
 	before := len(h.holders) > 0
-	h.at, h.holders = now, c.chooseHolders(now, group, h)
+	h.at = now
+	c.chooseHolders(now, group, h)
 	if after := len(h.holders) > 0; after != before {
 		c.Log("event", "concentrated", "group", group, "concentrated", after, "holders", strings.Join(h.holders, ","))
 	}
-	return h.holders
+	return h
 }
 
-func (c *Carrier) chooseHolders(now tracker.Stamp, group string, h *holding) []string {
+func (c *Carrier) chooseHolders(now tracker.Stamp, group string, h *holding) {
 	self := c.Introducer.Self
 	names, at := []string{self.Name}, map[string]string{self.Name: ""}
 	for _, p := range c.Introducer.Peers(now) {
@@ -71,15 +87,16 @@
 			at[p.Name] = p.Address
 		}
 	}
+	h.holders = nil
 	// Zones have about as many instances each.
-	if !h.Decide(c.Connections(group), len(names)*c.Zones) {
-		return nil
+	h.sharers = len(names) * c.Zones
+	if !h.Decide(c.Connections(group), h.sharers) {
+		return
 	}
-	var list []string
+	h.sharers = c.Zones
 	for _, name := range concentrator.Holders(group, names)[:min(holdersTried, len(names))] {
-		list = append(list, at[name])
+		h.holders = append(h.holders, at[name])
 	}
-	return list
 }
 
 // Elsewhere reports whether another instance holds this one's connections to a group.
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -258,7 +258,8 @@
 		},
 	}}
 	if i.peers != nil {
-		b.Pool.Carry, b.Pool.Central, b.Pool.Elsewhere = i.peers.carrier.Carry, i.peers.carrier.Borrow, i.peers.carrier.Elsewhere
+		b.Pool.Carry, b.Pool.Central = i.peers.carrier.Carry, i.peers.carrier.Borrow
+		b.Pool.Elsewhere, b.Pool.Sharers = i.peers.carrier.Elsewhere, i.peers.carrier.Sharers
 	}
 	g.Members(i.members[group])
 	if c := i.configuration.Load(); c != nil {
--- a/internal/lender/idle.go
+++ b/internal/lender/idle.go
@@ -15,6 +15,13 @@
 	// idle here is missing elsewhere: when all instances lose power, the members keep
 	// the old connections for 3 s, and the new ones find only what was free.
 	spareFor = 150 * time.Millisecond
+	// sharedPart is the part of an instance's share of a member's connections that may idle
+	// for sharedFor instead of spareFor. The other half is for those that come back after
+	// all have lost power, while members keep the old ones. Two statements of an instance at
+	// a member overlap some times a second; a connection closed in between is opened again
+	// each time, and holds a slot for half as long as a statement.
+	sharedPart = 0.5
+	sharedFor  = 3 * time.Second
 	// scarceSpareFor takes its place at a member that had no place a short time ago. With
 	// 79 instances before 51 places, after all lost power, 0.605 instead of 0.543 of the
 	// worth of the worst seconds; at no time at all, each statement pays for a connection.
@@ -100,16 +107,17 @@
 // shrink ends a member's idle connections that are closed, or spare for too long, and
 // reconsiders the others when nobody has used the member for long.
 func (p *Pool) shrink(m *place, now time.Time, registered bool) {
-	kept, spareTime := max(1, p.Kept), spareFor
+	kept, shared, spareTime := 1, p.shared(), spareFor
 	if m.scarce(now) {
-		kept, spareTime = 0, scarceSpareFor
+		kept, shared, spareTime = 0, 0, scarceSpareFor
 	}
 	if !registered {
-		kept = 0
+		kept, shared = 0, 0
 	}
 	wanted := m.wanted(now)
 	m.idle = slices.DeleteFunc(m.idle, func(c *Conn) bool {
-		spare := m.open > kept && now.Sub(c.idleFrom) > spareTime
+		idle := now.Sub(c.idleFrom)
+		spare := m.open > kept && idle > sharedFor || m.open > max(kept, shared) && idle > spareTime
 		if !spare && c.silent() {
 			if !wanted {
 				p.working.Go(func() { p.reconsider(c) })
@@ -122,6 +130,14 @@
 	})
 }
 
+// shared is how many connections to a member may idle here for a while.
+func (p *Pool) shared() int {
+	if p.Sharers == nil {
+		return 0
+	}
+	return int(sharedPart * float64(p.connections) / float64(max(1, p.Sharers(p.Group.Name))))
+}
+
 // reconsider asks the member of a connection that has idled for long whether it is
 // short of places, and ends the connection if so.
 func (p *Pool) reconsider(c *Conn) {
--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -336,3 +336,39 @@
 		must.NoError(t, use(t.Context(), p, 1, time.Second))
 	})
 }
+
+// An instance that holds a zone's connections has 23 places at each member. Now and then
+// three statements overlap there. The second and third connection wait for the next time;
+// closed after each, they are opened again twice a second, and each opening holds one of
+// the member's slots. Where an instance's share is two, none waits: others need the places.
+func TestOverlappingStatements(t *testing.T) {
+	overlap := func(t *testing.T, connections, sharers int) (opened, idle int) {
+		play(t, connections, 1, func(t *testing.T, s *stage) {
+			p := s.pools[0]
+			p.Sharers = func(string) int { return sharers }
+			time.Sleep(time.Second)
+			_, _, _, before := p.Load()
+			for range 20 {
+				var lent []*lender.Conn
+				for range 3 {
+					c, err := p.Borrow(t.Context(), lender.Request{Choose: primary, Until: time.Now().Add(time.Second)})
+					must.NoError(t, err)
+					lent = append(lent, c)
+				}
+				for _, c := range lent {
+					p.Return(c)
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+			_, _, _, after := p.Load()
+			opened = after - before
+			time.Sleep(200 * time.Millisecond)
+			_, idle, _, _ = p.Load()
+		})
+		return opened, idle
+	}
+	opened, _ := overlap(t, 140, 6)
+	must.LessEq(t, 3, opened)
+	_, idle := overlap(t, 22, 9)
+	must.LessEq(t, 3, idle) // one to each of three members
+}
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -61,8 +61,9 @@
 		Who string
 		// Clock gives stamps for Group.
 		Clock func() tracker.Stamp
-		// Kept is how many idle connections to a member are kept; 0 means 1.
-		Kept int
+		// Sharers, when set, says how many instances hold connections to the group's
+		// members.
+		Sharers func(group string) int
 		// Carry, when set, borrows a connection through another instance.
 		Carry func(ctx context.Context, group string, members []string, r Request) (*Conn, error)
 		// Central, when set, borrows from the instance that holds the zone's connections to
