Each refusal has a line, a reason and counts, also before a statement

Cause: an instance without configuration answered a start with BUSY, wrote no line, counted nothing and gave no time to return; so did statements that are not understood, fail in a failed transaction, or name no database.

Change: session.refuse writes the line, with id where the caller gave one, and counts the reason; failures that a member answers count as well; an answer that could not be delivered has a line. The time to come back without configuration is as long as the instance has known none, 50 ms to 3 s.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,8 +39,12 @@
 		clock   func() tracker.Stamp
 		callers int
 
+		// unconfigured has the instance know no configuration.
+		unconfigured atomic.Bool
+
 		mutex     sync.Mutex
 		decisions []string
+		refused   []dispatcher.Reason
 	}
 
 	// caller is a caller's connection.
@@ -82,10 +87,15 @@
 		none := func(dispatcher.Reason) {}
 		s.server = &dispatcher.Server{
 			Address: address, Network: host, Codec: platform.Lines{}, Clock: s.clock,
-			Configuration: func() *tracker.Configuration { return c },
-			Backend:       func(string) *dispatcher.Backend { return b },
-			Decide:        s.decide, Trace: func(...any) {},
-			Count: func(string) {}, Refused: none, Retried: none, Served: func(tracker.Route, time.Duration) {},
+			Configuration: func() *tracker.Configuration {
+				if s.unconfigured.Load() {
+					return nil
+				}
+				return c
+			},
+			Backend: func(string) *dispatcher.Backend { return b },
+			Decide:  s.decide, Trace: func(...any) {},
+			Count: func(string) {}, Refused: s.refuse, Retried: none, Served: func(tracker.Route, time.Duration) {},
 		}
 		var running sync.WaitGroup
 		running.Go(func() { _ = s.pool.Run(ctx) })
@@ -109,6 +119,12 @@
 	s.decisions = append(s.decisions, part+" "+fmt.Sprintln(fields...))
 }
 
+func (s *stage) refuse(r dispatcher.Reason) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.refused = append(s.refused, r)
+}
+
 // call opens a session.
 func (s *stage) call(t *testing.T, database string) *caller {
 	t.Helper()
@@ -319,3 +335,81 @@
 		must.Eq(t, "ERROR NODB nowhere\r\n", line)
 	})
 }
+
+// Each answer that is not a success has a line with its reason, the id where the caller
+// gave one, and counts. Hundreds of starts were answered with BUSY while the store was
+// away; from the logs the worst minute of the day looked like any other.
+func TestEveryRefusalIsTold(t *testing.T) {
+	start := func(line, want string) func(t *testing.T, s *stage) {
+		return func(t *testing.T, s *stage) {
+			conn, err := s.net.Host("10.7.9.9", "b").Dial(t.Context(), address)
+			must.NoError(t, err)
+			fmt.Fprint(conn, line)
+			c := &caller{t: t, conn: conn, in: bufio.NewReader(conn)}
+			must.StrHasPrefix(t, want, c.line())
+			must.NoError(t, conn.Close())
+		}
+	}
+	// say has a caller say some statements, of which the last one fails.
+	say := func(want string, texts ...string) func(t *testing.T, s *stage) {
+		return func(t *testing.T, s *stage) {
+			c := s.call(t, "strict")
+			var last string
+			for _, x := range texts {
+				last = c.ask(x)
+			}
+			must.Eq(t, want, last)
+		}
+	}
+	cases := []struct {
+		name   string
+		before func(s *stage)
+		does   func(t *testing.T, s *stage)
+		reason dispatcher.Reason
+		fields []string
+	}{
+		{"no configuration", func(s *stage) { s.unconfigured.Store(true) }, start("STARTUP strict me\r\n", "ERROR BUSY no-configuration, not run, retry in "), dispatcher.ReasonNoConfiguration, []string{"strict", "10.7.9.9"}},
+		{"start not understood", nil, start("HELLO\r\n", "ERROR MALFORMED"), "malformed", []string{"10.7.9.9"}},
+		{"no such database", nil, start("STARTUP other me\r\n", "ERROR NODB"), "unknown-database", []string{"other"}},
+		{"statement not understood", nil, say("MALFORMED I", "JUMP"), "malformed", []string{"c1-1"}},
+		{"no transaction", nil, say("MALFORMED I", "COMMIT"), "malformed", []string{"c1-1"}},
+		{"two transactions", nil, say("MALFORMED T", "BEGIN", "BEGIN"), "malformed", []string{"c1-2"}},
+		{"no such name", nil, say("MALFORMED I", "EXECUTE s1 k"), "malformed", []string{"c1-1"}},
+		{"no connection", func(s *stage) { s.group.Crash("g-1") }, say("BUSY I", "PUT k v", "PUT k v"), dispatcher.ReasonNoConnection, []string{"c1-2"}},
+		{"no answer in a transaction", nil, func(t *testing.T, s *stage) {
+			c := s.call(t, "strict")
+			must.Eq(t, "T", c.ask("BEGIN"))
+			s.group.LoseReads("g-1", 1)
+			must.Eq(t, "ABORTED E", c.ask("FETCH k"))
+		}, dispatcher.ReasonNoAnswer, []string{"c1-2"}},
+		{"statement after a failed one", nil, func(t *testing.T, s *stage) {
+			c := s.call(t, "strict")
+			must.Eq(t, "T", c.ask("BEGIN"))
+			s.group.LoseReads("g-1", 1)
+			must.Eq(t, "ABORTED E", c.ask("FETCH k"))
+			must.Eq(t, "MALFORMED E", c.ask("PUT k v"))
+			must.Eq(t, "ABORTED I", c.ask("COMMIT"))
+		}, dispatcher.ReasonFailedBefore, []string{"c1-4"}},
+		{"the answer is lost", func(s *stage) { s.group.LoseAnswers("g-1", 1) }, say("INDOUBT I", "PUT k v"), dispatcher.ReasonOutcomeUnknown, []string{"c1-1"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, 0, func(t *testing.T, s *stage) {
+				if c.before != nil {
+					c.before(s)
+				}
+				c.does(t, s)
+				s.mutex.Lock()
+				defer s.mutex.Unlock()
+				must.SliceContains(t, s.refused, c.reason)
+				must.True(t, slices.ContainsFunc(s.decisions, func(line string) bool {
+					told := strings.Contains(line, string(c.reason))
+					for _, f := range c.fields {
+						told = told && strings.Contains(line, f)
+					}
+					return told
+				}))
+			})
+		})
+	}
+}
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -104,7 +103,7 @@
 	if s.tx != nil {
 		s.fail()
 	}
-	return s.reply(messenger.CodeBusy, fmt.Sprintf("%s, not run, retry in %d ms", reason, x.backend.comeBack().Milliseconds()))
+	return s.reply(messenger.CodeBusy, retryText(reason, x.backend.comeBack()))
 }
 
 // abort answers that the transaction was rolled back.
@@ -133,6 +132,11 @@
 // done passes a member's answer on.
 func (x *exchange) done(member string, r messenger.Reply) messenger.Reply {
 	s := x.session
+	if r.Code != messenger.CodeNone {
+		s.server.refused(reasonOfCode(r.Code))
+		s.server.decide("statement", "id", x.statement.ID, "outcome", "failed", "reason", reasonOfCode(r.Code),
+			"group", x.route.Group, "member", member, "detail", r.Detail, "ms", x.elapsed())
+	}
 	s.server.served(x.route, time.Since(x.start))
 	s.server.Trace("id", x.statement.ID, "group", x.route.Group, "member", member, "need", x.need, "tries", x.tries,
 		"outcome", r.Code, "waited-ms", x.waited.Milliseconds(), "ms", x.elapsed())
--- a/internal/dispatcher/reasons.go
+++ b/internal/dispatcher/reasons.go
@@ -12,13 +12,15 @@
 
 // The reasons that are not a member's code.
 const (
-	ReasonNoConnection   Reason = "no-connection"
-	ReasonNoPrimary      Reason = "no-primary"
-	ReasonNoAnswer       Reason = "no-answer"
-	ReasonNotSent        Reason = "not-sent"
-	ReasonInstanceLeaves Reason = "instance-leaves"
-	ReasonOutcomeUnknown Reason = "outcome-unknown"
-	ReasonRestedTooLong  Reason = "rested-too-long"
+	ReasonNoConnection    Reason = "no-connection"
+	ReasonNoPrimary       Reason = "no-primary"
+	ReasonNoAnswer        Reason = "no-answer"
+	ReasonNotSent         Reason = "not-sent"
+	ReasonInstanceLeaves  Reason = "instance-leaves"
+	ReasonOutcomeUnknown  Reason = "outcome-unknown"
+	ReasonRestedTooLong   Reason = "rested-too-long"
+	ReasonNoConfiguration Reason = "no-configuration"
+	ReasonFailedBefore    Reason = "transaction-failed-before"
 )
 
 // ReasonText describes a reason for docs/DECISIONS.md.
@@ -37,6 +39,9 @@
 	{ReasonInstanceLeaves, "The instance ends.", "part=belief event=stop."},
 	{ReasonOutcomeUnknown, "A write or commit was sent and not answered; it may have taken effect.", "cause in the line; part=duty event=move-begins of the group just before or after."},
 	{ReasonRestedTooLong, "The caller rested inside a transaction for longer than the configuration allows; it was rolled back.", "part=belief event=configuration: the version in force."},
+	{ReasonNoConfiguration, "The instance knows no configuration yet: it has just started, and neither the store nor another instance has told it.", "part=belief event=start and event=dependency-lost dependency=store of the instance; part=peers."},
+	{ReasonFailedBefore, "The transaction had failed with an earlier statement and can only be rolled back.", "The line of the earlier statement, outcome=aborted or refused."},
+	{reasonOfCode(messenger.CodeUnknownDatabase), "No route of the configuration in force has the database's name.", "version in the line; part=belief event=configuration."},
 	{reasonOfCode(messenger.CodeBusy), "The member had no room for it.", "part=duty event=observed: busy."},
 	{reasonOfCode(messenger.CodeBehind), "The replica's log lacked the position that the read needs.", "need in the line; lag-ms in part=duty event=observed."},
 	{reasonOfCode(messenger.CodeNotPrimary), "The member does not lead, or no more.", "part=belief event=primary, part=duty event=move-ended."},
@@ -44,7 +49,7 @@
 	{reasonOfCode(messenger.CodeFailed), "The member ran it and it failed.", "The member in the line."},
 	{reasonOfCode(messenger.CodeTimeout), "The member ran it and gave up.", "The member in the line."},
 	{reasonOfCode(messenger.CodeAborted), "The member rolled the transaction back.", "The member in the line."},
-	{reasonOfCode(messenger.CodeMalformed), "The member did not understand the statement, or not in this state.", "The member in the line."},
+	{reasonOfCode(messenger.CodeMalformed), "The statement was not understood, or not in this state.", "detail in the line; the member, where one was asked."},
 }
 
 func reasonOfCode(c messenger.Code) Reason { return Reason(c.String()) }
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -34,6 +34,9 @@
 	// changeComeBack is what a caller is told while the group has no primary: about
 	// what a promotion takes.
 	changeComeBack = time.Second
+	// longestComeBack is the most that a caller is told to wait: half of the shortest
+	// deadline of the users' requests with a try to spare, 6 s.
+	longestComeBack = 3 * time.Second
 )
 
 type (
@@ -64,6 +67,8 @@
 		Refused, Retried func(reason Reason)
 		Served           func(r tracker.Route, took time.Duration)
 
+		// started is when Run was called.
+		started  time.Time
 		sessions sync.WaitGroup
 		mutex    sync.Mutex
 		open     map[*session]struct{}
@@ -85,6 +90,7 @@
 
 // Run accepts callers until the context ends, and returns when all sessions have.
 func (s *Server) Run(ctx context.Context) error {
+	s.started = time.Now()
 	l, err := s.Network.Listen(s.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"time"
@@ -54,6 +55,7 @@
 		s.buffer = s.server.Codec.AppendReply(s.buffer[:0], reply)
 		_ = s.net.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 		if _, err := s.net.Write(s.buffer); err != nil {
+			s.server.decide("statement", "id", q.ID, "outcome", "answer-not-delivered", "code", reply.Code, "database", s.database, "cause", err)
 			return
 		}
 	}
@@ -65,18 +67,19 @@
 	start, err := s.statements.Start()
 	if err != nil {
 		s.server.count(CountMalformed)
-		s.answerStart(messenger.Reply{Code: messenger.CodeMalformed, Detail: "want a start message"})
+		s.answerStart(s.refuse("session", "", messenger.CodeMalformed, reasonOfCode(messenger.CodeMalformed), "want a start message"))
 		return false
 	}
 	s.database = start.Database
 	c := s.server.Configuration()
 	if c == nil {
-		s.answerStart(messenger.Reply{Code: messenger.CodeBusy, Detail: "no configuration yet"})
+		// Nothing was known for as long as the instance runs, so it may take as long again.
+		again := min(max(time.Since(s.server.started), shortestComeBack), longestComeBack)
+		s.answerStart(s.refuse("session", "", messenger.CodeBusy, ReasonNoConfiguration, retryText(ReasonNoConfiguration, again)))
 		return false
 	}
 	if _, ok := c.Routes[s.database]; !ok {
-		s.server.decide("session", "outcome", "unknown-database", "database", s.database, "version", c.Version)
-		s.answerStart(messenger.Reply{Code: messenger.CodeUnknownDatabase, Detail: s.database})
+		s.answerStart(s.refuse("session", "", messenger.CodeUnknownDatabase, reasonOfCode(messenger.CodeUnknownDatabase), s.database, "version", c.Version))
 		return false
 	}
 	return s.answerStart(messenger.Reply{})
@@ -87,6 +90,24 @@
 	return err == nil
 }
 
+// refuse answers what is rejected here and reaches no member: it counts the reason and
+// writes a line, so that each refusal a caller has seen can be found.
+func (s *session) refuse(part, id string, code messenger.Code, reason Reason, detail string, fields ...any) messenger.Reply {
+	s.server.refused(reason)
+	s.server.decide(part, append([]any{"id", id, "outcome", "refused", "reason", reason, "database", s.database, "caller", s.net.RemoteAddr(), "detail", detail}, fields...)...)
+	return s.reply(code, detail)
+}
+
+// malformed answers a statement that is not understood, or not in this state.
+func (s *session) malformed(q messenger.Statement, detail string) messenger.Reply {
+	return s.refuse("statement", q.ID, messenger.CodeMalformed, reasonOfCode(messenger.CodeMalformed), detail)
+}
+
+// retryText tells a caller that nothing has run, and when to come back.
+func retryText(reason Reason, again time.Duration) string {
+	return fmt.Sprintf("%s, not run, retry in %d ms", reason, again.Milliseconds())
+}
+
 // next reads the next statement. It is false when the session ends: the caller
 // left, or the server is leaving and no transaction is open.
 func (s *session) next() (messenger.Statement, bool) {
@@ -163,7 +184,7 @@
 func (s *session) handle(ctx context.Context, q messenger.Statement) messenger.Reply {
 	s.server.count(CountStatements)
 	if q.Kind == messenger.KindUnknown {
-		return s.reply(messenger.CodeMalformed, "statement not understood")
+		return s.malformed(q, "statement not understood")
 	}
 	if s.state == messenger.StateFailed {
 		return s.handleFailed(q)
@@ -186,7 +207,7 @@
 		return s.reply(messenger.CodeNone, "")
 	case messenger.KindCommit:
 		if s.tx == nil {
-			return s.reply(messenger.CodeMalformed, "no transaction is open")
+			return s.malformed(q, "no transaction is open")
 		}
 		return s.commit(ctx, q)
 	default:
@@ -203,9 +224,9 @@
 		return s.reply(messenger.CodeNone, "")
 	case messenger.KindCommit:
 		s.state = messenger.StateIdle
-		return s.reply(messenger.CodeAborted, "the transaction had failed")
+		return s.refuse("transaction", q.ID, messenger.CodeAborted, ReasonFailedBefore, "the transaction had failed")
 	default:
-		return s.reply(messenger.CodeMalformed, "the transaction has failed; roll it back")
+		return s.refuse("statement", q.ID, messenger.CodeMalformed, ReasonFailedBefore, "the transaction has failed; roll it back")
 	}
 }
 
@@ -215,7 +236,7 @@
 
 func (s *session) begin(q messenger.Statement) messenger.Reply {
 	if s.tx != nil {
-		return s.reply(messenger.CodeMalformed, "a transaction is open")
+		return s.malformed(q, "a transaction is open")
 	}
 	route, backend, reply := s.route(q)
 	if backend == nil {
@@ -235,8 +256,7 @@
 	c := s.server.Configuration()
 	r, ok := c.Routes[s.database]
 	if !ok {
-		s.server.decide("statement", "id", q.ID, "outcome", "unknown-database", "database", s.database, "version", c.Version)
-		return r, nil, s.reply(messenger.CodeUnknownDatabase, s.database)
+		return r, nil, s.refuse("statement", q.ID, messenger.CodeUnknownDatabase, reasonOfCode(messenger.CodeUnknownDatabase), s.database, "version", c.Version)
 	}
 	return r, s.server.Backend(r.Group), messenger.Reply{}
 }
@@ -249,7 +269,7 @@
 	if q.Kind == messenger.KindExecute {
 		p, ok := s.prepared[q.Name]
 		if !ok {
-			return s.reply(messenger.CodeMalformed, "no prepared statement of that name")
+			return s.malformed(q, "no prepared statement of that name")
 		}
 		x.prepared, x.writes = &p, p.Writes
 		x.command.Text, x.command.Rest = "", q.Rest
