The report tells a bad minute as one; each log line names its instance

Cause: lines of many instances that were merged had no owner, so losses read "not seen" though regained; one reason in 20 groups was 20 rows; a change of the lead whose holder died in it had no row; how much failed stood nowhere.

TestPageTellsABadMinute failed first.

--- a/cmd/oriolegw-edge/main.go
+++ b/cmd/oriolegw-edge/main.go
@@ -58,6 +58,7 @@
 	signal.Ignore(syscall.SIGPIPE)
 
 	journal := journaler.New(os.Stdout)
+	journal.Instance = s.Name
 	writing, stop := context.WithCancel(context.Background())
 	written := make(chan error, 1)
 	go func() { written <- journal.Run(writing) }()
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -20,12 +20,16 @@
 	longestMillis = 60_000
 	// histogramDigits is how exactly.
 	histogramDigits = 2
+	// outcomeTried is that of a try that another one follows.
+	outcomeTried = "tried"
 )
 
 type (
 	// Report is what a log tells.
 	Report struct {
 		From, To time.Time
+		// Failures counts by second what was not served in the end.
+		Failures map[int]int
 		// Series are counts a second, by name and second since From.
 		Series map[string]map[int]int
 		// Latency and Wait are in milliseconds, by second since From; Groups is the
@@ -38,13 +42,17 @@
 		// Dropped counts lines that instances did not write: what is counted is the least
 		// that happened.
 		Dropped int
+
+		// begun are the changes of the lead that have not ended, by group.
+		begun map[string]Move
 	}
 
-	// Cause is why statements failed at first or for good.
+	// Cause is why statements failed at first or for good, in which groups.
 	Cause struct {
-		Outcome, Reason, Group string
-		Count                  int
-		First, Last            time.Time
+		Outcome, Reason string
+		Groups          map[string]int
+		Count           int
+		First, Last     time.Time
 	}
 
 	// Move is a change of the lead.
@@ -73,14 +81,14 @@
 // Summarize reads log lines, in order of time, into a report.
 func Summarize(lines []explainer.Line) *Report {
 	r := &Report{
-		Series: map[string]map[int]int{}, Latency: map[int]*hdrhistogram.Histogram{},
+		Failures: map[int]int{}, begun: map[string]Move{}, Series: map[string]map[int]int{}, Latency: map[int]*hdrhistogram.Histogram{},
 		Wait: map[int]*hdrhistogram.Histogram{}, Groups: map[string]*hdrhistogram.Histogram{},
 	}
 	if len(lines) == 0 {
 		return r
 	}
 	r.From, r.To = lines[0].At, lines[len(lines)-1].At
-	causes := map[[3]string]*Cause{}
+	causes := map[[2]string]*Cause{}
 	lost := map[[2]string]int{}
 	for _, l := range lines {
 		switch l.Fields["part"] {
@@ -102,11 +110,15 @@
 			r.Dropped += int(number(l, "lines"))
 		}
 	}
+	for _, m := range r.begun {
+		r.Moves = append(r.Moves, m)
+	}
+	slices.SortStableFunc(r.Moves, func(a, b Move) int { return a.At.Compare(b.At) })
 	for _, c := range causes {
 		r.Causes = append(r.Causes, *c)
 	}
 	slices.SortFunc(r.Causes, func(a, b Cause) int {
-		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Outcome+a.Reason+a.Group, b.Outcome+b.Reason+b.Group))
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Outcome+a.Reason, b.Outcome+b.Reason))
 	})
 	return r
 }
@@ -127,19 +139,23 @@
 	record(r.Groups, l.Fields["group"], number(l, "ms"))
 }
 
-func (r *Report) request(l explainer.Line, causes map[[3]string]*Cause) {
+func (r *Report) request(l explainer.Line, causes map[[2]string]*Cause) {
 	outcome, reason, group := l.Fields["outcome"], l.Fields["reason"], l.Fields["group"]
 	if reason == "" {
 		return
 	}
 	r.count(outcome+", "+reason, l.At)
-	key := [3]string{outcome, reason, group}
+	if outcome != outcomeTried {
+		r.Failures[r.second(l.At)]++
+	}
+	key := [2]string{outcome, reason}
 	c, ok := causes[key]
 	if !ok {
-		c = &Cause{Outcome: outcome, Reason: reason, Group: group, First: l.At}
+		c = &Cause{Outcome: outcome, Reason: reason, Groups: map[string]int{}, First: l.At}
 		causes[key] = c
 	}
 	c.Count, c.Last = c.Count+1, l.At
+	c.Groups[group]++
 }
 
 func (r *Report) connection(l explainer.Line) {
@@ -150,17 +166,26 @@
 	r.count(series, l.At)
 }
 
+// duty takes in changes of the lead. The holder of a duty may die in the middle of one, so
+// one that began and was not seen to end is listed as well.
 func (r *Report) duty(l explainer.Line) {
-	if l.Fields["event"] != "move-ended" {
+	group := l.Fields["group"]
+	switch l.Fields["event"] {
+	case "move-begins":
+		r.begun[group] = Move{At: l.At, Group: group, Reason: l.Fields["reason"], From: l.Fields["primary"], Result: "not seen to end"}
+		return
+	case "move-ended":
+		delete(r.begun, group)
+	default:
 		return
 	}
 	r.Moves = append(r.Moves, Move{
-		At: l.At, Group: l.Fields["group"], Reason: l.Fields["reason"], From: l.Fields["from"], To: l.Fields["to"],
+		At: l.At, Group: group, Reason: l.Fields["reason"], From: l.Fields["from"], To: l.Fields["to"],
 		Result: l.Fields["outcome"], Took: time.Duration(number(l, "ms")) * time.Millisecond,
 	})
 }
 
-// dependency matches losses with returns; whose line it is stands before its ts.
+// dependency matches losses with returns of the same instance.
 func (r *Report) dependency(l explainer.Line, lost map[[2]string]int) {
 	key := [2]string{l.Source(), l.Fields["dependency"]}
 	switch l.Fields["event"] {
--- a/internal/charter/charter_test.go
+++ b/internal/charter/charter_test.go
@@ -59,6 +59,34 @@
 	}
 }
 
+// Twenty groups refuse for one reason, an instance names itself in its lines, and the holder
+// of a duty dies in the middle of a change. The page shows the minute for what it was: one
+// row for the reason, how much failed, the store lost and regained, the change that began.
+func TestPageTellsABadMinute(t *testing.T) {
+	var text strings.Builder
+	for i := range 20 {
+		fmt.Fprintf(&text, "ts=2026-03-25T00:08:11.%03dZ instance=a-1 part=request of=session outcome=refused reason=no-connection group=g%d\n", i, i)
+	}
+	text.WriteString("ts=2026-03-25T00:08:10.000Z instance=a-1 part=served id=1 group=g1 ms=40\n" +
+		"ts=2026-03-25T00:08:10.100Z instance=a-1 part=belief event=dependency-lost dependency=store cause=reset\n" +
+		"ts=2026-03-25T00:08:10.100Z instance=a-2 part=belief event=dependency-lost dependency=store cause=reset\n" +
+		"ts=2026-03-25T00:08:12.000Z instance=a-1 part=belief event=dependency-regained dependency=store\n" +
+		"ts=2026-03-25T00:08:12.100Z instance=a-2 part=belief event=dependency-regained dependency=store\n" +
+		"ts=2026-03-25T00:08:12.500Z instance=a-2 part=duty event=move-begins group=g1 reason=primary-silent primary=m\n")
+	r := read(t, text.String())
+	must.Len(t, 1, r.Causes)
+	must.Eq(t, 20, r.Causes[0].Count)
+	must.Len(t, 1, r.Moves)
+	var b strings.Builder
+	must.NoError(t, r.Write(&b))
+	for _, want := range []string{
+		"20 refused, aborted, failed or of unknown outcome (95.2%)", "Worst second 00:08:11.000: 20 of 20", "20, most in g0 (1)", "not seen to end",
+		`<td>store</td><td class="n">2</td><td>00:08:10.100</td><td>00:08:12.100</td><td class="n">0</td>`,
+	} {
+		must.StrContains(t, b.String(), want)
+	}
+}
+
 func ExampleSummarize() {
 	lines, err := explainer.Read(strings.NewReader(log))
 	if err != nil {
--- a/internal/charter/page.go
+++ b/internal/charter/page.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	_ "embed"
+	"fmt"
 	"html/template"
 	"image/color"
 	"io"
@@ -33,8 +35,30 @@
 		*Report
 		Plots  []figure
 		Groups []groupRow
-		Causes []Cause
+		Causes []causeRow
 		More   int
+		// Served and Failed count statements; Worst is the second with most failures.
+		Served, Failed int
+		FailedPercent  float64
+		Worst          second
+		LossRows       []lossRow
+	}
+
+	second struct {
+		At          time.Time
+		Failed, All int
+	}
+
+	causeRow struct {
+		Cause
+		GroupsText string
+	}
+
+	// lossRow is what all instances saw of one dependency.
+	lossRow struct {
+		Dependency, Cause string
+		First, Last       time.Time
+		Instances, Open   int
 	}
 
 	figure struct {
@@ -68,8 +92,12 @@
 
 // Write writes the report as one HTML page with its plots inside.
 func (r *Report) Write(w io.Writer) error {
-	p := page{Report: r, Causes: r.Causes[:min(mostCauses, len(r.Causes))]}
+	p := page{Report: r, LossRows: r.lossRows()}
+	for _, c := range r.Causes[:min(mostCauses, len(r.Causes))] {
+		p.Causes = append(p.Causes, causeRow{c, c.groups()})
+	}
 	p.More = len(r.Causes) - len(p.Causes)
+	p.count()
 	for _, g := range slices.Sorted(maps.Keys(r.Groups)) {
 		h := r.Groups[g]
 		p.Groups = append(p.Groups, groupRow{Group: g, Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P99: h.ValueAtQuantile(99), Max: h.Max()})
@@ -103,6 +131,64 @@
 	return pageTemplate.Execute(w, p)
 }
 
+// count sums up how much was served and failed, and when most failed.
+func (p *page) count() {
+	worst := 0
+	for at, n := range p.Failures {
+		p.Failed += n
+		if n > p.Failures[worst] || n == p.Failures[worst] && at < worst {
+			worst = at
+		}
+	}
+	for _, n := range p.Series[SeriesServed] {
+		p.Served += n
+	}
+	if all := p.Served + p.Failed; all > 0 {
+		p.FailedPercent = 100 * float64(p.Failed) / float64(all)
+	}
+	n := p.Failures[worst]
+	p.Worst = second{p.From.Add(time.Duration(worst) * time.Second), n, n + p.Series[SeriesServed][worst]}
+}
+
+// groups names the only group of a cause, or how many there are and the first by count.
+func (c Cause) groups() string {
+	names := slices.SortedFunc(maps.Keys(c.Groups), func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.Groups[b], c.Groups[a]), cmp.Compare(a, b))
+	})
+	if len(names) == 1 {
+		return names[0]
+	}
+	return fmt.Sprintf("%d, most in %s (%d)", len(names), names[0], c.Groups[names[0]])
+}
+
+// lossRows sums the losses up by dependency.
+func (r *Report) lossRows() []lossRow {
+	rows := map[string]*lossRow{}
+	instances := map[[2]string]bool{}
+	for _, l := range r.Losses {
+		x, ok := rows[l.Dependency]
+		if !ok {
+			x = &lossRow{Dependency: l.Dependency, Cause: l.Cause, First: l.At}
+			rows[l.Dependency] = x
+		}
+		if key := [2]string{l.Dependency, l.Instance}; !instances[key] {
+			instances[key] = true
+			x.Instances++
+		}
+		if l.Until.IsZero() {
+			x.Open++
+		}
+		if l.Until.After(x.Last) {
+			x.Last = l.Until
+		}
+	}
+	var list []lossRow
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		list = append(list, *rows[name])
+	}
+	return list
+}
+
 // quantiles are lines of the median and of the slowest hundredth.
 func quantiles(m map[int]*hdrhistogram.Histogram) []line {
 	at := func(q float64) func(int) (float64, bool) {
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -147,9 +147,12 @@
 	}
 }
 
-// Source is the word before the line's ts, such as the instance's name where logs of
-// several were joined; "" if there is none.
+// Source is the instance that wrote the line; where it doesn't say, the word before the
+// line's ts; "" if there is none.
 func (l Line) Source() string {
+	if name := l.Fields["instance"]; name != "" {
+		return name
+	}
 	before, _, _ := strings.Cut(l.Text, "ts=")
 	words := strings.Fields(before)
 	if len(words) == 0 {
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -30,6 +30,8 @@
 	// Journal takes lines from any goroutine. Set Out before Run.
 	Journal struct {
 		Out io.Writer
+		// Instance, when set, stands in each line, so that the lines of many can be merged.
+		Instance string
 
 		lines   chan []byte
 		dropped atomic.Int64
@@ -92,7 +94,7 @@
 		return
 	}
 	j.total.Add(n)
-	j.put(encode("journal", []any{"event", "lines-dropped", "lines", n}))
+	j.put(j.encode("journal", []any{"event", "lines-dropped", "lines", n}))
 }
 
 // Dropped returns how many lines were dropped in all.
@@ -105,7 +107,7 @@
 		k.journal.dropped.Add(1)
 		return
 	}
-	k.journal.put(encode(k.part, fields))
+	k.journal.put(k.journal.encode(k.part, fields))
 }
 
 // admit takes room for one line, if there is any.
@@ -125,9 +127,13 @@
 	}
 }
 
-func encode(part string, fields []any) []byte {
+func (j *Journal) encode(part string, fields []any) []byte {
 	var b bytes.Buffer
-	all := append([]any{"ts", time.Now().UTC().Format(TimeFormat), "part", part}, fields...)
+	all := []any{"ts", time.Now().UTC().Format(TimeFormat)}
+	if j.Instance != "" {
+		all = append(all, "instance", j.Instance)
+	}
+	all = append(append(all, "part", part), fields...)
 	if err := log.NewLogfmtLogger(&b).Log(all...); err != nil {
 		return []byte("part=journal event=line-not-encoded of=" + part + "\n")
 	}
