Two safeguards of loans have tests that fail without them

A leaving instance that goes on lending, and a loan that is borrowed on: both could be taken out of carrier/serve.go and every test stayed green. TestLeavingInstanceLendsNothingNew fails without c.Leaving() (the peer's next transaction would be cut at the end), TestLoansTakeOneHop without Own: true (two that take each other for the holder pass a request round until its time is up).

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,8 @@
 	pool   *lender.Pool
 	lender *carrier.Carrier
 	links  *linker.Client
+	// leaving is what the lender says of itself.
+	leaving atomic.Bool
 }
 
 const lenderAddress = "10.8.0.1:7100"
@@ -49,7 +52,7 @@
 		s.pool.Configure(8)
 		nobody := &introducer.Introducer{Self: introducer.Peer{Name: "lender", Address: lenderAddress, Zone: "a"}, Near: known.Near}
 		s.lender = &carrier.Carrier{
-			Introducer: nobody, Codec: platform.Lines{}, Clock: clock, Leaving: func() bool { return false }, Log: func(...any) {},
+			Introducer: nobody, Codec: platform.Lines{}, Clock: clock, Leaving: s.leaving.Load, Log: func(...any) {},
 			Pool: func(group string) *lender.Pool {
 				if group != "g" {
 					return nil
@@ -167,3 +170,57 @@
 		})
 	}
 }
+
+// An instance has been told to end. A peer's transaction that it still took on would be cut
+// when it ends, a few seconds later, while others could have carried it to its commit.
+func TestLeavingInstanceLendsNothingNew(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		x, end := s.stream(t)
+		defer end()
+		must.NoError(t, x.Send(ask("g-1")))
+		r, err := x.Recv()
+		must.NoError(t, err)
+		must.Eq(t, "g-1", r.Member)
+		must.NoError(t, x.Send(&wire.LendRequest{End: &wire.LendEnd{}}))
+		s.leaving.Store(true)
+		must.NoError(t, x.Send(ask("g-1")))
+		r, err = x.Recv()
+		must.NoError(t, err)
+		must.Eq(t, wire.LendRefusal_UNREACHED, r.Refusal)
+	})
+}
+
+// Two instances each take the other for the holder of the zone's connections, or each
+// can't reach a member and asks the other. What a peer asks for is served from own
+// connections or not at all: passed on, a request would go round until its time is up, and
+// take a lane from each instance on its way.
+func TestLoansTakeOneHop(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		var passedOn atomic.Int64
+		pass := func() (*lender.Conn, error) {
+			passedOn.Add(1)
+			return nil, lender.ErrFull
+		}
+		s.pool.Elsewhere = func(string) bool { return true }
+		s.pool.Central = func(context.Context, string, lender.Request) (*lender.Conn, error) { return pass() }
+		s.pool.Carry = func(context.Context, string, []string, lender.Request) (*lender.Conn, error) { return pass() }
+		x, end := s.stream(t)
+		defer end()
+		must.NoError(t, x.Send(ask("g-1")))
+		r, err := x.Recv()
+		must.NoError(t, err)
+		must.Eq(t, "g-1", r.Member)
+		must.NoError(t, x.Send(&wire.LendRequest{End: &wire.LendEnd{}}))
+		s.net.Cut("10.8.0.1", "10.9.1.1")
+		time.Sleep(3 * time.Second)
+		for range 5 {
+			must.NoError(t, x.Send(ask("g-1")))
+			r, err = x.Recv()
+			must.NoError(t, err)
+			if r.Refusal == wire.LendRefusal_NOT_REFUSED {
+				must.NoError(t, x.Send(&wire.LendRequest{End: &wire.LendEnd{Broken: true}}))
+			}
+		}
+		must.Eq(t, int64(0), passedOn.Load())
+	})
+}
