Broken connections have a line: callers' with their last request, members' with their idle time

Cause: the users could not tell which callers were cut when connections were reset, or when; a caller that broke off outside a transaction, and an idle connection to a member found broken, left no trace.

Change: session.noteEnd (id of the last request, in a transaction or not, its member, cause), Pool.NoteLost, two counters, two series in the report. TestCutCallersAreTold fails without it.

--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -75,6 +75,8 @@
 	SeriesServed   = "served"
 	SeriesNoPlace  = "connections refused, no place"
 	SeriesNotOpen  = "connections failed"
+	SeriesLost     = "connections lost while idle"
+	SeriesCallers  = "connections of callers cut"
 	SeriesCarriers = "members reached through others"
 )
 
@@ -141,6 +143,9 @@
 
 func (r *Report) request(l explainer.Line, causes map[[2]string]*Cause) {
 	outcome, reason, group := l.Fields["outcome"], l.Fields["reason"], l.Fields["group"]
+	if outcome == "caller-cut" {
+		r.count(SeriesCallers, l.At)
+	}
 	if reason == "" {
 		return
 	}
@@ -160,6 +165,9 @@
 
 func (r *Report) connection(l explainer.Line) {
 	series := SeriesNotOpen
+	if l.Fields["event"] == "connection-lost" {
+		series = SeriesLost
+	}
 	if strings.Contains(l.Fields["cause"], "too-many-connections") {
 		series = SeriesNoPlace
 	}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -413,3 +413,26 @@
 		})
 	}
 }
+
+// Something between two callers and the instance resets their connections, one of them in
+// a transaction whose first statement has run. Afterwards the log tells both, with their
+// last request, the member that held the transaction and that it was open: the member has
+// rolled it back, so its write is not kept.
+func TestCutCallersAreTold(t *testing.T) {
+	play(t, 0, func(t *testing.T, s *stage) {
+		idle, open := s.call(t, "own"), s.call(t, "strict")
+		must.Eq(t, "I", idle.ask("PUT j v"))
+		must.Eq(t, "T", open.ask("BEGIN"))
+		must.Eq(t, "T", open.ask("PUT k v"))
+		s.net.Kill("10.7.0.1")
+		s.net.Kill("10.7.0.2")
+		time.Sleep(100 * time.Millisecond)
+		s.mutex.Lock()
+		told := strings.Join(s.decisions, "")
+		s.mutex.Unlock()
+		must.StrContains(t, told, "session id c1-1 outcome caller-cut database own caller 10.7.0.1")
+		must.StrContains(t, told, "session id c2-2 outcome caller-cut database strict caller 10.7.0.2")
+		must.StrContains(t, told, "in-transaction true member g-1")
+		must.Eq(t, "none I", s.call(t, "strict").ask("FETCH k"))
+	})
+}
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -82,8 +82,9 @@
 	mayEndNow  = 1
 	mustEndNow = 2
 
-	// CountAccepted, CountMalformed and CountStatements are what Count is told.
+	// CountAccepted and those that follow are what Count is told.
 	CountAccepted   = "callers-accepted"
+	CountCut        = "callers-cut"
 	CountMalformed  = "callers-malformed"
 	CountStatements = "statements"
 )
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/tracker"
@@ -25,6 +26,8 @@
 		state      messenger.State
 		tx         *transaction
 		buffer     []byte
+		// last is the ID of the caller's last statement.
+		last string
 	}
 
 	// transaction is what is open on behalf of the caller. It takes a connection
@@ -51,6 +54,7 @@
 		if !ok {
 			return
 		}
+		s.last = q.ID
 		reply := s.handle(ctx, q)
 		s.buffer = s.server.Codec.AppendReply(s.buffer[:0], reply)
 		_ = s.net.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
@@ -121,9 +125,7 @@
 			return q, true
 		}
 		if !lender.IsTimeout(err) {
-			if err != io.EOF && s.state != messenger.StateIdle {
-				s.server.decide("session", "outcome", "caller-left-in-transaction", "database", s.database)
-			}
+			s.noteEnd(err)
 			return messenger.Statement{}, false
 		}
 		if s.server.mustEnd() && !s.statements.Buffered() {
@@ -133,6 +135,27 @@
 	}
 }
 
+// noteEnd tells how a caller left, unless it closed between transactions. A connection that
+// broke may have been cut on the way: which requests that hit, and in which state, must be
+// found afterwards.
+func (s *session) noteEnd(err error) {
+	cut := !errors.Is(err, io.EOF)
+	if !cut && s.state == messenger.StateIdle {
+		return
+	}
+	outcome := "caller-left-in-transaction"
+	if cut {
+		outcome = "caller-cut"
+		s.server.count(CountCut)
+	}
+	member := ""
+	if s.tx != nil && s.tx.conn != nil {
+		member = s.tx.conn.Member
+	}
+	s.server.decide("session", "id", s.last, "outcome", outcome, "database", s.database, "caller", s.net.RemoteAddr(),
+		"in-transaction", s.state != messenger.StateIdle, "member", member, "cause", err)
+}
+
 // readDeadline bounds the wait for the caller inside a transaction, whose
 // connection others wait for. Server.wake moves it when the server leaves.
 func (s *session) readDeadline() time.Time {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -255,6 +255,7 @@
 	b.roster = func() ([]string, bool) { return i.roster(group) }
 	b.Backend = dispatcher.Backend{Group: g, Suspect: b.suspect, Pool: &lender.Pool{
 		Group: g, Network: i.Network, Codec: i.Platform.MemberCodec, Who: i.Settings.Name, Clock: i.Clock, Note: i.noteConnection(group), Tended: true,
+		NoteLost: i.noteLost(group),
 		NoteRoom: func(member string, room bool) {
 			i.belief.Log("event", "room", "group", group, "member", member, "room", room)
 		},
@@ -307,6 +308,15 @@
 	}
 }
 
+// noteLost logs connections to a member that broke while they idled.
+func (i *Instance) noteLost(group string) func(member string, idle time.Duration) {
+	connections := i.Journal.Kind("connection")
+	return func(member string, idle time.Duration) {
+		i.metrics.Counter(metricLost).Inc(1)
+		connections.Log("event", "connection-lost", "group", group, "member", member, "idle-ms", idle.Milliseconds())
+	}
+}
+
 // near reports whether a zone is in this instance's region.
 func (i *Instance) near(zone string) bool {
 	r, ok := i.Settings.Regions[zone]
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -13,6 +13,7 @@
 	metricPrefix    = "entry."
 	metricOpened    = metricPrefix + "connections-opened"
 	metricFailed    = metricPrefix + "connections-failed"
+	metricLost      = metricPrefix + "connections-lost"
 	metricRefused   = metricPrefix + "refused."
 	metricRetried   = metricPrefix + "tried-again."
 	metricServed    = metricPrefix + "served-seconds."
@@ -41,6 +42,8 @@
 	list := []reporter.Metric{
 		{Name: metricPrefix + dispatcher.CountAccepted, Kind: reporter.KindCounter, Text: "Callers that connected."},
 		{Name: metricPrefix + dispatcher.CountMalformed, Kind: reporter.KindCounter, Text: "Callers whose first message could not be understood."},
+		{Name: metricPrefix + dispatcher.CountCut, Kind: reporter.KindCounter, Text: "Callers whose connection broke; part=request of=session outcome=caller-cut has their last request. Alert when it grows by a tenth of the callers within a second."},
+		{Name: metricLost, Kind: reporter.KindCounter, Text: "Idle connections to members, or lent ones between two statements, that were found broken. Alert as above."},
 		{Name: metricPrefix + dispatcher.CountStatements, Kind: reporter.KindCounter, Text: "Statements that callers sent."},
 		{Name: metricOpened, Kind: reporter.KindCounter, Text: "Connections to members that were opened."},
 		{Name: metricFailed, Kind: reporter.KindCounter, Text: "Connections to members that could not be opened, or were refused. Alert when it grows faster than a few a second."},
--- a/internal/lender/idle.go
+++ b/internal/lender/idle.go
@@ -125,7 +125,11 @@
 	m.idle = slices.DeleteFunc(m.idle, func(c *Conn) bool {
 		idle := now.Sub(c.idleFrom)
 		spare := m.open > kept && idle > sharedFor || m.open > max(kept, shared) && idle > spareTime
-		if !spare && c.silent() {
+		if !c.silent() {
+			p.lost(m, c)
+			return true
+		}
+		if !spare {
 			if !wanted {
 				p.working.Go(func() { p.reconsider(c) })
 			}
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -74,6 +74,9 @@
 		Note func(member string, err error)
 		// Tended is set when the owner calls Tend in place of Run, for many pools at once.
 		Tended bool
+		// NoteLost, when set, is told of each idle connection that was found broken, and for
+		// how long it had idled.
+		NoteLost func(member string, idle time.Duration)
 		// NoteRoom, when set, is told when new work to a member begins to be held back for
 		// want of room there, and when it no longer is.
 		NoteRoom func(member string, room bool)
@@ -283,13 +286,21 @@
 				m.lend(c, question)
 				return c
 			}
-			m.open--
-			c.Close()
+			p.lost(m, c)
 		}
 	}
 	return nil
 }
 
+// lost ends an idle connection that the member, or something on the way, has ended.
+func (p *Pool) lost(m *place, c *Conn) {
+	m.open--
+	c.Close()
+	if p.NoteLost != nil {
+		p.NoteLost(c.Member, time.Since(c.idleFrom))
+	}
+}
+
 // Return takes a connection back. A broken one is closed.
 func (p *Pool) Return(c *Conn) {
 	if c.giveBack != nil {
