A reload names what changed; oriolegwctl settings tells before

Cause: the users' settings files change across many machines at a time, and nobody could say whether that touched callers. The log said that something had changed, not what; a file with a mistake had its error where the outcome stands.

Change: loader.CompareEntry lists the settings that differ, the reload's line has keys and how many callers stay; a file with a mistake is rejected whole and those in force stay. oriolegwctl settings [-running FILE] FILE checks a file and lists its changes, all of which wait for the next start, as taking over an address would cut callers. TestReload has a transaction open over three signals with a bad file; TestSettings, TestCompareEntry are new.

--- a/cmd/oriolegwctl/main.go
+++ b/cmd/oriolegwctl/main.go
@@ -63,6 +63,7 @@
 	{"status", "-instances ADDRESS,ADDRESS", "show what is in force on which instance", prepareStatus},
 	{"drain", "-platform ADDRESS -service NAME -member NAME | -instance ADDRESS", "make a target or an instance leave", prepareDrain},
 	{"switch", "-platform ADDRESS -service NAME -instance ADDRESS", "change a group's primary, planned", prepareSwitch},
+	{"settings", "[-running FILE] FILE", "check the settings of an entry instance on the users' platform, and say what a change does when", prepareSettings},
 	{"explain", "[-log FILE] ID", "show what led to the fate of a request, from the logs of entry instances", prepareExplain},
 	{"report", "[-o FILE] LOG...", "write a page of plots and tables of what entry instances logged", prepareReport},
 	{"verifier", "", "read a password from standard input, print its verifier for the document", prepareVerifier},
--- a/cmd/oriolegwctl/main_test.go
+++ b/cmd/oriolegwctl/main_test.go
@@ -100,3 +100,21 @@
 	b.expect(exitOK, "SCRAM-SHA-256$4096:", "verifier")
 	b.expect(exitFailed, "no password", "verifier")
 }
+
+// Before settings files are changed on hundreds of machines, the operator sees whether the
+// new one is good and that none of its changes touches a running instance.
+func TestSettings(t *testing.T) {
+	b := newBench(t)
+	write := func(name, text string) string {
+		file := filepath.Join(b.TempDir(), name)
+		must.NoError(b.T, os.WriteFile(file, []byte(text), 0o600))
+		return file
+	}
+	const good = `{"name": "a", "availability-zone": "z", "regions": {"z": "r"}, "callers-address": "10.0.0.1:1", "ready-address": "10.0.0.1:2", "store-address": "10.0.0.9:1", "shutdown-s": 6}`
+	running := write("running.json", good)
+	b.expect(exitOK, "good", "settings", running)
+	b.expect(exitOK, "no change", "settings", "-running", running, running)
+	b.expect(exitOK, "shutdown-s: 6s -> 9s, at the next start", "settings", "-running", running, write("next.json", strings.Replace(good, `"shutdown-s": 6`, `"shutdown-s": 9`, 1)))
+	b.expect(exitFailed, "callers-address", "settings", write("bad.json", strings.Replace(good, "10.0.0.1:1", "nowhere", 1)))
+	b.expect(exitUsage, "want one settings file", "settings")
+}
--- /dev/null
+++ b/cmd/oriolegwctl/settings.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/oriolegw/oriolegw/internal/loader"
+)
+
+func prepareSettings(f *flag.FlagSet, t *terminal) func(context.Context, []string) error {
+	running := f.String("running", "", "the settings `file` that the instance has started with, to compare")
+	return func(_ context.Context, args []string) error {
+		if len(args) != 1 {
+			return usageError{"want one settings file"}
+		}
+		next, err := loader.LoadEntry(args[0])
+		if err != nil {
+			return err
+		}
+		if *running == "" {
+			fmt.Fprintf(t.out, "%s: good\n", args[0])
+			return nil
+		}
+		now, err := loader.LoadEntry(*running)
+		if err != nil {
+			return err
+		}
+		changes := loader.CompareEntry(now, next)
+		for _, c := range changes {
+			fmt.Fprintf(t.out, "%s: %s -> %s, at the next start\n", c.Key, c.From, c.To)
+		}
+		if len(changes) == 0 {
+			fmt.Fprintln(t.out, "no change")
+		}
+		return nil
+	}
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -8,8 +8,8 @@
 	"maps"
 	"net/http"
 	"os"
-	"reflect"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -350,21 +350,25 @@
 }
 
 // reload says what became of the settings when the process is told that they may have
-// changed. None of them is taken over: addresses and zone are those of the machine, and
-// the rest holds for a whole life. Nothing is cut.
+// changed. None of them is taken over, so nothing is cut; loader.CompareEntry says why. A
+// file that can't be read changes nothing either.
 func (i *Instance) reload(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case s := <-i.Reload:
+			next, err := i.Reread()
+			if err != nil {
+				i.belief.Log("event", "reload", "signal", s, "settings", "rejected, those in force stay", "cause", err)
+				continue
+			}
+			changes := loader.CompareEntry(i.Settings, next)
 			outcome := "unchanged"
-			if now, err := i.Reread(); err != nil {
-				outcome = err.Error()
-			} else if !reflect.DeepEqual(now, i.Settings) {
+			if len(changes) > 0 {
 				outcome = "changed, in force from the next start"
 			}
-			i.belief.Log("event", "reload", "signal", s, "settings", outcome)
+			i.belief.Log("event", "reload", "signal", s, "settings", outcome, "keys", strings.Join(loader.Keys(changes), ","), "callers", i.server.Sessions())
 		}
 	}
 }
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -202,7 +202,7 @@
 	begin := time.Now().Add(-time.Hour)
 	x := &launcher.Instance{
 		Settings: s, Network: i.host, Journal: journal, Clock: func() tracker.Stamp { return time.Since(begin) }, Leave: i.leave,
-		Reload: i.reload, Reread: func() (*loader.EntrySettings, error) { return i.next.Load(), nil },
+		Reload: i.reload, Reread: i.reread,
 		Platform: launcher.Platform{
 			Store: store, Promote: promotions.Promote, PromoteRefused: func(err error) bool { return errors.Is(err, platform.ErrRefused) },
 			MemberCodec: platform.Lines{}, CallerCodec: platform.Lines{},
@@ -220,6 +220,14 @@
 }
 
 // ready asks the balancer's question.
+// reread reads the settings as next has them; none stand for a file with a mistake.
+func (i *instance) reread() (*loader.EntrySettings, error) {
+	if s := i.next.Load(); s != nil {
+		return s, nil
+	}
+	return nil, errors.New("settings: name is missing")
+}
+
 func (f *fleet) ready(i *instance) int {
 	h := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return i.host.Dial(ctx, address) }, DisableKeepAlives: true}}
 	a, err := h.Get("http://" + i.host.IP + ":5001/ready")
@@ -282,7 +290,8 @@
 }
 
 // The settings may have changed: the process is told twice, and they have the second time.
-// The log says so each time, and a caller in the middle of a session notices nothing.
+// The log says so each time, and names what changed; a caller in the middle of a session or
+// a transaction notices nothing, also of a file with a mistake in it.
 func TestReload(t *testing.T) {
 	play(t, func(f *fleet) {
 		i := f.start("10.5.0.1", "a")
@@ -298,6 +307,18 @@
 			time.Sleep(time.Second)
 			must.Eq(t, "v I", ask("FETCH k"))
 		}
+		open := f.call(i, "strict")
+		must.Eq(t, "T", open("BEGIN"))
+		must.Eq(t, "T", open("PUT k w"))
+		i.next.Store(nil)
+		for range 3 {
+			i.reload <- syscall.SIGHUP
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.Eq(t, "I", open("COMMIT"))
+		must.Eq(t, "w I", ask("FETCH k"))
+		must.StrContains(t, f.log.String(), `settings="rejected, those in force stay" cause="settings: name is missing"`)
+		must.StrContains(t, f.log.String(), "keys=shutdown-s callers=1")
 		must.StrContains(t, f.log.String(), "event=reload signal=hangup settings=unchanged")
 		must.StrContains(t, f.log.String(), `event=reload signal=hangup settings="changed, in force from the next start"`)
 	})
--- a/internal/loader/entry_test.go
+++ b/internal/loader/entry_test.go
@@ -1,6 +1,7 @@
 package loader_test
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -46,3 +47,19 @@
 	_, problems := loader.CheckEntry("f", []byte(strings.Replace(entry, `"name"`, `"new-key": 1, "name"`, 1)))
 	must.NoError(t, problems.Known().Err())
 }
+
+// Each setting that can be written in the file is told of when it changes; one that is
+// missing from the comparison would be reported as unchanged.
+func TestCompareEntry(t *testing.T) {
+	same := &loader.EntrySettings{Name: "a", Regions: map[string]string{"z": "r"}, Seeds: []string{"s:1"}}
+	must.SliceEmpty(t, loader.CompareEntry(same, same))
+	next := reflect.ValueOf(loader.EntrySettings{
+		Name: "b", Zone: "b", Regions: map[string]string{"b": "b"}, Callers: "b", Ready: "b", Metrics: "b", Peers: "b",
+		Seeds: []string{"b"}, Store: "b", Promotions: "b", InForce: 1, Shutdown: 1, FirstStart: true,
+	})
+	for i := range next.NumField() {
+		one := loader.EntrySettings{}
+		reflect.ValueOf(&one).Elem().Field(i).Set(next.Field(i))
+		must.Len(t, 1, loader.CompareEntry(&loader.EntrySettings{}, &one), must.Sprint(next.Type().Field(i).Name))
+	}
+}
