--- a/cmd/oriolegw-edge/main.go
+++ b/cmd/oriolegw-edge/main.go
@@ -25,7 +25,7 @@
 	// settingsVariable names the settings file where no flag does.
 	settingsVariable = "ORIOLEGW_SETTINGS"
 	// collectAt is how much the heap may grow before it is collected, in percent. The
-	// live heap is 2 to 3 MB, and peak memory is paid for.
+	// live heap is 2 to 3 MB, and hundreds of instances run on small machines.
 	collectAt = 40
 )
 
--- a/internal/concentrator/concentrator.go
+++ b/internal/concentrator/concentrator.go
@@ -3,9 +3,9 @@
 // and no network.
 //
 // Load pattern: 83 instances before 25 places at each member. None can keep a connection,
-// so nearly each statement pays for a new one, whose opening holds one of the member's two
-// slots for 12 ms, longer than the statement; 172,745 were refused over the cap and 70,726
-// opened for 83,296 requests on a day, and a queue of many instances has no order. With one
+// so nearly each statement needs a new one, whose opening holds one of the member's two
+// slots for 12 ms, longer than the statement: with 83,296 requests 70,726 were opened and
+// 172,745 refused for want of a place, and a queue of many instances has no order. With one
 // holder a zone, six instances share the 25 places, and one queue sees all of a zone's work.
 // Where each instance can keep its own, a holder would only be one more hop.
 package concentrator
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -17,7 +17,7 @@
 	// The rest is for the member's work.
 	holdPart = 0.6
 	// patiencePart is the part of a read's timeout after which it is asked of another
-	// member as well. Reads take at most a third of it on a calm day.
+	// member as well. Reads usually take at most a third of it.
 	patiencePart = 0.35
 	// busyPause is how long a member that had no room is left alone by the statement
 	// that it refused: about the time until one of its slots is free. Each refusal in a
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -139,7 +139,7 @@
 // last that the transaction asks for, and frees its connection. Any other statement that
 // finds no room ends the transaction. Tried again as well, it keeps work at a member that
 // is overloaded: on 83 instances, with crashes and late replicas, the urgent requests then
-// earned 83.2% of their worth instead of 85.2%, at a p99 of 2,415 instead of 1,970 ms.
+// had a p99 of 2,415 instead of 1,970 ms.
 func (x *exchange) sendCommit(t *transaction) (messenger.Reply, error) {
 	var pause roomPause
 	for {
--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -30,7 +30,7 @@
 	// another instance has ordered takes to show, 600 to 1,000 ms.
 	leaderlessAfter = 2 * time.Second
 	// overloadedAfter is for how long the primary must have had a long queue while a
-	// replica had none: longer than the bursts of a calm day, and short against the
+	// replica had none: longer than usual bursts, and short against the
 	// seconds that a member stays slow.
 	overloadedAfter = 800 * time.Millisecond
 	// queueFactor is how many statements a slot must have for the queue to be long. At
--- a/internal/lender/carry.go
+++ b/internal/lender/carry.go
@@ -21,7 +21,7 @@
 	// counts as cut off: where a fifth of all answers is lost, three in a row are 0.8%.
 	silentLimit = 3
 	// slowOpening is how long the opening of the first connection takes when the member
-	// may be cut off: three times what it takes on a calm day, 51 ms.
+	// may be cut off: three times what it usually takes, 51 ms.
 	slowOpening = 150 * time.Millisecond
 )
 
--- a/internal/lender/idle.go
+++ b/internal/lender/idle.go
@@ -23,8 +23,8 @@
 	sharedPart = 0.5
 	sharedFor  = 3 * time.Second
 	// scarceSpareFor takes its place at a member that had no place a short time ago. With
-	// 79 instances before 51 places, after all lost power, 0.605 instead of 0.543 of the
-	// worth of the worst seconds; at no time at all, each statement pays for a connection.
+	// 79 instances before 51 places it keeps places free for those that come back after a
+	// loss of power; closed at once, each statement would need a new connection.
 	scarceSpareFor = 40 * time.Millisecond
 	// keptFor is how long the kept connection may idle before the member is asked how
 	// full it is. Whoever came first would hold a place for good that others need, and
@@ -42,7 +42,7 @@
 	roomyPart = 0.6
 	// scarceFor is how long a member counts as scarce after it had no place. Where there
 	// are more instances than places, none keeps an idle connection: 79 instances that
-	// kept one of 51 places each refused 6% on a calm day.
+	// kept one of 51 places each refused 6% of the requests at usual load.
 	scarceFor = 5 * time.Second
 )
 
--- a/internal/lender/open.go
+++ b/internal/lender/open.go
@@ -16,7 +16,7 @@
 
 const (
 	// connectTimeout bounds a new connection: 27 ms at the member and 24 ms of
-	// network on a calm day, and a queue before it on a bad one. A member that is
+	// network usually, and a queue before it under load. A member that is
 	// dark doesn't answer at all.
 	connectTimeout = 600 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause after a refused or failed
@@ -30,9 +30,9 @@
 	lastFullBackoff = 300 * time.Millisecond
 	// connectingAtOnce is how many connections to one member are opened at a time beside
 	// an open one; the first is opened alone. Each holds one of 3 to 6 slots. After all
-	// have lost power and come back, two first ones from each of 83 instances kept the
-	// slots from statements: 0.15 of the worth in the first seconds, with one at a time
-	// 0.28, and 0.62 instead of 0.27 in the next ones.
+	// have lost power and come back, two first ones from each of 83 instances keep the
+	// slots from statements: with one at a time about twice as much is served in the first
+	// four seconds.
 	connectingAtOnce = 2
 	// growAfter is how long a request waits for a lent connection before another is
 	// opened: a loan is 20 to 40 ms, a new connection 12 to 50.
--- a/internal/teller/teller.go
+++ b/internal/teller/teller.go
@@ -1,6 +1,7 @@
-// Package teller passes on between instances what the platform's store has told them, and
-// whom they know. What it tells is hearsay: the watcher takes it in under the store's own
-// order, and it is never a proof for a read.
+// Package teller passes on between instances what the platform's store has told them, whom
+// they know, and what primaries have proved to them. What the store has told comes second
+// hand: the watcher takes it in under the store's own order, and it is never a proof for a
+// read.
 package teller
 
 import (
--- a/internal/tracker/group.go
+++ b/internal/tracker/group.go
@@ -19,7 +19,7 @@
 	// users' routes, 2.5 s.
 	proofsKept = 4 * time.Second
 	// behindFirst is how long a replica that lacked a position is left alone by reads
-	// that need it. Replicas are 20 to 150 ms behind on a calm day. Each further time
+	// that need it. Replicas are usually 20 to 150 ms behind. Each further time
 	// in a row doubles it up to behindLast: one that is seconds behind is asked in vain
 	// by every read otherwise, 24 ms and a connection each.
 	behindFirst = 60 * time.Millisecond
--- a/internal/watcher/hearsay.go
+++ b/internal/watcher/hear.go
@@ -20,7 +20,7 @@
 
 const (
 	// listenAfter is how long a fresh instance waits for the store alone. It answers the
-	// first reading within 70 ms on a calm day; when all start together, asking each
+	// first reading usually within 70 ms; when all start together, asking each
 	// other earlier only costs bytes.
 	listenAfter = 150 * time.Millisecond
 	// listenInterval is the pause between two questions while nothing is known, and
@@ -71,7 +71,7 @@
 }
 
 // following reports whether the store is read by others for this instance now. Each watch
-// is woken by all that changes and is paid for: two
+// is woken by all that changes and counts as a call: two
 // of a region read for all others. One that tells nothing more, or says that the store
 // doesn't answer it, is followed no longer than three questions.
 func (w *Watcher) following() bool { return w.follower(&w.readerHeard) }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -46,7 +46,7 @@
 	// firstGather takes its place for firstTime when the whole fleet has started for the
 	// first time: each of 9 to 24 members registers at its own moment then, and the
 	// holders of the duties write down who the members are. On 83 instances, these two in
-	// place of 200 ms took the priced calls of a calm day from 4,184 to 3,248.
+	// place of 200 ms took the calls of the store in a minute from 4,184 to 3,248.
 	firstGather = time.Second
 	firstTime   = 8 * time.Second
 	// tickInterval is how often these times are looked at.
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -273,7 +273,7 @@
 // The store turns this instance away, and another one tells what it has read. What is newer
 // comes into force; what is older, told later by one that has been cut off for longer,
 // changes nothing: no version goes back, and no member that has gone returns.
-func TestHearsay(t *testing.T) {
+func TestToldNews(t *testing.T) {
 	told := func(revision int64, version string, members ...string) watcher.News {
 		n := watcher.News{Revision: revision, From: "peer", Heard: time.Hour, Pairs: []storer.Pair{{Key: "configuration", Value: []byte(version), Revision: revision}}}
 		for _, m := range members {
