Holders of a zone's connections are chosen by size

Change: "cores" in the settings, in an instance's record and in what peers say of themselves; the choice is weighted rendezvous hashing by the square of it. One that doesn't say counts as the smallest.

What a link carries, other work and illness are not weighed: open.

--- a/internal/carrier/hold.go
+++ b/internal/carrier/hold.go
@@ -79,21 +79,21 @@
 }
 
 func (c *Carrier) chooseHolders(now tracker.Stamp, group string, h *holding) {
-	var names []string
+	var zone []concentrator.Candidate
 	at := map[string]string{}
 	for _, p := range c.Introducer.Zone(now) {
-		names = append(names, p.Name)
+		zone = append(zone, concentrator.Candidate{Name: p.Name, Millicores: p.Millicores})
 		at[p.Name] = p.Address
 	}
 	at[c.Introducer.Self.Name] = ""
 	h.holders = nil
 	// Zones have about as many instances each.
-	h.sharers = len(names) * c.Zones
+	h.sharers = len(zone) * c.Zones
 	if !h.Decide(c.Connections(group), h.sharers) {
 		return
 	}
 	h.sharers = c.Zones
-	for _, name := range concentrator.Holders(group, names)[:min(holdersTried, len(names))] {
+	for _, name := range concentrator.Holders(group, zone)[:min(holdersTried, len(zone))] {
 		h.holders = append(h.holders, at[name])
 	}
 }
--- a/internal/concentrator/concentrator.go
+++ b/internal/concentrator/concentrator.go
@@ -33,9 +33,39 @@
 	return s.on
 }
 
+// Candidate is an instance that may hold a group's connections.
+type Candidate struct {
+	Name string
+	// Millicores is what it may use of a processor, in thousandths of a core; 0 where that
+	// isn't known.
+	Millicores int
+}
+
 // Holders ranks the instances of a zone as holders of a group's connections, the first the
 // one that should be. Who comes or goes changes the holder of only those groups that it
 // holds, and each instance finds the same without asking.
-func Holders(group string, instances []string) []string {
-	return ranker.Rank(group, instances, func(name string) string { return name })
+//
+// Load pattern: a zone of 3 instances with 0.8 of a core and 46 with 0.192, before 20
+// groups. A holder does the zone's work of whole groups beside its own. Chosen without
+// regard to size, nearly all are small, and the one that holds two or three groups is at half
+// of its processor before any burst. The weight is the square of the size: a group is the
+// same load wherever it goes, and takes a smaller part of a larger instance, which has
+// more to spare as well.
+func Holders(group string, instances []Candidate) []string {
+	smallest := 0
+	for _, c := range instances {
+		if c.Millicores > 0 && (smallest == 0 || c.Millicores < smallest) {
+			smallest = c.Millicores
+		}
+	}
+	weight := func(c Candidate) float64 {
+		size := float64(max(c.Millicores, smallest, 1))
+		return size * size
+	}
+	list := ranker.Weighted(group, instances, func(c Candidate) string { return c.Name }, weight)
+	names := make([]string, len(list))
+	for i, c := range list {
+		names[i] = c.Name
+	}
+	return names
 }
--- a/internal/inspector/node.go
+++ b/internal/inspector/node.go
@@ -220,16 +220,21 @@
 	}
 }
 
+// Number reads a number between least and most, which may have a fraction.
+func (n Node) Number(least, most float64) float64 { return n.number("a number", least, most) }
+
 // Seconds reads a time as a number of seconds, which may have a fraction.
 func (n Node) Seconds(least, most time.Duration) time.Duration {
+	return time.Duration(n.number("a number of seconds", least.Seconds(), most.Seconds()) * float64(time.Second))
+}
+
+func (n Node) number(what string, least, most float64) float64 {
 	if l, ok := n.literal('0'); ok {
-		v, err := strconv.ParseFloat(string(l), 64)
-		d := time.Duration(v * float64(time.Second))
-		if err == nil && d >= least && d <= most {
-			return d
+		if v, err := strconv.ParseFloat(string(l), 64); err == nil && v >= least && v <= most {
+			return v
 		}
 	}
-	n.Problem(n.Found(), fmt.Sprintf("a number of seconds from %v to %v", least.Seconds(), most.Seconds()))
+	n.Problem(n.Found(), fmt.Sprintf("%s from %v to %v", what, least, most))
 	return least
 }
 
--- a/internal/introducer/introducer.go
+++ b/internal/introducer/introducer.go
@@ -47,6 +47,9 @@
 	// Peer is another instance.
 	Peer struct {
 		Name, Address, Zone string
+		// Millicores is what it may use of a processor, in thousandths of a core; 0 where it
+		// doesn't say.
+		Millicores int
 	}
 
 	// Introducer knows the peers. Set the exported fields before use; its methods may be
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -102,7 +102,7 @@
 	defer cancel()
 	started := time.Now()
 	i.prepare(ctx)
-	i.belief.Log("event", "start", "name", i.Settings.Name, "zone", i.Settings.Zone, "callers", i.Settings.Callers)
+	i.belief.Log("event", "start", "name", i.Settings.Name, "zone", i.Settings.Zone, "callers", i.Settings.Callers, "cores", i.Settings.Cores)
 
 	parts, running := make(chan error, 8), 0
 	run := func(part func(context.Context) error) {
--- a/internal/launcher/neighbours.go
+++ b/internal/launcher/neighbours.go
@@ -32,7 +32,7 @@
 	n := &neighbours{client: &linker.Client{Network: i.Network, Secrets: secrets, Versions: linker.CurrentVersions}}
 	n.teller = &teller.Teller{
 		Introducer: &introducer.Introducer{
-			Self:  introducer.Peer{Name: i.Settings.Name, Address: i.Settings.Peers, Zone: i.Settings.Zone},
+			Self:  introducer.Peer{Name: i.Settings.Name, Address: i.Settings.Peers, Zone: i.Settings.Zone, Millicores: int(i.Settings.Cores * 1000)},
 			Seeds: i.Settings.Seeds, Near: i.near,
 		},
 		Links: n.client, Clock: i.Clock, Known: i.watch.Known, Reads: i.watch.Reads, Store: i.Platform.Store, Log: kind.Log,
--- a/internal/loader/compare.go
+++ b/internal/loader/compare.go
@@ -27,6 +27,7 @@
 	{"seeds", func(s *EntrySettings) any { return s.Seeds }},
 	{"store-address", func(s *EntrySettings) any { return s.Store }},
 	{"promotions-address", func(s *EntrySettings) any { return s.Promotions }},
+	{"cores", func(s *EntrySettings) any { return s.Cores }},
 	{"in-force-ms", func(s *EntrySettings) any { return s.InForce }},
 	{"shutdown-s", func(s *EntrySettings) any { return s.Shutdown }},
 	{"first-start", func(s *EntrySettings) any { return s.FirstStart }},
--- a/internal/loader/entry.go
+++ b/internal/loader/entry.go
@@ -26,6 +26,9 @@
 	// Store and Promotions are the platform's. Without Promotions, no instance moves
 	// the lead of a group.
 	Store, Promotions string
+	// Cores is what the instance may use of a processor, in cores; 0 where that isn't said.
+	// Larger instances do more of what few do for many.
+	Cores float64
 	// InForce is how soon a change of the configuration must be in force.
 	InForce time.Duration
 	// Shutdown is how long after SIGTERM the process is killed.
@@ -38,6 +41,7 @@
 	maxRegions  = 1000
 	minInForce  = time.Second
 	maxShutdown = 10 * time.Minute
+	maxCores    = 1024
 
 	// DefaultInForce and DefaultShutdown hold where the settings don't say; they are
 	// those of the users' deployments.
@@ -81,6 +85,7 @@
 			}),
 			inspector.Need("store-address", address(&s.Store)),
 			inspector.May("promotions-address", address(&s.Promotions)),
+			inspector.May("cores", func(n inspector.Node) { s.Cores = n.Number(0, maxCores) }),
 			inspector.May("in-force-ms", func(n inspector.Node) { s.InForce = n.Milliseconds(minInForce, maxShutdown) }),
 			inspector.May("shutdown-s", func(n inspector.Node) { s.Shutdown = n.Seconds(0, maxShutdown) }),
 			inspector.May("first-start", func(n inspector.Node) { s.FirstStart = n.Bool() }),
--- a/internal/loader/entry_test.go
+++ b/internal/loader/entry_test.go
@@ -55,7 +55,7 @@
 	must.SliceEmpty(t, loader.CompareEntry(same, same))
 	next := reflect.ValueOf(loader.EntrySettings{
 		Name: "b", Zone: "b", Regions: map[string]string{"b": "b"}, Callers: "b", Ready: "b", Metrics: "b", Peers: "b",
-		Seeds: []string{"b"}, Store: "b", Promotions: "b", InForce: 1, Shutdown: 1, FirstStart: true,
+		Seeds: []string{"b"}, Store: "b", Promotions: "b", Cores: 1, InForce: 1, Shutdown: 1, FirstStart: true,
 	})
 	for i := range next.NumField() {
 		one := loader.EntrySettings{}
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
@@ -32,6 +33,32 @@
 	return out
 }
 
+// Weighted is Rank for entries of different weight, above 0: an entry of twice the weight
+// comes first for twice as many keys. When a weight changes, only keys of that entry move.
+func Weighted[T any](key string, list []T, name func(T) string, weight func(T) float64) []T {
+	type ranked struct {
+		score float64
+		name  string
+		entry T
+	}
+	order := make([]ranked, len(list))
+	for i, x := range list {
+		n := name(x)
+		order[i] = ranked{weight(x) / -math.Log(unit(mix(key, n))), n, x}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	out := make([]T, len(order))
+	for i, r := range order {
+		out[i] = r.entry
+	}
+	return out
+}
+
+// unit maps a hash to a number between 0 and 1, both excluded.
+func unit(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
+
 // mix hashes a name with a key. The last bytes of an FNV hash barely reach its high bits,
 // and names differ in their last bytes: they are mixed once more.
 func mix(key, name string) uint64 {
--- a/internal/teller/register.go
+++ b/internal/teller/register.go
@@ -16,8 +16,9 @@
 
 // record is an instance's value in the store.
 type record struct {
-	Address string `json:"address"`
-	Zone    string `json:"availability-zone"`
+	Address    string `json:"address"`
+	Zone       string `json:"availability-zone"`
+	Millicores int    `json:"millicores,omitempty"`
 }
 
 // Saw takes in an instance's record as the store has it.
@@ -37,7 +38,7 @@
 		t.Log("event", "instance-record-rejected", "key", p.Key, "revision", p.Revision, "cause", err)
 		return
 	}
-	t.Introducer.HeardOf(t.Clock(), introducer.Peer{Name: name, Address: r.Address, Zone: r.Zone})
+	t.Introducer.HeardOf(t.Clock(), introducer.Peer{Name: name, Address: r.Address, Zone: r.Zone, Millicores: max(0, r.Millicores)})
 }
 
 // register writes the own record, unless the store has it as it should be.
@@ -46,7 +47,7 @@
 		return
 	}
 	self := t.Introducer.Self
-	value, err := json.Marshal(record{Address: self.Address, Zone: self.Zone})
+	value, err := json.Marshal(record{Address: self.Address, Zone: self.Zone, Millicores: self.Millicores})
 	if err != nil {
 		panic("teller: record: " + err.Error())
 	}
--- a/internal/teller/teller.go
+++ b/internal/teller/teller.go
@@ -291,9 +291,9 @@
 }
 
 func toPeer(p introducer.Peer) *wire.Peer {
-	return &wire.Peer{Name: p.Name, Address: p.Address, Zone: p.Zone}
+	return &wire.Peer{Name: p.Name, Address: p.Address, Zone: p.Zone, Millicores: uint32(max(0, p.Millicores))}
 }
 
 func fromPeer(p *wire.Peer) introducer.Peer {
-	return introducer.Peer{Name: p.GetName(), Address: p.GetAddress(), Zone: p.GetZone()}
+	return introducer.Peer{Name: p.GetName(), Address: p.GetAddress(), Zone: p.GetZone(), Millicores: int(p.GetMillicores())}
 }
