Returning instances neither open connections nor ask for proofs all at once

An instance that has just started takes itself for alone until it has read who else there is, and kept that for 0.5 s: it opened connections to all 60 members. Having no proof, it asked the primary and both replicas of each of 20 groups: some 20,000 questions from 295 small machines in the second in which callers come back.

Change: who holds a group's connections is found anew when peers are new; an instance that follows a reader waits for told proofs in its first 1.5 s, and reads meanwhile ask the primary, which proves its position as well.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -224,3 +225,19 @@
 		must.Eq(t, int64(0), passedOn.Load())
 	})
 }
+
+// An instance has just started and asked for a group's holders before it has read who else
+// there is. When it has, another holds the zone's connections at once, not half a second
+// later: until then it would open its own.
+func TestHoldersFollowTheFirstReading(t *testing.T) {
+	i := &introducer.Introducer{Self: introducer.Peer{Name: "z", Address: "z:1", Zone: "a", Millicores: 192}, Near: func(string) bool { return false }}
+	c := &carrier.Carrier{
+		Introducer: i, Clock: func() tracker.Stamp { return time.Hour }, Connections: func(string) int { return 12 }, Zones: 3, Log: func(...any) {},
+	}
+	must.False(t, c.Elsewhere("g"))
+	for n := range 9 {
+		name := fmt.Sprint("p", n)
+		i.HeardOf(time.Hour, introducer.Peer{Name: name, Address: name + ":1", Zone: "a", Millicores: 800})
+	}
+	must.True(t, c.Elsewhere("g"))
+}
--- a/internal/carrier/hold.go
+++ b/internal/carrier/hold.go
@@ -32,6 +32,8 @@
 type holding struct {
 	concentrator.Switch
 	at tracker.Stamp
+	// added is how many peers had been new by then.
+	added int
 	// holders are the addresses to borrow from, the first one first; "" is this instance.
 	// None where connections aren't concentrated.
 	holders []string
@@ -66,9 +68,14 @@
 		h = &holding{}
 		c.holdings[group] = h
 	}
-	if ok && now-h.at < holdersFor {
+	// An instance that has just started takes itself for alone until it has read who else
+	// there is. Kept for holdersFor, that has hundreds open connections to every member at
+	// the moment when all come back.
+	added := c.Introducer.Added()
+	if ok && now-h.at < holdersFor && h.added == added {
 		return h
 	}
+	h.added = added
 	before := len(h.holders) > 0
 	h.at = now
 	c.chooseHolders(now, group, h)
--- a/internal/introducer/introducer.go
+++ b/internal/introducer/introducer.go
@@ -63,6 +63,8 @@
 
 		mutex sync.Mutex
 		peers map[string]*known
+		// added counts the peers that were ever new.
+		added int
 	}
 
 	known struct {
@@ -116,10 +118,19 @@
 	if !ok {
 		k = &known{Peer: p}
 		i.peers[p.Name] = k
+		i.added++
 	}
 	return k
 }
 
+// Added counts the peers that were new to this instance. Whoever keeps what it has worked out
+// of them begins anew when it changes: after a start all come within one reading.
+func (i *Introducer) Added() int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.added
+}
+
 // Failed takes in that a call to an address failed.
 func (i *Introducer) Failed(now tracker.Stamp, address string) {
 	i.mutex.Lock()
--- a/internal/launcher/backend.go
+++ b/internal/launcher/backend.go
@@ -78,8 +78,9 @@
 	for {
 		pause := restInterval
 		now := time.Now()
+		told := i.expectsProofs()
 		for _, b := range i.groupsInUse() {
-			if b.tend(now) {
+			if b.tend(now, told) {
 				pause = lender.TendInterval
 			}
 		}
@@ -89,9 +90,18 @@
 	}
 }
 
+// expectsProofs reports whether another instance will soon tell this one the groups' proofs:
+// it has just started and leaves the store to others. Until then a read asks the primary,
+// which proves it as well. After all have lost power, 295 instances that each ask for 20
+// groups, the replicas too, make some 20,000 questions in the second in which callers come
+// back.
+func (i *Instance) expectsProofs() bool {
+	return i.peers != nil && i.Clock()-i.booted < toldFor && i.peers.teller.Follows()
+}
+
 // tend wakes what is due for the group, and reports whether it is to be looked at again
-// soon.
-func (b *backend) tend(now time.Time) bool {
+// soon. With told, another instance is about to tell the group's proof.
+func (b *backend) tend(now time.Time, told bool) bool {
 	b.Pool.Tend(now)
 	leaderless := b.Group.Primary() == ""
 	if leaderless && now.Sub(b.searched) >= searchInterval {
@@ -100,7 +110,7 @@
 	}
 	if now.Sub(b.checked) >= proveInterval {
 		b.checked = now
-		if b.proofAge() > b.renewAfter() {
+		if !told && b.proofAge() > b.renewAfter() {
 			poke(b.aged)
 		}
 	}
--- a/internal/launcher/carry_test.go
+++ b/internal/launcher/carry_test.go
@@ -1,6 +1,7 @@
 package launcher_test
 
 import (
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
@@ -106,3 +107,50 @@
 		}
 	})
 }
+
+// Six instances of a zone before members with 12 places: one holds the connections for all.
+// All lose power and come back together, and the store tells each of them members and
+// instances in one reading. Taking itself for alone, each would open a connection to each
+// member, and ask each for a proof: with hundreds, that keeps every slot and the small
+// instances' processors from callers' statements for a second. Two ask for all.
+func TestReturningInstancesTakeTurns(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.dutiless = true // a duty's holder has connections of its own
+		var all []*instance
+		start := func() {
+			all = nil
+			for n := range 6 {
+				all = append(all, f.start(fmt.Sprintf("10.5.0.%d", n+1), "a"))
+			}
+		}
+		opened := func() (sum int) {
+			for _, id := range []string{"g-1", "g-2", "g-3"} {
+				sum += f.group.Opened(id)
+			}
+			return sum
+		}
+		asked := func() (sum int) {
+			for _, id := range []string{"g-1", "g-2", "g-3"} {
+				sum += len(f.group.Ran(id))
+			}
+			return sum
+		}
+		start()
+		time.Sleep(6 * time.Second)
+		for n, i := range all {
+			f.net.Kill(fmt.Sprintf("10.5.0.%d", n+1))
+			i.kill()
+		}
+		time.Sleep(5 * time.Second)
+		for n := range all {
+			f.net.Revive(fmt.Sprintf("10.5.0.%d", n+1))
+		}
+		before, ran := opened(), asked()
+		start()
+		time.Sleep(time.Second)
+		must.LessEq(t, 16, asked()-ran)
+		time.Sleep(time.Second)
+		must.LessEq(t, 6, opened()-before)
+		must.Eq(t, "I", f.call(all[0], "strict")("PUT k v"))
+	})
+}
