A told proof from the future is refused

Cause: found on reading the diff: an age that overflows, or a mistake in a peer's clock, would give a proof a moment still to come; it would be taken for younger than the truth and hide younger proofs. Group.Hear refuses it, with a case in TestHear that fails without. Three comments read better.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -32,8 +32,8 @@
 	// the new holder within four steps.
 	takeStep = 250 * time.Millisecond
 	// turnsCounted is how many instances have a turn of their own; the others spread their
-	// tries over as much time again. The first ones may all be dead, or cut off from the
-	// store.
+	// tries over as much time again, for when those first ones are all dead, or cut off from
+	// the store.
 	turnsCounted = 8
 	// firstPause is how long nobody tries when the whole fleet starts for the first time,
 	// some ten seconds before the first callers: until then instances don't know each
@@ -254,9 +254,9 @@
 
 // due reports whether this instance is to try to take a duty now; the mutex is held.
 //
-// Load pattern: the holder of a duty dies, or all instances start together. When each of
-// 295 tries within 0.3 s, the store gets 590 calls for each of 20 groups at once. In turn,
-// those behind the first few hear of the new holder before they try.
+// Load pattern: the holder of a duty dies, or all instances start together. If each of 295
+// tries within 0.3 s, the store gets 590 calls for each of 20 groups at once. In turn, those
+// behind the first few hear of the new holder before they try.
 func (e *Elector) due(group string, d *duty) bool {
 	now := e.Clock()
 	if !d.free() || e.FirstStart && now-e.began < firstPause || e.InTouch != nil && !e.InTouch() {
--- a/internal/tracker/group.go
+++ b/internal/tracker/group.go
@@ -226,7 +226,8 @@
 func (g *Group) Hear(now Stamp, p Proof) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if at := g.restart(now); at != 0 && p.At <= at {
+	// A moment that is still to come can only be a mistake, and would hide younger proofs.
+	if at := g.restart(now); at != 0 && p.At <= at || p.At > now {
 		return false
 	}
 	if n := len(g.proofs); n > 0 && p.At <= g.proofs[n-1].At {
--- a/internal/tracker/group_test.go
+++ b/internal/tracker/group_test.go
@@ -219,6 +219,9 @@
 		p, _ := g.Freshest()
 		must.Eq(t, place(1, 7), p.Position)
 	})
+	t.Run("a moment still to come is none", func(t *testing.T) {
+		must.False(t, start().Hear(at(500), tracker.Proof{At: at(501), Position: place(1, 7)}))
+	})
 	// The primary gives a proof, starts again with nothing and leads again in the same
 	// term. The proof comes late, by way of another instance. A replica that follows the new
 	// life reaches the position without the commits that it stood for: a read there would
--- a/internal/watcher/hear.go
+++ b/internal/watcher/hear.go
@@ -71,9 +71,9 @@
 }
 
 // following reports whether the store is read by others for this instance now. Each watch
-// is woken by all that changes and counts as a call: two
-// of a region read for all others. One that tells nothing more, or says that the store
-// doesn't answer it, is followed no longer than three questions.
+// is woken by all that changes and counts as a call, so two of a region read for all others.
+// One that tells nothing more, or says that the store doesn't answer it, is followed no
+// longer than three questions.
 func (w *Watcher) following() bool { return w.follower(&w.readerHeard) }
 
 // spared reports whether others will tell this instance when the store answers again. All
