--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -13,45 +13,33 @@
 // key, and the largest comes first. A list that differs in one entry changes the order for
 // that entry only, 1 in len(list) of the keys.
 func Rank[T any](key string, list []T, name func(T) string) []T {
-	type ranked struct {
-		hash uint64
-		name string
-		at   int
-	}
-	order := make([]ranked, len(list))
-	for i, x := range list {
-		n := name(x)
-		order[i] = ranked{hash: mix(key, n), name: n, at: i}
-	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name))
-	})
-	out := make([]T, len(order))
-	for i, r := range order {
-		out[i] = list[r.at]
-	}
-	return out
+	return byScore(list, name, func(_ T, n string) uint64 { return mix(key, n) })
 }
 
 // Weighted is Rank for entries of different weight, above 0: an entry of twice the weight
 // comes first for twice as many keys. When a weight changes, only keys of that entry move.
 func Weighted[T any](key string, list []T, name func(T) string, weight func(T) float64) []T {
-	type ranked struct {
-		score float64
+	return byScore(list, name, func(x T, n string) float64 { return weight(x) / -math.Log(unit(mix(key, n))) })
+}
+
+// byScore returns a list in the order of scores, the largest first; equal ones by name.
+func byScore[T any, S cmp.Ordered](list []T, name func(T) string, score func(x T, name string) S) []T {
+	type scored struct {
+		score S
 		name  string
 		entry T
 	}
-	order := make([]ranked, len(list))
+	order := make([]scored, len(list))
 	for i, x := range list {
 		n := name(x)
-		order[i] = ranked{weight(x) / -math.Log(unit(mix(key, n))), n, x}
+		order[i] = scored{score(x, n), n, x}
 	}
-	slices.SortFunc(order, func(a, b ranked) int {
+	slices.SortFunc(order, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
 	})
 	out := make([]T, len(order))
-	for i, r := range order {
-		out[i] = r.entry
+	for i, x := range order {
+		out[i] = x.entry
 	}
 	return out
 }
