The soak on virtual time plays followers too

Change: TestFollowersSoak plays the same faults over five instances of one region, two of which read the store and ask for proofs and one of which holds the connections, beside two others.

--- a/Makefile
+++ b/Makefile
@@ -82,7 +82,7 @@
 # group of line members, on virtual time: make soak-platform SEEDS=100 FROM=1
 .PHONY: soak-platform
 soak-platform:
-	go test ./internal/launcher -run 'TestSoak$$' -count=1 -timeout 60m -v -seeds=$(SEEDS) -from=$(FROM) | grep -vE '^(=== RUN|    --- PASS)'
+	go test ./internal/launcher -run 'Test(Followers)?Soak$$' -count=1 -timeout 60m -v -seeds=$(SEEDS) -from=$(FROM) | grep -vE '^(=== RUN|    --- PASS)'
 
 # soak-process does the same with entry instances as processes on real sockets, and sends
 # them signals: make soak-process SEEDS=50 FROM=1; logs of failed seeds go to build/soak.
--- a/internal/launcher/soak_test.go
+++ b/internal/launcher/soak_test.go
@@ -468,16 +468,35 @@
 func TestSoak(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakFrom + uint64(i)
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playSoak(t, seed) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playSoak(t, seed, alone) })
 	}
 }
 
-func playSoak(t *testing.T, seed uint64) {
+// TestFollowersSoak plays the same over a region of five instances, of which two read the
+// store and ask for proofs, and one holds the connections to the group for all, beside two
+// instances that do all for themselves. A told proof that is younger than the truth, or a
+// change that a follower isn't told, shows as a stale read or a lost write.
+func TestFollowersSoak(t *testing.T) {
+	for i := range *soakSeeds {
+		seed := *soakFrom + uint64(i)
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playSoak(t, seed, following) })
+	}
+}
+
+// The zones of the soaks' instances.
+var (
+	alone     = map[string]string{"10.5.0.1": "a", "10.5.0.2": "b", "10.5.0.3": "c"}
+	following = map[string]string{
+		"10.5.0.1": "a", "10.5.0.2": "b", "10.5.0.3": "c", "10.5.0.4": "a", "10.5.0.5": "a", "10.5.0.6": "a", "10.5.0.7": "a",
+	}
+)
+
+func playSoak(t *testing.T, seed uint64, zones map[string]string) {
 	play(t, func(f *fleet) {
 		s := newSoak(f, seed)
 		s.faults = slices.Concat(groupFaults, networkFaults)
 		s.instances = map[string]*instance{}
-		s.zones = map[string]string{"10.5.0.1": "a", "10.5.0.2": "b", "10.5.0.3": "c"}
+		s.zones = zones
 		s.ips = slices.Sorted(maps.Keys(s.zones))
 		s.dial = func(ctx context.Context, n int, ip string) (net.Conn, error) {
 			return s.net.Host(fmt.Sprintf("10.7.9.%d", n), []string{"a", "b", "c"}[n%3]).Dial(ctx, ip+":5000")
