PostgreSQL side: suspicions log the age of the primary's answer, promotions their beginning

Needed to tell two hypotheses apart on TestNoFalsePromotion/open_connections_silent: the primary shows for 1.5 s that nothing reaches its replicas, or one old answer is counted for that long.

--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -3,6 +3,8 @@
 // zones report.
 package detector
 
+import "time"
+
 // The kinds of evidence, from none to the strongest.
 const (
 	EvidenceNone Evidence = iota
@@ -31,6 +33,9 @@
 		On   bool
 		// Evidence says what it rests on, in one short line.
 		Evidence string
+		// Age is how long ago the question was sent that the member answered last; negative
+		// when it has not answered yet.
+		Age time.Duration
 	}
 
 	// Agreed is emitted when a suspicion is to be acted on, because enough
--- a/internal/detector/slice.go
+++ b/internal/detector/slice.go
@@ -192,7 +192,7 @@
 		g.current = next
 		if next.evidence != EvidenceNone {
 			out = append(out, g.emit(Suspected{
-				Service: g.view.Service.Name, Member: next.member, Term: next.term, On: true, Evidence: next.evidence.String(),
+				Service: g.view.Service.Name, Member: next.member, Term: next.term, On: true, Evidence: next.evidence.String(), Age: g.age(now),
 			}))
 		}
 	}
@@ -204,6 +204,15 @@
 	return out
 }
 
+// age is how long ago the question was sent that the primary answered last.
+func (g *group) age(now time.Time) time.Duration {
+	p := g.view.Primary()
+	if p < 0 || g.view.Members[p].Seen.IsZero() {
+		return -1
+	}
+	return now.Sub(g.view.Members[p].Seen)
+}
+
 // end withdraws the current suspicion.
 func (g *group) end() []controller.Action {
 	c := g.current
--- a/internal/promoter/attempt.go
+++ b/internal/promoter/attempt.go
@@ -181,11 +181,20 @@
 	}
 	a.term = max(g.view.Term(), g.floor) + 1
 	g.enter(now, stepIntent)
-	return []controller.Action{Intend{
+	return []controller.Action{controller.Emit{Event: g.began()}, Intend{
 		Service: g.view.Service.Name, Attempt: a.id, Record: Record{Term: a.term, Owner: g.slice.Owner},
 	}}
 }
 
+func (g *group) began() Began {
+	a := g.attempt
+	b := Began{Service: g.view.Service.Name, Term: a.term, Planned: a.planned, Evidence: a.evidence}
+	if a.old >= 0 {
+		b.Member = g.view.Service.Members[a.old].Name
+	}
+	return b
+}
+
 func (g *group) intended(now time.Time, e Intended) []controller.Action {
 	if g.attempt.step != stepIntent {
 		return nil
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -108,6 +108,17 @@
 		Done    bool
 	}
 
+	// Began is emitted when a majority has answered an attempt's first questions.
+	Began struct {
+		Service string
+		// Member is the primary that is replaced, empty when the term has none.
+		Member string
+		// Term is the one that is to begin.
+		Term     uint64
+		Planned  bool
+		Evidence detector.Evidence
+	}
+
 	// Promoted is emitted when this instance has made a member the primary.
 	Promoted struct {
 		Service string
@@ -161,6 +172,9 @@
 // EventName implements controller.Event.
 func (Published) EventName() string { return "promotion-published" }
 
+// EventName implements controller.Event.
+func (Began) EventName() string { return "promotion-began" }
+
 // EventName implements controller.Event.
 func (Promoted) EventName() string { return "member-promoted" }
 
--- a/internal/runner/terms.go
+++ b/internal/runner/terms.go
@@ -64,10 +64,18 @@
 	case detector.Suspected:
 		if e.On {
 			a.count("suspected")
-			a.log("Member is suspected.", "service", e.Service, "member", e.Member, "term", e.Term, "evidence", e.Evidence)
+			a.log("Member is suspected.", "service", e.Service, "member", e.Member, "term", e.Term, "evidence", e.Evidence, "answer-age", e.Age)
 		} else {
 			a.log("Suspicion has ended.", "service", e.Service, "member", e.Member, "term", e.Term)
 		}
+	case detector.Agreed:
+		if e.On {
+			a.log("Failure is agreed.", "service", e.Service, "member", e.Member, "term", e.Term, "evidence", e.Evidence)
+		} else {
+			a.log("Agreement has ended.", "service", e.Service, "member", e.Member, "term", e.Term)
+		}
+	case promoter.Began:
+		a.log("Promotion begins.", "service", e.Service, "replaces", e.Member, "term", e.Term, "planned", e.Planned, "evidence", e.Evidence)
 	case promoter.Promoted:
 		a.count("promoted")
 		a.log("Member was promoted.", "service", e.Service, "member", e.Member, "term", e.Term, "planned", e.Planned, "took", e.Took)
