Detector: a stall lasts from answer to answer, not on one old answer

Cause: an answer that shows an entry on its way to the replicas, and then no connection to ask over for 1.5 s, counted as a primary whose entries reach no replica. Change: the time counts from the first answer that showed the state to the newest one that does. Looked for elsewhere: replicas that don't hear the primary, and a term without primary, had the same fault; mended with it. Why it works: without a newer answer the time does not grow, so one answer can never be enough.

--- a/internal/detector/slice_test.go
+++ b/internal/detector/slice_test.go
@@ -27,6 +27,8 @@
 	neverSeen bool
 	// relayed: another instance reaches the primary and tells of it.
 	relayed bool
+	// underWay: the last answer before the fault shows an entry that no replica holds yet.
+	underWay bool
 	// zones are what other availability zones report: true is a suspicion.
 	zones map[string]bool
 }
@@ -78,7 +80,10 @@
 			}})
 		}
 	}
-	for range 10 {
+	for i := range 10 {
+		if i == 9 && w.underWay {
+			offset++
+		}
 		round(nil, step)
 		now = now.Add(step)
 	}
@@ -125,6 +130,8 @@
 		{"never seen, the replicas hear it", world{primary: commander.ErrSilent, neverSeen: true}, never, never},
 		{"never seen, replicas deaf", world{primary: commander.ErrSilent, neverSeen: true, heard: -1}, 700 * time.Millisecond, 1200 * time.Millisecond},
 		{"cut from its replicas, idle", world{heard: 1}, 1000 * time.Millisecond, 1300 * time.Millisecond},
+		// Guards against one old answer counting as a lasting stall.
+		{"no connection to ask over, the last answer shows an entry under way", world{primary: commander.ErrBusy, underWay: true}, never, never},
 		{"writes are not confirmed, heartbeats come", world{grows: true}, 1500 * time.Millisecond, 1800 * time.Millisecond},
 	}
 	for _, c := range tests {
@@ -138,3 +145,46 @@
 		})
 	}
 }
+
+// Guards against members that answered once, in the middle of a promotion, and were not asked
+// again counting as a lasting term without primary.
+func TestHeadlessOnOneAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer bool
+		agreed bool
+	}{
+		{"answers go on", true, true},
+		{"no connection to ask over", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			must.Eq(t, c.agreed, headless(c.answer))
+		})
+	}
+}
+
+// headless reports whether the failure of a term that had no primary in the first answers is
+// agreed; answer tells whether more of them come.
+func headless(answer bool) (agreed bool) {
+	s, now := &detector.Slice{Zone: "b"}, time.Unix(1000, 0)
+	service := configurer.Service{Name: "s", Members: []configurer.Member{{Name: "m-1"}, {Name: "m-2"}, {Name: "m-3"}}}
+	s.Step(now, configurer.InForce{Version: 1, Document: &configurer.Document{Services: []configurer.Service{service}}})
+	for i := range 15 {
+		var out []controller.Action
+		for _, m := range service.Members {
+			o := observer.Observed{Service: "s", Member: m.Name, Started: now, Status: commander.Status{Role: commander.RoleFenced, Term: 2}}
+			if i > 0 && !answer {
+				o.Err = commander.ErrBusy
+			}
+			out = append(out, s.Step(now, o)...)
+		}
+		for _, a := range append(out, s.Step(now, controller.Tick{})...) {
+			if m, ok := a.(controller.Emit); ok {
+				e, ok := m.Event.(detector.Agreed)
+				agreed = agreed || ok && e.On
+			}
+		}
+		now = now.Add(step)
+	}
+	return agreed
+}
--- a/internal/detector/weigh.go
+++ b/internal/detector/weigh.go
@@ -1,6 +1,7 @@
 package detector
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -44,7 +45,7 @@
 // weighHeadless finds a term without primary: its promoter died, or the primary
 // died before this instance ever saw it.
 func (g *group) weighHeadless(now time.Time) Evidence {
-	seen := 0
+	var seen []time.Time
 	for i, k := range g.view.Members {
 		deaf, known := g.deaf(now, i)
 		switch {
@@ -55,23 +56,24 @@
 			return EvidenceNone
 		case k.Failures >= minFailures:
 		case !k.Seen.IsZero() && now.Sub(k.Seen) < freshFor:
-			seen++
+			seen = append(seen, k.Seen)
 		default: // not known yet: it may be the primary
 			g.headless = time.Time{}
 			return EvidenceNone
 		}
 	}
-	if seen < g.view.Service.Quorum() {
+	if len(seen) < g.view.Service.Quorum() {
 		g.headless = time.Time{}
 		return EvidenceNone
 	}
+	shown := newest(seen, g.view.Service.Quorum())
 	// A promotion that has just fenced members for a newer term is given its time:
 	// without this, the wait of the term before counts for the new one, and each
 	// promoter is overtaken by the next within a tick.
 	if term := g.view.Term(); g.headless.IsZero() || g.headlessTerm != term {
-		g.headless, g.headlessTerm = now, term
+		g.headless, g.headlessTerm = shown, term
 	}
-	if now.Sub(g.headless) < headlessAfter {
+	if shown.Sub(g.headless) < headlessAfter {
 		return EvidenceNone
 	}
 	return EvidenceHeadless
@@ -81,15 +83,21 @@
 // none of which can be confirmed. Replicas that lag still move, so any progress
 // of theirs starts the wait again; replicas that don't even hear the primary show
 // the cut sooner, and before the first write meets it.
+//
+// The time counts from answer to answer, not by this instance's clock: an answer that
+// showed an entry under way says nothing of the time after it, when there was no
+// connection to ask over.
 func (g *group) weighStall(now time.Time, p int) Evidence {
 	primary := g.view.Members[p].Status
-	holders, lacking, deaf := 1, 0, 0
+	holders, lacking := 1, 0
+	var deaf []time.Time // when the replicas that don't hear the primary said so
 	var sum uint64
-	for i, m := range g.view.Service.Members {
+	for i, member := range g.view.Service.Members {
 		if i == p {
 			continue
 		}
-		held := primary.Followers[m.Name]
+		m := &g.view.Members[i]
+		held := primary.Followers[member.Name]
 		sum += held.Offset
 		if held.AtLeast(primary.Received) {
 			holders++
@@ -97,30 +105,36 @@
 		if d, known := g.deaf(now, i); known {
 			lacking++
 			if d {
-				deaf++
+				deaf = append(deaf, m.Seen)
 			}
 		}
 	}
 	// With the others gone as well, no promotion could get a majority.
 	minority := len(g.view.Members) - g.view.Service.Quorum()
-	cut := deaf > minority
+	cut := len(deaf) > minority
 	if lacking <= minority || (!cut && holders >= g.view.Service.Quorum()) {
 		g.stall = stall{}
 		return EvidenceNone
 	}
-	if g.stall.since.IsZero() || sum != g.stall.sum || cut != g.stall.cut {
-		g.stall = stall{since: now, sum: sum, cut: cut}
-	}
-	after := stalledAfter
+	shown, after := g.view.Members[p].Seen, stalledAfter
 	if cut {
-		after = cutAfter
+		shown, after = newest(deaf, minority+1), cutAfter
 	}
-	if now.Sub(g.stall.since) < after {
+	if g.stall.since.IsZero() || sum != g.stall.sum || cut != g.stall.cut {
+		g.stall = stall{since: shown, sum: sum, cut: cut}
+	}
+	if shown.Sub(g.stall.since) < after {
 		return EvidenceNone
 	}
 	return EvidenceStalled
 }
 
+// newest returns the n-th newest time: at least n of them are no older.
+func newest(times []time.Time, n int) time.Time {
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[n-1]
+}
+
 // agree decides whether the suspicion is to be acted on. What the members
 // themselves show (a stall, a term without primary) is the same from everywhere.
 // That this instance can't reach the primary may be its own fault: then another
