Promoter: an attempt whose reason has ended is abandoned before a member is fenced

Cause: an attempt took its reason in when it began and never looked at it again. Evidence: with 'Promotion begins.' and 'Agreement has ended.' in the log, both failing runs show begins, ended, promoted in this order on one instance. Change: until a drain or a fence is sent, an attempt ends ('reason-ended') with its agreement, or with the member's leaving. The planned change had the same fault. Why it works: both come to the same control thread as the answers that move the attempt on, so none of these can be taken between the end of the reason and the check.

Test, failing before: TestGroundsEnd (3 of 4 cases; the fourth holds that an attempt with a fenced member goes on). internal/standin/failer, soaker and runner pass.

--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -152,6 +152,7 @@
 	AbandonNewerTerm  AbandonReason = "newer-term"
 	AbandonTaken      AbandonReason = "intent-taken"
 	AbandonNoAnswer   AbandonReason = "no-answer-to-promote"
+	AbandonUnfounded  AbandonReason = "reason-ended"
 )
 
 // ActionName implements controller.Action.
--- a/internal/promoter/slice.go
+++ b/internal/promoter/slice.go
@@ -110,6 +110,7 @@
 	case drainer.TargetLeaving:
 		if g := s.groups[e.Service]; g != nil {
 			g.leaving[e.Member] = e.Leaving
+			return g.step(now)
 		}
 	case Ordered:
 		if g := s.groups[e.Order.Service]; g != nil {
@@ -210,6 +211,9 @@
 // step begins an attempt when there is a reason and its time has come, and lets
 // the running one notice that time passes.
 func (g *group) step(now time.Time) []controller.Action {
+	if g.attempt != nil && !g.founded() {
+		return g.abandon(now, AbandonUnfounded, 0)
+	}
 	if g.attempt != nil {
 		return g.advance(now)
 	}
@@ -232,6 +236,19 @@
 	return g.begin(now, planned, member)
 }
 
+// founded reports whether the running attempt still has its reason. Once a member has
+// been told to obey the new term, the attempt must end in a primary whatever happens.
+func (g *group) founded() bool {
+	a := g.attempt
+	switch {
+	case a.step >= stepDrain:
+		return true
+	case a.planned:
+		return g.leaving[g.view.Service.Members[a.old].Name]
+	}
+	return g.agreed != nil && g.view.Index(g.agreed.Member) == a.old
+}
+
 // without reports an agreed failure that is not that of a member.
 func (g *group) without() bool { return g.agreed != nil && g.agreed.Member == "" }
 
--- a/internal/promoter/slice_test.go
+++ b/internal/promoter/slice_test.go
@@ -9,6 +9,7 @@
 	"github.com/oriolegw/oriolegw/internal/configurer"
 	"github.com/oriolegw/oriolegw/internal/controller"
 	"github.com/oriolegw/oriolegw/internal/detector"
+	"github.com/oriolegw/oriolegw/internal/drainer"
 	"github.com/oriolegw/oriolegw/internal/observer"
 	"github.com/oriolegw/oriolegw/internal/promoter"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
@@ -91,10 +92,21 @@
 
 // probe answers the probe for both replicas, and the intent.
 func (d *desk) probe(outcome promoter.IntentOutcome, found promoter.Record) {
+	d.found("m-2", "m-3")
+	d.intend(outcome, found)
+}
+
+// found answers the probe for some members.
+func (d *desk) found(members ...string) {
 	asked := d.orders(promoter.OrderStatus)
 	must.MapLen(d.t, len(names), asked)
-	d.answer(asked["m-2"], d.status("m-2", 1), nil)
-	d.answer(asked["m-3"], d.status("m-3", 1), nil)
+	for _, n := range members {
+		d.answer(asked[n], d.status(n, 1), nil)
+	}
+}
+
+// intend answers the intent.
+func (d *desk) intend(outcome promoter.IntentOutcome, found promoter.Record) {
 	for _, a := range d.actions {
 		if i, ok := a.(promoter.Intend); ok {
 			d.step(promoter.Intended{Service: "s", Attempt: i.Attempt, Outcome: outcome, Found: found})
@@ -154,6 +166,47 @@
 	d.abandoned(promoter.AbandonNoMajority)
 }
 
+// Guards against a promotion that goes on after the suspicion it rests on has ended.
+func TestGroundsEnd(t *testing.T) {
+	over := detector.Agreed{Service: "s", Member: "m-1", Term: 1}
+	t.Run("while members are asked", func(t *testing.T) {
+		d := newDesk(t)
+		d.step(over)
+		d.abandoned(promoter.AbandonUnfounded)
+		d.pass(4 * time.Second)
+		must.MapEmpty(t, d.orders(promoter.OrderFence))
+	})
+	t.Run("while the store is asked", func(t *testing.T) {
+		d := newDesk(t)
+		d.found("m-2", "m-3")
+		d.step(over)
+		d.abandoned(promoter.AbandonUnfounded)
+		d.intend(promoter.IntentHeld, promoter.Record{})
+		must.MapEmpty(t, d.orders(promoter.OrderFence))
+	})
+	t.Run("once a member is fenced", func(t *testing.T) {
+		d := newDesk(t)
+		d.probe(promoter.IntentHeld, promoter.Record{})
+		d.grant(d.orders(promoter.OrderFence)["m-2"])
+		d.step(over)
+		d.grant(d.orders(promoter.OrderFence)["m-3"])
+		d.pass(100 * time.Millisecond)
+		must.MapLen(t, 1, d.orders(promoter.OrderPromote))
+	})
+	t.Run("of a planned change", func(t *testing.T) {
+		d := newDesk(t)
+		d.step(over)
+		d.actions, d.events = nil, nil
+		d.step(drainer.TargetLeaving{Service: "s", Member: "m-1", Leaving: true})
+		d.pass(time.Second)
+		d.found(names...)
+		d.step(drainer.TargetLeaving{Service: "s", Member: "m-1"})
+		d.pass(50 * time.Millisecond)
+		d.abandoned(promoter.AbandonUnfounded)
+		must.MapEmpty(t, d.orders(promoter.OrderDrain))
+	})
+}
+
 // Another promoter's intent for this term stands in the store. When nothing has
 // come of it, the next attempt takes the term after it.
 func TestIntentTaken(t *testing.T) {
