Elector: replicas without a free slot are no standstill

Callers of a group whose two replicas had no slot for a question for 1.2 s lost a healthy primary: it stepped down, the change could not ask the replicas, and nobody led for 2 s more.

Cause: a busy member keeps its last status, and under load that status is always a commit or two behind; BehindSince was measured against the clock. Evidence: the log of the test, which fails before: move-begins reason=replicas-standing-still, stepped-down, 'ask g-2: no slot free', nobody-leads. Change: Observation.Known is when the status was told; a standstill lasts from answer to answer. Why it works: a member that tells nothing can't lengthen it; one that answers is asked each 200 ms.

Test: TestBusyReplicasAreNoStandstill (leader before: none; now: g-1, term 1). decide_test's healthy() sets the new field, its cases are unchanged; the elector's other tests pass.

--- a/internal/elector/change_test.go
+++ b/internal/elector/change_test.go
@@ -42,12 +42,15 @@
 
 // fakeDuty is a duty that is never lost.
 type fakeDuty struct {
+	// slow is how long the store takes to give a fence.
+	slow  time.Duration
 	mutex sync.Mutex
 	fence int64
 	facts elector.Facts
 }
 
 func (d *fakeDuty) Fence(_ context.Context, f elector.Facts) (int64, error) {
+	time.Sleep(d.slow)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.fence++
@@ -499,3 +502,23 @@
 		})
 	}
 }
+
+// Guards against replicas without a slot for questions counting as standing still, from one
+// answer that showed a commit on its way.
+func TestBusyReplicasAreNoStandstill(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		time.Sleep(2 * time.Second)
+		s.group.Busy("g-2", true)
+		s.group.Busy("g-3", true)
+		time.Sleep(4 * time.Second)
+		s.unmoved(t)
+	})
+}
+
+// unmoved asserts that the first primary leads in the first term.
+func (s *stage) unmoved(t *testing.T) {
+	t.Helper()
+	id, term := s.group.Leader()
+	must.Eq(t, "g-1", id)
+	must.Eq(t, 1, term)
+}
--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -73,6 +73,8 @@
 		// FailedSince is when it first did not answer, since it last did.
 		FailedSince tracker.Stamp
 		Status      messenger.Status
+		// Known is when Status was last told.
+		Known tracker.Stamp
 		// BehindSince is since when the replica has stood still at a position that the
 		// primary has passed, 0 when it does not; PausedSince since when it is paused.
 		BehindSince, PausedSince tracker.Stamp
@@ -245,7 +247,8 @@
 			continue
 		}
 		answered++
-		if m.BehindSince == 0 || v.Now-m.BehindSince < standstillAfter {
+		// From answer to answer: a member without a slot for questions tells nothing of its log.
+		if m.BehindSince == 0 || m.Known-m.BehindSince < standstillAfter {
 			return false
 		}
 	}
--- a/internal/elector/decide_test.go
+++ b/internal/elector/decide_test.go
@@ -17,7 +17,7 @@
 	member := func(id string, primary bool) elector.Observation {
 		return elector.Observation{
 			Member: tracker.Member{ID: id, Slots: 3}, Answered: true,
-			Status: messenger.Status{Primary: primary, Term: 1},
+			Status: messenger.Status{Primary: primary, Term: 1}, Known: now,
 		}
 	}
 	return elector.View{Now: now, Primary: "p", Members: []elector.Observation{member("p", true), member("q", false), member("r", false)}}
--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -300,7 +300,7 @@
 			// Whom the replicas stood still behind leads no more.
 			l.BehindSince = 0
 		} else if p != nil {
-			l.compare(now, p.Status.Received)
+			l.compare(p.Status.Received)
 			l.cover(p)
 		}
 		v.Members = append(v.Members, l.Observation)
--- a/internal/elector/link.go
+++ b/internal/elector/link.go
@@ -96,7 +96,7 @@
 	case l.OverloadedSince == 0:
 		l.OverloadedSince = now
 	}
-	l.Answered, l.Refused, l.Full, l.gone, l.FailedSince, l.Status = true, false, false, false, 0, s
+	l.Answered, l.Refused, l.Full, l.gone, l.FailedSince, l.Status, l.Known = true, false, false, false, 0, s, now
 }
 
 // cover notes that the member's log reaches what the primary said before.
@@ -111,13 +111,13 @@
 	}
 }
 
-// compare notes since when the member stands still behind the primary.
-func (l *link) compare(now tracker.Stamp, primary orderer.Position) {
+// compare notes since which answer the member stands still behind the primary.
+func (l *link) compare(primary orderer.Position) {
 	switch {
 	case l.Status.Received.AtLeast(primary):
 		l.BehindSince = 0
 	case l.BehindSince == 0:
-		l.BehindSince = now
+		l.BehindSince = l.Known
 	}
 }
 
