Elector: a change looks again when the store was slow to give its fence

Callers of a primary that had been away for some milliseconds had it replaced more than a second later, when it worked again: no writes for a promotion's time, transactions rolled back.

Cause: the change acted on the view from before the fence, however long the store took, and did not look at its lease again. Evidence: the test's log before: move-begins reason=primary-silent, promotion-ordered member=g-2, move-ended ms=1636; the primary was back before the fence was. Change: after a fence that took over observeInterval, members are asked again and the change is planned anew, or ends. Why it works: nothing irreversible comes before that point (stepping down and pausing come after it); a store that stays slow can't prevent a change, as the new look alone decides.

Test: TestReasonEndsBeforeFence (before: g-2 leads in term 2; now g-1 in term 1).

--- a/internal/elector/change.go
+++ b/internal/elector/change.go
@@ -50,6 +50,7 @@
 	errUncertain   = errors.New("a replica may be resumed by an order sent before")
 	errJoining     = errors.New("members keep joining")
 	errRestarted   = errors.New("a member has started again")
+	errReasonEnded = errors.New("the reason has ended")
 )
 
 // move is one change of the lead under way.
@@ -57,6 +58,10 @@
 	// old is the primary if it answers, nil otherwise.
 	old *link
 	to  *link
+	// replicas are those that can be promoted or must be paused, the best candidate first.
+	replicas []*link
+	// unproved is why the replicas might lack an acknowledged commit, nil when they don't.
+	unproved error
 	// term is the one that the new primary will lead.
 	term  uint64
 	fence int64
@@ -75,8 +80,32 @@
 // have to be read: what was acknowledged is on one of them, so it is on the one with
 // the furthest log once none receives any more.
 func (k *Keeper) change(ctx context.Context, v View, why Reason) (string, error) {
+	m, err := k.plan(v, why)
+	if err != nil {
+		return "", err
+	}
+	fence, err := k.Fence(ctx, Facts{Members: k.roster(), Open: true, Lead: k.led})
+	if err != nil {
+		return "", errors.Wrap(err, "fence")
+	}
+	if k.Clock()-v.Now > observeInterval {
+		if m, err = k.replan(ctx); err != nil {
+			// The record says that an order may come, and none was sent.
+			k.unrecorded = true
+			return "", err
+		}
+	}
+	m.fence = fence
+	if err := k.choose(ctx, m); err != nil {
+		return "", err
+	}
+	return m.to.ID, k.lead(ctx, m)
+}
+
+// plan says how the lead would move.
+func (k *Keeper) plan(v View, why Reason) (*move, error) {
 	if !k.Holds(changeTime) {
-		return "", errNotHeld
+		return nil, errNotHeld
 	}
 	m := &move{}
 	if p := k.links[v.Primary]; p != nil && p.Answered && p.Status.Primary {
@@ -84,24 +113,28 @@
 	}
 	replicas, term := k.replicas(v, m.old != nil, why)
 	if len(replicas) == 0 {
-		return "", errNoMember
-	}
-	unproved := k.accounted(replicas)
-	if unproved == nil && k.Synchronous() == 0 && m.old != nil {
-		unproved = errOnlyPrimary
+		return nil, errNoMember
 	}
-	if unproved != nil && (m.old == nil || !slices.ContainsFunc(replicas, k.candidate)) {
-		return "", unproved
+	m.replicas, m.to, m.term = replicas, replicas[0], term+1
+	m.unproved = k.accounted(replicas)
+	if m.unproved == nil && k.Synchronous() == 0 && m.old != nil {
+		m.unproved = errOnlyPrimary
 	}
-	fence, err := k.Fence(ctx, Facts{Members: k.roster(), Open: true, Lead: k.led})
-	if err != nil {
-		return "", errors.Wrap(err, "fence")
+	if m.unproved != nil && (m.old == nil || !slices.ContainsFunc(replicas, k.candidate)) {
+		return nil, m.unproved
 	}
-	m.fence, m.term, m.to = fence, term+1, replicas[0]
-	if err := k.choose(ctx, m, replicas, unproved); err != nil {
-		return "", err
-	}
-	return m.to.ID, k.lead(ctx, m)
+	return m, nil
+}
+
+// replan looks again after a store that was slow: a primary that has come back, or moved
+// on, is left in place. From the next step on the change must end in a primary.
+func (k *Keeper) replan(ctx context.Context) (*move, error) {
+	v := k.observe(ctx)
+	d := Decide(v)
+	if d.Move == ReasonNone {
+		return nil, errReasonEnded
+	}
+	return k.plan(v, d.Move)
 }
 
 // candidate reports whether a member could reach the log of a primary that steps down.
@@ -110,33 +143,33 @@
 }
 
 // choose sees to it that the member to promote holds every acknowledged commit.
-func (k *Keeper) choose(ctx context.Context, m *move, replicas []*link, unproved error) error {
+func (k *Keeper) choose(ctx context.Context, m *move) error {
 	if m.old == nil {
-		return k.gather(ctx, m, replicas)
+		return k.gather(ctx, m)
 	}
 	if err := k.stepDown(ctx, m); err != nil {
 		return err
 	}
-	reached, err := k.catchUp(ctx, m, replicas)
+	reached, err := k.catchUp(ctx, m)
 	switch {
 	case err != nil || reached:
 		return err
-	case unproved == nil:
-		return k.gather(ctx, m, replicas)
+	case m.unproved == nil:
+		return k.gather(ctx, m)
 	default:
-		k.Log("event", "nobody-caught-up", "group", k.Group.Name, "need", m.old.Status.Received, "cause", unproved)
+		k.Log("event", "nobody-caught-up", "group", k.Group.Name, "need", m.old.Status.Received, "cause", m.unproved)
 		m.to, k.movedBack = m.old, k.Clock()
 		return nil
 	}
 }
 
 // catchUp waits for a candidate to reach the log of the old primary.
-func (k *Keeper) catchUp(ctx context.Context, m *move, replicas []*link) (bool, error) {
-	i := slices.IndexFunc(replicas, k.candidate)
+func (k *Keeper) catchUp(ctx context.Context, m *move) (bool, error) {
+	i := slices.IndexFunc(m.replicas, k.candidate)
 	if i < 0 {
 		return false, nil
 	}
-	m.to = replicas[i]
+	m.to = m.replicas[i]
 	until := time.Now().Add(catchUpTime)
 	for !m.to.Status.Received.AtLeast(m.old.Status.Received) {
 		if time.Now().After(until) {
@@ -153,7 +186,8 @@
 // gather sees to it that the candidate will hold every acknowledged commit: the other
 // replicas are paused, those too that join meanwhile, and the candidate's log reaches
 // theirs.
-func (k *Keeper) gather(ctx context.Context, m *move, replicas []*link) error {
+func (k *Keeper) gather(ctx context.Context, m *move) error {
+	replicas := m.replicas
 	others := replicas[1:]
 	for range pauseRounds {
 		if err := k.pause(ctx, others, m.term); err != nil {
--- a/internal/elector/change_test.go
+++ b/internal/elector/change_test.go
@@ -522,3 +522,17 @@
 	must.Eq(t, "g-1", id)
 	must.Eq(t, 1, term)
 }
+
+// Guards against a change that goes on after its reason has ended, while the store is slow.
+func TestReasonEndsBeforeFence(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		time.Sleep(2 * time.Second)
+		s.duty.slow = time.Second
+		begins := s.on("move-begins")
+		s.group.Crash("g-1")
+		<-begins
+		s.group.Return("g-1")
+		time.Sleep(4 * time.Second)
+		s.unmoved(t)
+	})
+}
