Elector: a change that fails after the primary has stepped down gives the lead back

Callers of a group whose primary was to leave, while no replica had a slot for a question, had no primary for 2 s and a promotion's time more.

Cause: an error while replicas' logs are read ended the change after the step-down, with nobody leading; only an unproved log gave the lead back. Evidence: the log of the test, which fails before: stepped-down, 'move-ended to= outcome=ask g-2: no slot free'. Change: moveBack in both cases. Why it works: the old primary holds every acknowledged commit, and the new term resumes replicas that were paused for it.

Test: TestChangeFailsAfterStepDown (leader 1.5 s after the step-down before: none, now: g-1). The elector's other tests pass.

--- a/internal/elector/change.go
+++ b/internal/elector/change.go
@@ -154,13 +154,21 @@
 	switch {
 	case err != nil || reached:
 		return err
-	case m.unproved == nil:
-		return k.gather(ctx, m)
-	default:
-		k.Log("event", "nobody-caught-up", "group", k.Group.Name, "need", m.old.Status.Received, "cause", m.unproved)
-		m.to, k.movedBack = m.old, k.Clock()
+	case m.unproved != nil:
+		k.moveBack(m, m.unproved)
 		return nil
 	}
+	if err := k.gather(ctx, m); err != nil {
+		k.moveBack(m, err)
+	}
+	return ctx.Err()
+}
+
+// moveBack has a primary that has stepped down lead again: it holds every acknowledged
+// commit. Without it, the group would have no primary until that is noticed.
+func (k *Keeper) moveBack(m *move, cause error) {
+	k.Log("event", "nobody-caught-up", "group", k.Group.Name, "need", m.old.Status.Received, "cause", cause)
+	m.to, k.movedBack = m.old, k.Clock()
 }
 
 // catchUp waits for a candidate to reach the log of the old primary.
--- a/internal/elector/change_test.go
+++ b/internal/elector/change_test.go
@@ -536,3 +536,18 @@
 		s.unmoved(t)
 	})
 }
+
+// Guards against a group without a primary after a change that fails once the primary has
+// stepped down.
+func TestChangeFailsAfterStepDown(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		time.Sleep(2 * time.Second)
+		stepped := s.on("stepped-down")
+		s.group.Busy("g-2", true)
+		s.group.Busy("g-3", true)
+		s.group.Leave("g-1")
+		<-stepped
+		time.Sleep(1500 * time.Millisecond)
+		must.Eq(t, "g-1", s.leader())
+	})
+}
