Limiter: leases of an instance that starts again count as used

Callers of other customers would see a neighbour over its limit: up to what was leased (18 of a limit of 20 a second in the test) ran and was leased again after each restart of an instance that runs operations.

Cause: the first report of a new life says that nothing is held, and the account took that for leases given back. Evidence: TestLeasesOfAnEndedLifeCountAsUsed (used 0 before, 18 now). Change: a report of another life of the same instance has its leases counted as used, for all customers. Why it works: what was leased is the most that life can have run unreported by lease.

Test, failing before, in the commit. The package's tests pass.

--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -110,6 +110,9 @@
 	}
 	from.heard = now
 	again := from.run == r.Run && r.Number <= from.number
+	if ok && from.run != r.Run {
+		l.ended(now, r.Instance)
+	}
 	if !again {
 		from.run, from.number = r.Run, r.Number
 	}
@@ -139,6 +142,16 @@
 	return answer
 }
 
+// ended takes in that an instance has started again: what it had leased may have been run.
+func (l *Ledger) ended(now Stamp, instance string) {
+	for _, a := range l.accounts {
+		if p, ok := a.parts[instance]; ok {
+			a.use(now, p.leased)
+			p.leased = 0
+		}
+	}
+}
+
 func (l *Ledger) account(now Stamp, customer string, limit identifier.Limit, unheard float64) *account {
 	a, ok := l.accounts[customer]
 	if !ok {
--- /dev/null
+++ b/internal/limiter/ledger_test.go
@@ -0,0 +1,55 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/oriolegw/oriolegw/internal/identifier"
+	"github.com/oriolegw/oriolegw/internal/limiter"
+	"github.com/shoenig/test/must"
+)
+
+// desk is a ledger that tests report to by hand.
+type desk struct {
+	ledger *limiter.Ledger
+	now    limiter.Stamp
+	limit  identifier.Limit
+	number uint64
+}
+
+func newDesk(limit identifier.Limit, instances ...string) *desk {
+	d := &desk{limit: limit, now: time.Hour}
+	d.ledger = &limiter.Ledger{Run: 1, Tolerance: tolerance, Expected: func() []string { return instances }}
+	return d
+}
+
+// report takes in one customer's spending in an instance's first life.
+func (d *desk) report(instance string, s limiter.Spending) limiter.Allowance {
+	return d.take(limiter.Report{Instance: instance, Run: 1, Spendings: []limiter.Spending{s}})
+}
+
+func (d *desk) take(r limiter.Report) limiter.Allowance {
+	d.number++
+	r.Number = d.number
+	for i := range r.Spendings {
+		r.Spendings[i].Customer = "c"
+	}
+	x := d.ledger.Take(d.now, r, func(string) identifier.Limit { return d.limit })
+	if len(x.Allowances) == 0 {
+		return limiter.Allowance{}
+	}
+	return x.Allowances[0]
+}
+
+func (d *desk) balance() limiter.Balance { return d.ledger.Balances(d.now)[0] }
+
+// Guards against operations that are lost from the account when an instance runs what it has
+// leased and starts again before it reports.
+func TestLeasesOfAnEndedLifeCountAsUsed(t *testing.T) {
+	d := newDesk(limits[1], "a")
+	leased := d.report("a", limiter.Spending{Waiting: 10, Demand: 10}).Tokens
+	must.Positive(t, leased)
+	d.now += 100 * time.Millisecond
+	d.take(limiter.Report{Instance: "a", Run: 2, New: true, Spendings: []limiter.Spending{{Demand: 1}}})
+	must.Eq(t, float64(leased), d.balance().Used)
+}
