Limiter: withhold what a cut-off instance may run of a customer it was told nothing of

Cause: an instance that reports, but was not told a part of this customer yet, runs 0.75 of an even share while it is cut off. The account counted it as one whose part is known, and withheld nothing. The same held 30 s into a cut, when parts were forgotten though the instance is still expected, and for an instance that reports to another accountant, whose part was deleted. Change: absence lists the expected instances that don't report; an account withholds a part for each, or the untold part. A part is kept while its instance is expected, and when it leaves. Why it works: each expected instance is now in one of three sets (reports, has a part, has none), and each set's operations are leased, reported or withheld.

Test, failing before: TestCutBeforeFirstUse.

--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,15 @@
 		told, left bool
 	}
 
+	// absence is which of the expected instances don't report.
+	absence struct {
+		expected int
+		// never is how many have not reported since the accounts began, silent those that have
+		// and may be cut off.
+		never  int
+		silent []string
+	}
+
 	// account is one customer's.
 	account struct {
 		limit identifier.Limit
@@ -87,7 +97,7 @@
 	l.accounts, l.reporters, l.began = map[string]*account{}, map[string]*reporter{}, now
 	for name, limit := range limits {
 		if limit.Limited() {
-			l.account(now, name, limit, 0)
+			l.account(now, name, limit, absence{})
 		}
 	}
 }
@@ -118,14 +128,14 @@
 		from.run, from.number = r.Run, r.Number
 	}
 	from.left = r.Leaves
-	unheard := l.unheard(now)
+	away := l.away(now)
 	answer := Answer{Run: l.Run}
 	for _, s := range r.Spendings {
 		limit := limits(s.Customer)
 		if !limit.Limited() {
 			continue
 		}
-		a := l.account(now, s.Customer, limit, unheard)
+		a := l.account(now, s.Customer, limit, away)
 		if again {
 			s.Used = nil
 		}
@@ -133,13 +143,11 @@
 			a.remember(now, s.Before)
 		}
 		a.useLate(now, s.Used, gap-silentAfter)
-		answer.Allowances = append(answer.Allowances, a.take(now, r.Instance, from, s, l.Tolerance, unheard, len(l.reporters)))
+		answer.Allowances = append(answer.Allowances, a.take(now, r.Instance, from, s, l.Tolerance, away, len(l.reporters)))
 	}
 	from.told = from.told || r.New
 	if r.Leaves {
-		for _, a := range l.accounts {
-			delete(a.parts, r.Instance)
-		}
+		l.left(r.Instance)
 	}
 	return answer
 }
@@ -154,47 +162,63 @@
 	}
 }
 
-func (l *Ledger) account(now Stamp, customer string, limit identifier.Limit, unheard float64) *account {
+// left takes in that an instance reports to another, which shares out its part.
+func (l *Ledger) left(instance string) {
+	for _, a := range l.accounts {
+		if p, ok := a.parts[instance]; ok {
+			p.leased = 0
+		}
+	}
+}
+
+func (l *Ledger) account(now Stamp, customer string, limit identifier.Limit, away absence) *account {
 	a, ok := l.accounts[customer]
 	if !ok {
 		a = &account{flow: freshPart * l.Tolerance.burst(limit), at: now, parts: map[string]*part{}}
 		l.accounts[customer] = a
 	}
 	a.limit = limit
-	a.advance(now, l.Tolerance, unheard)
+	a.advance(now, l.Tolerance, away)
 	return a
 }
 
-// unheard is the part of the instances that should report here and don't, without those that
-// did a while ago: what these may run by themselves is known.
-func (l *Ledger) unheard(now Stamp) float64 {
-	if l.Expected == nil || now-l.began < startTime {
-		return 0
+// away returns which of the instances that run operations don't report here.
+func (l *Ledger) away(now Stamp) absence {
+	if l.Expected == nil {
+		return absence{}
 	}
 	expected := l.Expected()
-	missing := 0
+	away := absence{expected: len(expected)}
 	for _, name := range expected {
-		if r, ok := l.reporters[name]; !ok || r.left {
-			missing++
+		switch r, ok := l.reporters[name]; {
+		case !ok:
+			away.never++
+		case r.away(now):
+			away.silent = append(away.silent, name)
 		}
 	}
-	return float64(missing) / float64(max(1, len(expected)))
+	if now-l.began < startTime {
+		away.never = 0
+	}
+	return away
 }
 
-// advance brings an account to a moment. unheard is the part of the instances of which
-// nothing is known.
-func (a *account) advance(now Stamp, t Tolerance, unheard float64) {
+// away reports whether the instance may be cut off, or report to another.
+func (r *reporter) away(now Stamp) bool { return r.left || now-r.heard > silentAfter }
+
+// advance brings an account to a moment.
+func (a *account) advance(now Stamp, t Tolerance, away absence) {
 	for name, p := range a.parts {
 		if p.leased > 0 && now > p.until {
 			// Whoever leased them has been cut off or is gone: they may have been run.
 			a.use(now, p.leased)
 			p.leased = 0
 		}
-		if now-p.heard > forgottenAfter {
+		if now-p.heard > forgottenAfter && !slices.Contains(away.silent, name) {
 			delete(a.parts, name)
 		}
 	}
-	rate := t.rate(a.limit) * (1 - a.withheld(now, unheard))
+	rate := t.rate(a.limit) * (1 - a.withheld(now, away))
 	a.flow = min(t.burst(a.limit), a.flow+rate*(now-a.at).Seconds())
 	a.at = now
 }
@@ -227,22 +251,27 @@
 }
 
 // available is what may be leased now.
-func (a *account) available(now Stamp, t Tolerance, unheard float64) float64 {
+func (a *account) available(now Stamp, t Tolerance, away absence) float64 {
 	leased := a.leased()
-	most := t.most(a.limit) * (1 - a.withheld(now, unheard))
+	most := t.most(a.limit) * (1 - a.withheld(now, away))
 	return min(a.flow, most-float64(a.used.sum(now))) - leased
 }
 
 // withheld is the part of the limit that is left to instances that may be cut off: each goes
-// by its part then.
-func (a *account) withheld(now Stamp, unheard float64) float64 {
+// by its part then, or where it was told none, by what all may run untold.
+func (a *account) withheld(now Stamp, away absence) float64 {
 	var sum float64
 	for _, p := range a.parts {
-		if p.silent(now) {
+		if p.away(now) {
 			sum += p.alone
 		}
 	}
-	return min(1, sum/a.limit.PerSecond+unheard)
+	for _, name := range away.silent {
+		if _, ok := a.parts[name]; !ok {
+			sum += untoldPart * a.limit.PerSecond / float64(away.expected)
+		}
+	}
+	return min(1, sum/a.limit.PerSecond+float64(away.never)/float64(max(1, away.expected)))
 }
 
 // promised is what others than one instance may run a second while they are cut off.
@@ -256,12 +285,9 @@
 	return sum
 }
 
-// silent reports whether the instance may be cut off.
-func (p *part) silent(now Stamp) bool { return now-p.heard > silentAfter }
-
 // now is the demand at the instance: that of one that is cut off goes on as it was.
 func (p *part) now(now Stamp) float64 {
-	if p.silent(now) {
+	if p.away(now) {
 		return p.demand
 	}
 	return decayed(p.demand, now-p.told, demandHalf)
@@ -285,14 +311,14 @@
 	return sum
 }
 
-func (a *account) take(now Stamp, instance string, from *reporter, s Spending, t Tolerance, unheard float64, reporters int) Allowance {
+func (a *account) take(now Stamp, instance string, from *reporter, s Spending, t Tolerance, away absence, reporters int) Allowance {
 	p, ok := a.parts[instance]
 	if !ok {
 		p = &part{reporter: from}
 		a.parts[instance] = p
 	}
 	p.leased, p.told, p.demand = s.Held, now, s.Demand
-	available := a.available(now, t, unheard)
+	available := a.available(now, t, away)
 	share := 1.0
 	if all := a.demand(now); all > 0 {
 		share = p.demand / all
@@ -330,11 +356,11 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var list []Balance
-	unheard := l.unheard(now)
+	away := l.away(now)
 	for name, a := range l.accounts {
-		a.advance(now, l.Tolerance, unheard)
+		a.advance(now, l.Tolerance, away)
 		list = append(list, Balance{
-			Customer: name, Limit: a.limit, Used: float64(a.used.sum(now)), Available: a.available(now, l.Tolerance, unheard),
+			Customer: name, Limit: a.limit, Used: float64(a.used.sum(now)), Available: a.available(now, l.Tolerance, away),
 			Leased: a.leased(), Demand: a.demand(now), Instances: len(a.parts),
 		})
 	}
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -307,6 +307,20 @@
 	}
 }
 
+// Guards against instances that are cut off running a customer's operations of which no
+// accountant has told them, beside a limit that is given out whole to the others.
+func TestCutBeforeFirstUse(t *testing.T) {
+	for _, l := range limits {
+		t.Run(fmt.Sprint(l.PerSecond), func(t *testing.T) {
+			f := open(1, 24, l)
+			f.play(3*time.Second, func(int) float64 { return 0 })
+			f.cutOff(18, 24)
+			f.play(20*time.Second, func(int) float64 { return 8 * l.PerSecond / 24 })
+			f.check(t)
+		})
+	}
+}
+
 // Instances are cut off, pause, start again with nothing, all at once at times; the
 // accountant dies and another takes over, or nobody does for a while; answers are lost; the
 // customer's load jumps between nothing and eight times its limit. In no window does more run
@@ -326,6 +340,21 @@
 	}
 }
 
+// cutOff cuts instances off from the others.
+func (f *fleet) cutOff(from, to int) {
+	for _, x := range f.nodes[from:to] {
+		x.cut = true
+	}
+}
+
+// replaceAccountant has another instance keep the accounts from now on.
+func (f *fleet) replaceAccountant(n int) {
+	f.accountant, f.accounts = n, f.ledger()
+	for _, x := range f.nodes {
+		_ = x.meter.Restart(f.now)
+	}
+}
+
 // fault changes one thing at random.
 func (f *fleet) fault() {
 	n := f.random.IntN(len(f.nodes))
@@ -354,10 +383,7 @@
 	case 6: // the accountant dies; its duty is free for a while
 		f.accountant = -1
 		f.play(time.Duration(f.random.IntN(3000))*time.Millisecond, func(int) float64 { return 0.6 * f.limit.PerSecond / float64(len(f.nodes)) })
-		f.accountant, f.accounts = n, f.ledger()
+		f.replaceAccountant(n)
 		f.nodes[n].cut = false
-		for _, x := range f.nodes {
-			_ = x.meter.Restart(f.now)
-		}
 	}
 }
