Limiter: leases of a cut-off instance count once

Callers of a customer below its limit were refused more than needed after a cut: up to what was leased counted twice, as not heard of and as reported.

Cause: a lease that has run out counts as used; the instance's own report, which tells exactly what it ran, did not take that back. Evidence: TestLeasesOfACutInstanceCountOnce (used twice the leased ones before). Change: part.assumed is taken off again with the next report of the same life. A life that has ended tells nothing, and its leases stay counted.

Test, failing before, in the commit; the package's other tests pass.

--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -62,9 +62,10 @@
 	// part is an instance's part in an account.
 	part struct {
 		*reporter
-		// leased may be run until a moment.
-		leased int
-		until  Stamp
+		// leased may be run until a moment. assumed were leased, and count as used since a
+		// moment as nothing was heard of them.
+		leased, assumed  int
+		until, assumedAt Stamp
 		// demand is how many operations a second were asked for at a moment.
 		demand float64
 		told   Stamp
@@ -157,7 +158,7 @@
 	for _, a := range l.accounts {
 		if p, ok := a.parts[instance]; ok {
 			a.use(now, p.leased)
-			p.leased = 0
+			p.leased, p.assumed = 0, 0
 		}
 	}
 }
@@ -212,6 +213,7 @@
 		if p.leased > 0 && now > p.until {
 			// Whoever leased them has been cut off or is gone: they may have been run.
 			a.use(now, p.leased)
+			p.assumed, p.assumedAt = p.assumed+p.leased, now
 			p.leased = 0
 		}
 		if now-p.heard > forgottenAfter && !slices.Contains(away.silent, name) {
@@ -317,6 +319,12 @@
 		p = &part{reporter: from}
 		a.parts[instance] = p
 	}
+	if p.assumed > 0 {
+		// It has told what it ran of them.
+		a.used.add(p.assumedAt, -p.assumed)
+		a.flow += float64(p.assumed)
+		p.assumed = 0
+	}
 	p.leased, p.told, p.demand = s.Held, now, s.Demand
 	available := a.available(now, t, away)
 	share := 1.0
--- a/internal/limiter/ledger_test.go
+++ b/internal/limiter/ledger_test.go
@@ -53,3 +53,14 @@
 	d.take(limiter.Report{Instance: "a", Run: 2, New: true, Spendings: []limiter.Spending{{Demand: 1}}})
 	must.Eq(t, float64(leased), d.balance().Used)
 }
+
+// Guards against operations that count twice: as leased and not heard of, and as reported by
+// an instance that was cut off for a moment.
+func TestLeasesOfACutInstanceCountOnce(t *testing.T) {
+	d := newDesk(limits[1], "a")
+	leased := d.report("a", limiter.Spending{Waiting: 10, Demand: 10}).Tokens
+	d.now += 3 * time.Second
+	must.Eq(t, float64(leased), d.balance().Used)
+	d.report("a", limiter.Spending{Used: []int{leased, 0, 0, 0, 0, 0}})
+	must.Eq(t, float64(leased), d.balance().Used)
+}
