Limiter: a new accountant withholds what the one before told to those it can't hear

Cause: what the accountant before had told the cut ones was known to nobody who could be reached. Change: a report to a new accountant carries the part that the instance was told (two fields more on the wire). All parts of one accountant are within the limit; so what the unheard ones may run is at most the limit less the parts of those that reported. That is withheld until they report or are expected no more, and new parts stay within what is left of it. Why it works: the invariant 'all parts within the limit' now holds across accountants. Weighed: an even share as before (exceeds under uneven demand); a copy of all parts to the next accountant in line each half second (bytes between regions, and a copy that may be old).

Tests, failing before, in the commit.

--- a/internal/accountant/wire.go
+++ b/internal/accountant/wire.go
@@ -12,6 +12,7 @@
 	for _, s := range r.Spendings {
 		x := &wire.Spending{
 			Customer: s.Customer, Before: fromCounts(s.Before), Held: uint32(s.Held), Waiting: uint32(s.Waiting), DemandMilli: uint32(s.Demand * milli),
+			Told: s.Told, PartMilli: uint32(s.Part * milli),
 		}
 		for _, n := range s.Used {
 			x.Used += uint32(n)
@@ -29,6 +30,7 @@
 	for _, s := range w.Spendings {
 		x := limiter.Spending{
 			Customer: s.Customer, Used: toCounts(s.UsedSlots), Before: toCounts(s.Before), Held: int(s.Held), Waiting: int(s.Waiting), Demand: float64(s.DemandMilli) / milli,
+			Told: s.Told, Part: float64(s.PartMilli) / milli,
 		}
 		if len(x.Used) == 0 && s.Used > 0 {
 			x.Used = []int{int(s.Used)}
--- /dev/null
+++ b/internal/accountant/wire_test.go
@@ -0,0 +1,17 @@
+package accountant
+
+import (
+	"testing"
+
+	"github.com/oriolegw/oriolegw/internal/limiter"
+	"github.com/shoenig/test/must"
+)
+
+func TestReportsComeBack(t *testing.T) {
+	for _, used := range [][]int{nil, {3}, {2, 0, 1}} {
+		want := limiter.Report{Instance: "i", Run: 7, Number: 8, New: true, Leaves: true, Spendings: []limiter.Spending{{
+			Customer: "north", Used: used, Before: []int{1, 0}, Held: 4, Waiting: 5, Demand: 6.5, Part: 0.25, Told: true,
+		}}}
+		must.Eq(t, want, fromReport(toReport(want)))
+	}
+}
--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -22,8 +22,9 @@
 		// of each other.
 		Expected func() []string
 
-		// began is when this instance became the accountant.
+		// began is when this instance became the accountant, heirs who ran operations then.
 		began     Stamp
+		heirs     map[string]bool
 		mutex     sync.Mutex
 		accounts  map[string]*account
 		reporters map[string]*reporter
@@ -41,10 +42,12 @@
 	// absence is which of the expected instances don't report.
 	absence struct {
 		expected int
-		// never is how many have not reported since the accounts began, silent those that have
-		// and may be cut off.
-		never  int
-		silent []string
+		// silent have reported since the accounts began, and may be cut off. The others have
+		// not: heirs is how many did to the accountant before, fresh how many are new.
+		silent       []string
+		heirs, fresh int
+		// starting is set while others are taken not to have come yet.
+		starting bool
 	}
 
 	// account is one customer's.
@@ -57,6 +60,10 @@
 		flow  float64
 		at    Stamp
 		parts map[string]*part
+		// inherited is the sum of the parts that reporters were told before these accounts
+		// began, told whether any was.
+		inherited float64
+		told      bool
 	}
 
 	// part is an instance's part in an account.
@@ -95,7 +102,7 @@
 			return
 		}
 	}
-	l.accounts, l.reporters, l.began = map[string]*account{}, map[string]*reporter{}, now
+	l.open(now)
 	for name, limit := range limits {
 		if limit.Limited() {
 			l.account(now, name, limit, absence{})
@@ -103,13 +110,17 @@
 	}
 }
 
+func (l *Ledger) open(now Stamp) {
+	l.accounts, l.reporters, l.heirs, l.began = map[string]*account{}, map[string]*reporter{}, map[string]bool{}, now
+}
+
 // Take takes a report in and answers it. limits returns a customer's limit; one that has none
 // is not answered for.
 func (l *Ledger) Take(now Stamp, r Report, limits func(customer string) identifier.Limit) Answer {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.accounts == nil {
-		l.accounts, l.reporters, l.began = map[string]*account{}, map[string]*reporter{}, now
+		l.open(now)
 	}
 	from, ok := l.reporters[r.Instance]
 	if !ok {
@@ -137,6 +148,9 @@
 			continue
 		}
 		a := l.account(now, s.Customer, limit, away)
+		if !ok && s.Told {
+			a.inherited, a.told = a.inherited+s.Part, true
+		}
 		if again {
 			s.Used = nil
 		}
@@ -191,16 +205,19 @@
 	expected := l.Expected()
 	away := absence{expected: len(expected)}
 	for _, name := range expected {
+		if now-l.began < heirTime {
+			l.heirs[name] = true
+		}
 		switch r, ok := l.reporters[name]; {
+		case !ok && l.heirs[name]:
+			away.heirs++
 		case !ok:
-			away.never++
+			away.fresh++
 		case r.away(now):
 			away.silent = append(away.silent, name)
 		}
 	}
-	if now-l.began < startTime {
-		away.never = 0
-	}
+	away.starting = now-l.began < startTime
 	return away
 }
 
@@ -220,8 +237,8 @@
 			delete(a.parts, name)
 		}
 	}
-	rate := t.rate(a.limit) * (1 - a.withheld(now, away))
-	a.flow = min(t.burst(a.limit), a.flow+rate*(now-a.at).Seconds())
+	left := 1 - a.withheld(now, away)
+	a.flow = min(t.burst(a.limit), a.flow+left*t.rate(a.limit)*(now-a.at).Seconds())
 	a.at = now
 }
 
@@ -262,18 +279,36 @@
 // withheld is the part of the limit that is left to instances that may be cut off: each goes
 // by its part then, or where it was told none, by what all may run untold.
 func (a *account) withheld(now Stamp, away absence) float64 {
-	var sum float64
+	sum := a.unknown(away)
 	for _, p := range a.parts {
 		if p.away(now) {
 			sum += p.alone
 		}
 	}
+	return min(1, sum/a.limit.PerSecond)
+}
+
+// unknown is how many operations a second those may run that have told this accountant
+// nothing of the customer. All parts together are within the limit. So what the accountant
+// before has told to those that have not reported yet is at most what it has told to nobody
+// else; where nobody knows, an even share.
+func (a *account) unknown(away absence) float64 {
+	even := a.limit.PerSecond / float64(max(1, away.expected))
+	untold := away.fresh
 	for _, name := range away.silent {
 		if _, ok := a.parts[name]; !ok {
-			sum += untoldPart * a.limit.PerSecond / float64(away.expected)
+			untold++
 		}
 	}
-	return min(1, sum/a.limit.PerSecond+float64(away.never)/float64(max(1, away.expected)))
+	var inherited float64
+	switch {
+	case away.heirs == 0:
+	case a.told:
+		inherited = max(float64(away.heirs)*untoldPart*even, a.limit.PerSecond-a.inherited)
+	case !away.starting:
+		inherited = float64(away.heirs) * even
+	}
+	return min(a.limit.PerSecond, float64(untold)*untoldPart*even+inherited)
 }
 
 // promised is what others than one instance may run a second while they are cut off.
@@ -334,7 +369,7 @@
 	x := Allowance{Customer: s.Customer, Tight: available < tightPart*t.burst(a.limit)+untoldEach*float64(reporters)}
 	// All parts together are within the limit, also where some were told when the account
 	// knew of few instances.
-	p.alone = max(0, min(share*a.limit.PerSecond, partHeadroom*s.Demand, a.limit.PerSecond-a.promised(p)))
+	p.alone = max(0, min(share*a.limit.PerSecond, partHeadroom*s.Demand, a.limit.PerSecond-a.promised(p)-a.unknown(away)))
 	x.Part = p.alone
 	// What waits now may take all there is; what may come, the instance's part of it. An
 	// operation that may not come is leased to nobody: dozens of instances with one each
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -41,6 +41,8 @@
 	freshPart = 0.6
 	// startTime is the time in which those that report are taken not to have come yet.
 	startTime = time.Second
+	// heirTime is the time in which an accountant learns who ran operations when it began.
+	heirTime = 5 * time.Second
 	// tightPart is the part of what may be run at once below which nobody runs anything
 	// without a lease.
 	tightPart = 0.25
@@ -112,6 +114,10 @@
 		Waiting int
 		// Demand is how many were asked for a second, lately.
 		Demand float64
+		// Part is what the accountant before this one has told that the instance may run a
+		// second while it is cut off; Told is set where one has.
+		Part float64
+		Told bool
 	}
 
 	// Report is one instance's.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -321,6 +321,32 @@
 	}
 }
 
+// Guards against an accountant that begins during a cut giving out what those that are cut off
+// run: with uneven demand that is more than an even share.
+func TestAccountantDiesInACut(t *testing.T) {
+	for _, l := range limits {
+		t.Run(fmt.Sprint(l.PerSecond), func(t *testing.T) {
+			f := open(1, 24, l)
+			uneven := func(n int) float64 {
+				if n >= 18 {
+					return 8 * l.PerSecond / 6
+				}
+				return l.PerSecond / 24
+			}
+			f.play(10*time.Second, uneven)
+			f.cutOff(18, 24)
+			f.play(5*time.Second, uneven)
+			f.replaceAccountant(1)
+			hot := func(int) float64 { return l.PerSecond }
+			f.play(20*time.Second, hot)
+			f.check(t)
+			f.replaceAccountant(2)
+			f.play(20*time.Second, hot)
+			f.check(t)
+		})
+	}
+}
+
 // Instances are cut off, pause, start again with nothing, all at once at times; the
 // accountant dies and another takes over, or nobody does for a while; answers are lost; the
 // customer's load jumps between nothing and eight times its limit. In no window does more run
--- a/internal/limiter/meter.go
+++ b/internal/limiter/meter.go
@@ -221,7 +221,7 @@
 	r := Report{Instance: m.Instance, Run: m.Run, Number: m.number, New: m.known == 0}
 	for name, c := range m.customers {
 		ended := c.ended(now)
-		if !ended && c.unreported.sum(now) == 0 && c.waiting == 0 && !(r.New && c.ran.sum(now) > 0) {
+		if !ended && c.unreported.sum(now) == 0 && c.waiting == 0 && !(r.New && (c.told != 0 || c.ran.sum(now) > 0)) {
 			continue
 		}
 		s := Spending{Customer: name, Used: c.unreported.list(now), Waiting: c.waiting, Demand: c.now(now)}
@@ -229,7 +229,7 @@
 			s.Held = c.tokens
 		}
 		if r.New {
-			s.Before = c.ran.list(now)
+			s.Before, s.Part, s.Told = c.ran.list(now), c.part, c.told != 0
 		}
 		r.Spendings = append(r.Spendings, s)
 		c.sent, c.unreported = c.unreported, window{}
