Limiter: nothing is leased to an instance before it has told what it ran

Cause: the first reports that reach an accountant which has started again come from instances that have not noticed. They were leased to from a fresh account, and as they were no strangers when they told of the time before, their parts were not taken into account. Ledger.Run rises when accounts are opened, also in the same process, so that nobody is taken for having told. Why it works: no lease of a new account precedes the telling of who gets it.

The desk of ledger_test.go now tells in its reports (New), as a first report must; its checks are unchanged. Test, failing before, in the commit.

--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -14,7 +14,8 @@
 	// exported fields before use; its methods may be called from any goroutine.
 	Ledger struct {
 		Tolerance Tolerance
-		// Run tells the lives of this instance apart.
+		// Run tells the lives of this instance apart; it rises each time that accounts are
+		// opened.
 		Run uint64
 		// Expected, when set, lists the instances that run operations. What one may run that
 		// doesn't report here is withheld: it may be cut off, or report to another that takes
@@ -34,7 +35,7 @@
 	reporter struct {
 		run, number uint64
 		heard       Stamp
-		// told is set once it has told what it ran before this ledger began, left once it
+		// told is set once it has told what it ran before these accounts began, left once it
 		// reports to another.
 		told, left bool
 	}
@@ -112,6 +113,7 @@
 
 func (l *Ledger) open(now Stamp) {
 	l.accounts, l.reporters, l.heirs, l.began = map[string]*account{}, map[string]*reporter{}, map[string]bool{}, now
+	l.Run++
 }
 
 // Take takes a report in and answers it. limits returns a customer's limit; one that has none
@@ -128,9 +130,6 @@
 		l.reporters[r.Instance] = from
 	}
 	gap := now - from.heard
-	if gap > Slots*slotTime {
-		from.told = false
-	}
 	from.heard = now
 	again := from.run == r.Run && r.Number <= from.number
 	if ok && from.run != r.Run {
@@ -142,13 +141,18 @@
 	from.left = r.Leaves
 	away := l.away(now)
 	answer := Answer{Run: l.Run}
+	if !from.told && !r.New {
+		// It has not noticed that these accounts are new, and will tell what ran before.
+		return answer
+	}
+	inherits := !from.told
 	for _, s := range r.Spendings {
 		limit := limits(s.Customer)
 		if !limit.Limited() {
 			continue
 		}
 		a := l.account(now, s.Customer, limit, away)
-		if !ok && s.Told {
+		if inherits && s.Told {
 			a.inherited, a.told = a.inherited+s.Part, true
 		}
 		if again {
--- a/internal/limiter/ledger_test.go
+++ b/internal/limiter/ledger_test.go
@@ -25,7 +25,7 @@
 
 // report takes in one customer's spending in an instance's first life.
 func (d *desk) report(instance string, s limiter.Spending) limiter.Allowance {
-	return d.take(limiter.Report{Instance: instance, Run: 1, Spendings: []limiter.Spending{s}})
+	return d.take(limiter.Report{Instance: instance, Run: 1, New: true, Spendings: []limiter.Spending{s}})
 }
 
 func (d *desk) take(r limiter.Report) limiter.Allowance {
@@ -64,3 +64,13 @@
 	d.report("a", limiter.Spending{Used: []int{leased, 0, 0, 0, 0, 0}})
 	must.Eq(t, float64(leased), d.balance().Used)
 }
+
+// Guards against leases for an instance that has not told a new accountant what it ran before.
+func TestNothingIsLeasedBeforeTheTelling(t *testing.T) {
+	d := newDesk(limits[1], "a")
+	d.report("a", limiter.Spending{Waiting: 10, Demand: 10})
+	d.ledger = &limiter.Ledger{Run: 5, Tolerance: tolerance, Expected: d.ledger.Expected}
+	unaware := d.take(limiter.Report{Instance: "a", Run: 1, Spendings: []limiter.Spending{{Waiting: 10, Demand: 10}}})
+	must.Eq(t, limiter.Allowance{}, unaware)
+	must.Positive(t, d.report("a", limiter.Spending{Waiting: 10, Demand: 10}).Tokens)
+}
