Limiter: instances don't all run a saved operation in the same moment

Cause: each instance had one operation saved for each customer, when it was new as well as when it began to go by its part. 24 of them are many bursts of a small customer. Change: an instance that is new runs one unasked where its rank (a hash over instances) is within a quarter of the burst, else it asks. One that begins to go by its part starts at that rank between two operations, so that all together begin at the rate of their parts. Why it works: the sum of what is saved in that moment is bounded by the burst, not by the number of instances; the rate of each is as before.

Tests, failing before: TestAllStartAgainAndAgain (two of three limits), TestAccountantFallsSilent (24 operations where 10.5 are allowed).

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -63,6 +63,9 @@
 	// partHeadroom is by how much more than it was asked for lately an instance may run while
 	// it is cut off, if the limit allows it. What it leaves is for the others.
 	partHeadroom = 1.6
+	// firstPart is the part of the burst that all instances together may run of a customer
+	// before they have asked an accountant for the first time.
+	firstPart = 0.25
 	// untoldPart is the part of the limit that all instances together may run of a customer
 	// of which no accountant has told them: a customer at its usual load needs most of it.
 	untoldPart = 0.75
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -347,6 +347,41 @@
 	}
 }
 
+// Guards against each instance running an operation of a small customer before it has asked, as
+// often as all of them start again.
+func TestAllStartAgainAndAgain(t *testing.T) {
+	for _, l := range limits {
+		t.Run(fmt.Sprint(l.PerSecond), func(t *testing.T) {
+			f := open(1, 24, l)
+			for range 5 {
+				f.play(700*time.Millisecond, func(int) float64 { return 8 * l.PerSecond / 24 })
+				for n := range f.nodes {
+					f.restart(n)
+				}
+				f.play(700*time.Millisecond, func(int) float64 { return 0 })
+			}
+			f.check(t)
+		})
+	}
+}
+
+// Guards against each instance running an operation of a small customer at the moment when the
+// accountant falls silent.
+func TestAccountantFallsSilent(t *testing.T) {
+	for _, l := range limits {
+		t.Run(fmt.Sprint(l.PerSecond), func(t *testing.T) {
+			f := open(1, 24, l)
+			f.play(20*time.Second, func(int) float64 { return l.PerSecond / 1.6 / 24 })
+			f.accountant = -1
+			silent := 2500 * time.Millisecond
+			f.play(silent, func(int) float64 { return 0 })
+			before := sum(f.ran)
+			f.play(100*time.Millisecond, func(int) float64 { return 100 })
+			must.LessEq(t, l.Burst+l.PerSecond*silent.Seconds(), float64(sum(f.ran)-before))
+		})
+	}
+}
+
 // Instances are cut off, pause, start again with nothing, all at once at times; the
 // accountant dies and another takes over, or nobody does for a while; answers are lost; the
 // customer's load jumps between nothing and eight times its limit. In no window does more run
--- a/internal/limiter/meter.go
+++ b/internal/limiter/meter.go
@@ -1,6 +1,8 @@
 package limiter
 
 import (
+	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -83,6 +85,10 @@
 		part    float64
 		saved   float64
 		savedAt Stamp
+		// phase is where between two operations an instance begins that goes by its part; alone
+		// is set while it does.
+		phase float64
+		alone bool
 	}
 )
 
@@ -95,12 +101,16 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	c := m.customer(now, name)
+	c := m.customer(now, name, limit)
 	if turn == First {
 		c.want(now)
 	}
 	isolated := m.isolated(now)
-	c.save(now, limit, m.Instances(), isolated)
+	if isolated && !c.alone {
+		c.isolate(m.asked + isolatedAfter)
+	}
+	c.alone = isolated
+	c.save(now, limit, m.Instances())
 	switch {
 	case c.tokens > 0 && now < c.until:
 		c.tokens--
@@ -126,7 +136,9 @@
 func (m *Meter) Undo(now Stamp, name string) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.customer(now, name).unreported.undo(now)
+	if c, ok := m.customers[name]; ok {
+		c.unreported.undo(now)
+	}
 }
 
 // Wait notes that operations of a customer wait for the accountant's answer; by is 1 when one
@@ -134,22 +146,43 @@
 func (m *Meter) Wait(now Stamp, name string, by int) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	c := m.customer(now, name)
-	c.waiting = max(0, c.waiting+by)
+	if c, ok := m.customers[name]; ok {
+		c.waiting = max(0, c.waiting+by)
+	}
 }
 
-func (m *Meter) customer(now Stamp, name string) *customer {
+// customer returns what is known of a customer, as one that is new where nothing is.
+func (m *Meter) customer(now Stamp, name string, limit identifier.Limit) *customer {
 	if m.customers == nil {
 		m.customers = map[string]*customer{}
 	}
 	c, ok := m.customers[name]
 	if !ok {
-		c = &customer{demandAt: now, savedAt: now, saved: 1}
+		c = &customer{demandAt: now, savedAt: now, phase: m.phase(name)}
+		c.saved = c.phase
+		if c.phase*float64(m.Instances()) < firstPart*limit.Burst {
+			c.saved = 1
+		}
 		m.customers[name] = c
 	}
 	return c
 }
 
+// phase is evenly spread from 0 to 1 over the instances.
+func (m *Meter) phase(customer string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(m.Instance + "/" + customer)) // never fails
+	return rand.New(rand.NewPCG(h.Sum64(), m.Run)).Float64()
+}
+
+// isolate begins to go by the instance's part, at a moment. Load pattern: all instances go by
+// their parts at once, when the accountant falls silent. With an operation saved by each, they
+// would run as many as there are in the same moment, many times what a small customer may.
+func (c *customer) isolate(at Stamp) {
+	c.saved = min(c.saved, c.phase)
+	c.savedAt = max(c.savedAt, at)
+}
+
 // want counts an operation that is asked for.
 func (c *customer) want(now Stamp) {
 	c.demand = decayed(c.demand, now-c.demandAt, demandHalf) + demandStep
@@ -175,12 +208,12 @@
 // save adds to what this instance may run of its part. Only one that is cut off saves more
 // than one operation: together with what is leased, all would run too many at once when the
 // accountant dies.
-func (c *customer) save(now Stamp, limit identifier.Limit, instances int, isolated bool) {
+func (c *customer) save(now Stamp, limit identifier.Limit, instances int) {
 	rate, most := c.rate(limit, instances), 1.0
-	if isolated {
+	if c.alone {
 		most = max(1, rate*isolatedSpan.Seconds())
 	}
-	c.saved = min(most, c.saved+rate*(now-c.savedAt).Seconds())
+	c.saved = min(most, c.saved+rate*max(0, now-c.savedAt).Seconds())
 	c.savedAt = now
 }
 
