Limits are shared out over instances that both sides of a cut agree on

Users would see limits exceeded in a cut that lasts longer than it takes to hide a peer (two failed calls): each side shared limits out over the instances that it still saw, and an instance that is alone took half of each limit for its own part.

Cause: the instances expected to run operations were those beside members among peers that may live; both sides replaced the hidden ones by others of their own. Change: Introducer.Remembered, also of hidden peers; Carrier.Lenders places over these. Whom statements go to is unchanged.

Test, failing before (it did not compile: All was the only list): TestHiddenPeersAreRemembered. internal/carrier, introducer and launcher pass.

--- a/internal/carrier/place.go
+++ b/internal/carrier/place.go
@@ -11,16 +11,25 @@
 
 // This file finds who holds connections.
 
-// Lenders returns the addresses of the instances that lend connections beside members, as far
-// as groups are placed so; groups lists the members of each.
+// Lenders returns the addresses of the instances that lend connections beside members while
+// none is cut off, as far as groups are placed so; groups lists the members of each. Both sides
+// of a cut agree on them.
 func (c *Carrier) Lenders(groups map[string][]string) []string {
+	zones := map[string][]introducer.Peer{}
+	for _, p := range c.Introducer.Remembered() {
+		zones[p.Zone] = append(zones[p.Zone], p)
+	}
 	var list []string
 	for group, members := range groups {
 		if c.placement(group) != concentrator.PlaceMember {
 			continue
 		}
 		for _, m := range members {
-			at := c.holders(group, m)
+			near := zones[c.zoneOf(group, m)]
+			if len(near) == 0 {
+				near = zones[c.Introducer.Self.Zone]
+			}
+			at := c.rank(m, near)
 			if len(at) == 0 {
 				continue
 			}
--- a/internal/introducer/introducer.go
+++ b/internal/introducer/introducer.go
@@ -278,6 +278,18 @@
 	return list
 }
 
+// Remembered returns this instance and all peers that are not forgotten, those that may be cut
+// off among them, in no order. It is the same on both sides of a cut.
+func (i *Introducer) Remembered() []Peer {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	list := []Peer{i.Self}
+	for _, k := range i.peers {
+		list = append(list, k.Peer)
+	}
+	return list
+}
+
 // All returns this instance and all peers that may live, in no order.
 func (i *Introducer) All(now tracker.Stamp) []Peer { return i.within(now, farDistance) }
 
--- a/internal/introducer/introducer_test.go
+++ b/internal/introducer/introducer_test.go
@@ -109,3 +109,13 @@
 	i.Met(0, peer("a1", "a"))
 	must.Eq(t, []string{"b1"}, names(i.Unmet(0, 5)))
 }
+
+// Guards against the sides of a cut sharing limits out over different instances.
+func TestHiddenPeersAreRemembered(t *testing.T) {
+	i := start()
+	i.Met(0, peer("a1", "a"))
+	i.Failed(time.Second, "a1:1")
+	i.Failed(time.Second, "a1:1")
+	must.Eq(t, []string{"me"}, names(i.All(time.Second)))
+	must.Eq(t, []string{"me", "a1"}, names(i.Remembered()))
+}
--- a/internal/launcher/limits.go
+++ b/internal/launcher/limits.go
@@ -134,7 +134,7 @@
 			return list
 		}
 		var all []string
-		for _, p := range n.teller.Introducer.All(i.Clock()) {
+		for _, p := range n.teller.Introducer.Remembered() {
 			all = append(all, p.Address)
 		}
 		return all
