Limiter: half of a limit is shared evenly, and no account begins with the whole

TestCutMovesCallers: 47 operations in 10 s where six of 24 instances should run 117.

Cause: an instance's part was what it had been asked for. Change: the even part (half of the rate over the expected instances) and beside it as much as demand and the sum of all parts allow; those told nothing have the even part, as the account withholds for them. An instance that is not expected has none before it is told one. The second in which a new account took nobody for missing is gone: each reporter opens its share. Why it works: even parts are the same on both sides of a cut, whoever keeps accounts.

Weighed: 0 (before), half; parts by where callers enter would fit better, and cost a report of each instance for each customer.

--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -35,6 +35,8 @@
 	reporter struct {
 		run, number uint64
 		heard       Stamp
+		// expected is set where it is one of the expected instances.
+		expected bool
 		// told is set once it has told what it ran before these accounts began, left once it
 		// reports to another.
 		told, left bool
@@ -42,13 +44,13 @@
 
 	// absence is which of the expected instances don't report.
 	absence struct {
-		expected int
+		// expected is how many there are, tellers how many of them have told of the time before
+		// these accounts began.
+		expected, tellers int
 		// silent have reported since the accounts began, and may be cut off. The others have
 		// not: heirs is how many did to the accountant before, fresh how many are new.
 		silent       []string
 		heirs, fresh int
-		// starting is set while others are taken not to have come yet.
-		starting bool
 	}
 
 	// account is one customer's.
@@ -62,9 +64,9 @@
 		at    Stamp
 		parts map[string]*part
 		// inherited is the sum of the parts that reporters were told before these accounts
-		// began, told whether any was.
+		// began, told how many were told one.
 		inherited float64
-		told      bool
+		told      int
 	}
 
 	// part is an instance's part in an account.
@@ -153,7 +155,7 @@
 		}
 		a := l.account(now, s.Customer, limit, away)
 		if inherits && s.Told {
-			a.inherited, a.told = a.inherited+s.Part, true
+			a.inherited, a.told = a.inherited+s.Part, a.told+1
 		}
 		if again {
 			s.Used = nil
@@ -206,13 +208,20 @@
 	if l.Expected == nil {
 		return absence{}
 	}
+	for _, r := range l.reporters {
+		r.expected = false
+	}
 	expected := l.Expected()
 	away := absence{expected: len(expected)}
 	for _, name := range expected {
 		if now-l.began < heirTime {
 			l.heirs[name] = true
 		}
-		switch r, ok := l.reporters[name]; {
+		r, ok := l.reporters[name]
+		if ok {
+			r.expected = true
+		}
+		switch {
 		case !ok && l.heirs[name]:
 			away.heirs++
 		case !ok:
@@ -220,8 +229,10 @@
 		case r.away(now):
 			away.silent = append(away.silent, name)
 		}
+		if ok && r.told {
+			away.tellers++
+		}
 	}
-	away.starting = now-l.began < startTime
 	return away
 }
 
@@ -281,7 +292,7 @@
 }
 
 // withheld is the part of the limit that is left to instances that may be cut off: each goes
-// by its part then, or where it was told none, by what all may run untold.
+// by its part then, or where it was told none, by the even one.
 func (a *account) withheld(now Stamp, away absence) float64 {
 	sum := a.unknown(away)
 	for _, p := range a.parts {
@@ -297,8 +308,8 @@
 // before has told to those that have not reported yet is at most what it has told to nobody
 // else; where nobody knows, an even share.
 func (a *account) unknown(away absence) float64 {
-	even := a.limit.PerSecond / float64(max(1, away.expected))
-	untold := away.fresh
+	even := evenPart * a.limit.PerSecond / float64(max(1, away.expected))
+	untold := float64(away.fresh)
 	for _, name := range away.silent {
 		if _, ok := a.parts[name]; !ok {
 			untold++
@@ -306,13 +317,37 @@
 	}
 	var inherited float64
 	switch {
-	case away.heirs == 0:
-	case a.told:
-		inherited = max(float64(away.heirs)*untoldPart*even, a.limit.PerSecond-a.inherited)
-	case !away.starting:
-		inherited = float64(away.heirs) * even
+	case a.told > 0 && away.heirs > 0:
+		reported := a.inherited + even*float64(max(0, away.tellers-a.told))
+		inherited = max(float64(away.heirs)*even, a.limit.PerSecond-reported)
+	case away.heirs > 0:
+		inherited = float64(away.heirs) / float64(away.expected) * a.limit.PerSecond
+	}
+	return min(a.limit.PerSecond, untold*even+inherited)
+}
+
+// alone is what an instance may run a second while it is cut off: the even part, and beside it
+// as much as it is asked for, as long as all parts are within the limit.
+func (a *account) alone(p *part, away absence, share float64) float64 {
+	var even float64
+	if p.expected {
+		even = evenPart * a.limit.PerSecond / float64(away.expected)
+	}
+	left := a.limit.PerSecond - a.promised(p) - a.unknown(away) - a.untold(away)
+	wanted := min(share*a.limit.PerSecond, partHeadroom*p.demand)
+	return max(even, min(wanted, left))
+}
+
+// untold is how many operations a second the expected instances may run that report, and are
+// told no part of this customer.
+func (a *account) untold(away absence) float64 {
+	n := away.expected - away.heirs - away.fresh
+	for _, p := range a.parts {
+		if p.expected {
+			n--
+		}
 	}
-	return min(a.limit.PerSecond, float64(untold)*untoldPart*even+inherited)
+	return evenPart * a.limit.PerSecond * float64(max(0, n)) / float64(max(1, away.expected))
 }
 
 // promised is what others than one instance may run a second while they are cut off.
@@ -371,9 +406,7 @@
 		share = p.demand / all
 	}
 	x := Allowance{Customer: s.Customer, Tight: available < tightPart*t.burst(a.limit)+untoldEach*float64(reporters)}
-	// All parts together are within the limit, also where some were told when the account
-	// knew of few instances.
-	p.alone = max(0, min(share*a.limit.PerSecond, partHeadroom*s.Demand, a.limit.PerSecond-a.promised(p)-a.unknown(away)))
+	p.alone = a.alone(p, away, share)
 	x.Part = p.alone
 	// What waits now may take all there is; what may come, the instance's part of it. An
 	// operation that may not come is leased to nobody: dozens of instances with one each
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -13,15 +13,23 @@
 // window w. So does the account: it leases no more than that and mostPart of the excess that
 // is tolerated for the counting by many, which is called room:
 //
-//	run(w) <= rate x w + burst + mostPart x room + first + fresh + cut
+//	run(w) <= rate x w + burst + mostPart x room + first + fresh + gap
 //
-// where first is one operation an instance that has no lease and reports afterwards; fresh
-// what was run before the accountant began and is not reported to it by those that ran it,
-// as they are gone; and cut what instances run that can't reach the accountant: each its part
-// of the rate, which the accountant withholds as long as it doesn't hear of them. The rest of
-// room is left for these. Within the window a flow spreads what is run, so that a customer
-// that sends many times its limit is served evenly and not all at once each window; it also
-// bounds what is run across the change to an accountant that knows nothing.
+// where first is what is run without a lease and reported afterwards, at most one operation an
+// instance; fresh what an account without a past leases at once, freshPart x (burst + burstPart
+// x room), after all that ran before has been lost with those that ran it; and gap what an
+// instance runs from when it is cut off until it is missed. The rest of room is for these.
+//
+// An instance that can't reach the accountant goes by its part of the rate: an even one, of
+// evenPart x rate, and beside it what it was asked for. All parts of an accountant are within
+// the rate, and it withholds those of instances that it doesn't hear. One that takes over
+// withholds what it can't know: the rate less the parts of those that have reported to it. So
+// the sides of a cut share the rate whichever of them keep accounts, and
+//
+//	leased a second, all sides + parts of those cut off <= rate + burst / window
+//
+// Within the window a flow spreads what is run, so that a customer that sends many times its
+// limit is served evenly and not all at once each window.
 package limiter
 
 import (
@@ -39,8 +47,6 @@
 	burstPart = 0.35
 	// freshPart is the part of what may be run at once with which an account begins.
 	freshPart = 0.6
-	// startTime is the time in which those that report are taken not to have come yet.
-	startTime = time.Second
 	// heirTime is the time in which an accountant learns who ran operations when it began.
 	heirTime = 5 * time.Second
 	// tightPart is the part of what may be run at once below which nobody runs anything
@@ -66,9 +72,10 @@
 	// firstPart is the part of the burst that all instances together may run of a customer
 	// before they have asked an accountant for the first time.
 	firstPart = 0.25
-	// untoldPart is the part of the limit that all instances together may run of a customer
-	// of which no accountant has told them: a customer at its usual load needs most of it.
-	untoldPart = 0.75
+	// evenPart is the part of the limit that all instances share evenly while they are cut
+	// off, whatever each was asked for: a cut also moves callers, and those that no accountant
+	// has told anything have no more.
+	evenPart = 0.5
 	// forgottenAfter is when an instance that has not reported is gone rather than cut off.
 	forgottenAfter = 30 * time.Second
 	// ReportInterval is how often an instance reports what it has run.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -382,6 +382,32 @@
 	}
 }
 
+// Guards against callers that a cut has moved being refused by instances that were asked for
+// little before it: six of 24 may run an eighth of the limit.
+func TestCutMovesCallers(t *testing.T) {
+	l := limits[0]
+	f := open(1, 24, l)
+	usual := l.PerSecond / 1.6 / 24
+	f.play(10*time.Second, func(n int) float64 {
+		if n >= 18 {
+			return usual / 10
+		}
+		return usual
+	})
+	f.cutOff(18, 24)
+	moved := func(n int) float64 {
+		if n >= 18 {
+			return usual
+		}
+		return 0
+	}
+	f.play(2*time.Second, moved)
+	ran := sum(f.ran)
+	f.play(10*time.Second, moved)
+	must.Greater(t, 0.8*l.PerSecond/8*10, float64(sum(f.ran)-ran))
+	f.check(t)
+}
+
 // Instances are cut off, pause, start again with nothing, all at once at times; the
 // accountant dies and another takes over, or nobody does for a while; answers are lost; the
 // customer's load jumps between nothing and eight times its limit. In no window does more run
--- a/internal/limiter/meter.go
+++ b/internal/limiter/meter.go
@@ -110,7 +110,7 @@
 		c.isolate(m.asked + isolatedAfter)
 	}
 	c.alone = isolated
-	c.save(now, limit, m.Instances())
+	c.save(now, limit, m.Instances(), m.Lends())
 	switch {
 	case c.tokens > 0 && now < c.until:
 		c.tokens--
@@ -120,7 +120,7 @@
 		// customers otherwise, a round trip each.
 		c.saved--
 	case isolated:
-		return Refuse, comeBack((1 - c.saved) / max(c.rate(limit, m.Instances()), leastDemand))
+		return Refuse, comeBack((1 - c.saved) / max(c.rate(limit, m.Instances(), m.Lends()), leastDemand))
 	case now < c.refused:
 		return Refuse, max(c.more-now, shortestAgain)
 	case turn == Last:
@@ -197,10 +197,14 @@
 	return m.asked != 0 && m.asked > m.answered && now-m.asked > isolatedAfter
 }
 
-// rate is this instance's part of a customer's limit, in operations a second.
-func (c *customer) rate(limit identifier.Limit, instances int) float64 {
+// rate is this instance's part of a customer's limit, in operations a second. One that isn't
+// expected to run operations has none before an accountant tells it one.
+func (c *customer) rate(limit identifier.Limit, instances int, lends bool) float64 {
+	if c.told == 0 && !lends {
+		return 0
+	}
 	if c.told == 0 {
-		return untoldPart * limit.PerSecond / float64(max(1, instances))
+		return evenPart * limit.PerSecond / float64(max(1, instances))
 	}
 	return min(c.part, limit.PerSecond)
 }
@@ -208,8 +212,8 @@
 // save adds to what this instance may run of its part. Only one that is cut off saves more
 // than one operation: together with what is leased, all would run too many at once when the
 // accountant dies.
-func (c *customer) save(now Stamp, limit identifier.Limit, instances int) {
-	rate, most := c.rate(limit, instances), 1.0
+func (c *customer) save(now Stamp, limit identifier.Limit, instances int, lends bool) {
+	rate, most := c.rate(limit, instances, lends), 1.0
 	if c.alone {
 		most = max(1, rate*isolatedSpan.Seconds())
 	}
