--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -23,9 +23,9 @@
 		// of each other.
 		Expected func() []string
 
-		// began is when this instance became the accountant, heirs who ran operations then.
+		// began is when this instance became the accountant, earlier who ran operations then.
 		began     Stamp
-		heirs     map[string]bool
+		earlier   map[string]bool
 		mutex     sync.Mutex
 		accounts  map[string]*account
 		reporters map[string]*reporter
@@ -42,17 +42,6 @@
 		told, left bool
 	}
 
-	// absence is which of the expected instances don't report.
-	absence struct {
-		// expected is how many there are, tellers how many of them have told of the time before
-		// these accounts began.
-		expected, tellers int
-		// silent have reported since the accounts began, and may be cut off. The others have
-		// not: heirs is how many did to the accountant before, fresh how many are new.
-		silent       []string
-		heirs, fresh int
-	}
-
 	// account is one customer's.
 	account struct {
 		limit identifier.Limit
@@ -114,7 +103,7 @@
 }
 
 func (l *Ledger) open(now Stamp) {
-	l.accounts, l.reporters, l.heirs, l.began = map[string]*account{}, map[string]*reporter{}, map[string]bool{}, now
+	l.accounts, l.reporters, l.earlier, l.began = map[string]*account{}, map[string]*reporter{}, map[string]bool{}, now
 	l.Run++
 }
 
@@ -203,42 +192,6 @@
 	return a
 }
 
-// away returns which of the instances that run operations don't report here.
-func (l *Ledger) away(now Stamp) absence {
-	if l.Expected == nil {
-		return absence{}
-	}
-	for _, r := range l.reporters {
-		r.expected = false
-	}
-	expected := l.Expected()
-	away := absence{expected: len(expected)}
-	for _, name := range expected {
-		if now-l.began < heirTime {
-			l.heirs[name] = true
-		}
-		r, ok := l.reporters[name]
-		if ok {
-			r.expected = true
-		}
-		switch {
-		case !ok && l.heirs[name]:
-			away.heirs++
-		case !ok:
-			away.fresh++
-		case r.away(now):
-			away.silent = append(away.silent, name)
-		}
-		if ok && r.told {
-			away.tellers++
-		}
-	}
-	return away
-}
-
-// away reports whether the instance may be cut off, or report to another.
-func (r *reporter) away(now Stamp) bool { return r.left || now-r.heard > silentAfter }
-
 // advance brings an account to a moment.
 func (a *account) advance(now Stamp, t Tolerance, away absence) {
 	for name, p := range a.parts {
@@ -291,76 +244,6 @@
 	return min(a.flow, most-float64(a.used.sum(now))) - leased
 }
 
-// withheld is the part of the limit that is left to instances that may be cut off: each goes
-// by its part then, or where it was told none, by the even one.
-func (a *account) withheld(now Stamp, away absence) float64 {
-	sum := a.unknown(away)
-	for _, p := range a.parts {
-		if p.away(now) {
-			sum += p.alone
-		}
-	}
-	return min(1, sum/a.limit.PerSecond)
-}
-
-// unknown is how many operations a second those may run that have told this accountant
-// nothing of the customer. All parts together are within the limit. So what the accountant
-// before has told to those that have not reported yet is at most what it has told to nobody
-// else; where nobody knows, an even share.
-func (a *account) unknown(away absence) float64 {
-	even := evenPart * a.limit.PerSecond / float64(max(1, away.expected))
-	untold := float64(away.fresh)
-	for _, name := range away.silent {
-		if _, ok := a.parts[name]; !ok {
-			untold++
-		}
-	}
-	var inherited float64
-	switch {
-	case a.told > 0 && away.heirs > 0:
-		reported := a.inherited + even*float64(max(0, away.tellers-a.told))
-		inherited = max(float64(away.heirs)*even, a.limit.PerSecond-reported)
-	case away.heirs > 0:
-		inherited = float64(away.heirs) / float64(away.expected) * a.limit.PerSecond
-	}
-	return min(a.limit.PerSecond, untold*even+inherited)
-}
-
-// alone is what an instance may run a second while it is cut off: the even part, and beside it
-// as much as it is asked for, as long as all parts are within the limit.
-func (a *account) alone(p *part, away absence, share float64) float64 {
-	var even float64
-	if p.expected {
-		even = evenPart * a.limit.PerSecond / float64(away.expected)
-	}
-	left := a.limit.PerSecond - a.promised(p) - a.unknown(away) - a.untold(away)
-	wanted := min(share*a.limit.PerSecond, partHeadroom*p.demand)
-	return max(even, min(wanted, left))
-}
-
-// untold is how many operations a second the expected instances may run that report, and are
-// told no part of this customer.
-func (a *account) untold(away absence) float64 {
-	n := away.expected - away.heirs - away.fresh
-	for _, p := range a.parts {
-		if p.expected {
-			n--
-		}
-	}
-	return evenPart * a.limit.PerSecond * float64(max(0, n)) / float64(max(1, away.expected))
-}
-
-// promised is what others than one instance may run a second while they are cut off.
-func (a *account) promised(but *part) float64 {
-	var sum float64
-	for _, p := range a.parts {
-		if p != but {
-			sum += p.alone
-		}
-	}
-	return sum
-}
-
 // now is the demand at the instance: that of one that is cut off goes on as it was.
 func (p *part) now(now Stamp) float64 {
 	if p.away(now) {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -13,10 +13,10 @@
 // window w. So does the account: it leases no more than that and mostPart of the excess that
 // is tolerated for the counting by many, which is called room:
 //
-//	run(w) <= rate x w + burst + mostPart x room + first + fresh + gap
+//	run(w) <= rate x w + burst + mostPart x room + first + new + gap
 //
 // where first is what is run without a lease and reported afterwards, at most one operation an
-// instance; fresh what an account without a past leases at once, freshPart x (burst + burstPart
+// instance; new what an account without a past leases at once, freshPart x (burst + burstPart
 // x room), after all that ran before has been lost with those that ran it; and gap what an
 // instance runs from when it is cut off until it is missed. The rest of room is for these.
 //
@@ -47,8 +47,9 @@
 	burstPart = 0.35
 	// freshPart is the part of what may be run at once with which an account begins.
 	freshPart = 0.6
-	// heirTime is the time in which an accountant learns who ran operations when it began.
-	heirTime = 5 * time.Second
+	// firstPart is the part of the burst that all instances together may run of a customer
+	// before they have asked an accountant for the first time.
+	firstPart = 0.25
 	// tightPart is the part of what may be run at once below which nobody runs anything
 	// without a lease.
 	tightPart = 0.25
@@ -62,20 +63,8 @@
 	// leaseAhead is the time for which operations are leased that may come: one report later
 	// than the next, which may be lost. All that is leased and not needed is missing elsewhere.
 	leaseAhead = 800 * time.Millisecond
-	// silentAfter is when an instance that has not reported may be cut off; one that is
-	// asked for operations reports at least each restInterval.
-	silentAfter  = 2 * time.Second
+	// restInterval is how often an instance reports that runs nothing.
 	restInterval = 800 * time.Millisecond
-	// partHeadroom is by how much more than it was asked for lately an instance may run while
-	// it is cut off, if the limit allows it. What it leaves is for the others.
-	partHeadroom = 1.6
-	// firstPart is the part of the burst that all instances together may run of a customer
-	// before they have asked an accountant for the first time.
-	firstPart = 0.25
-	// evenPart is the part of the limit that all instances share evenly while they are cut
-	// off, whatever each was asked for: a cut also moves callers, and those that no accountant
-	// has told anything have no more.
-	evenPart = 0.5
 	// forgottenAfter is when an instance that has not reported is gone rather than cut off.
 	forgottenAfter = 30 * time.Second
 	// ReportInterval is how often an instance reports what it has run.
