Carrier test: the pool's fields are set before it runs

go test -race ./internal/carrier failed in TestLoansTakeOneHop: the test set Elsewhere, Central and Carry on a pool that ran, while Tend read them. The fault is the test's: exported fields are set before Run, and the product does (launcher). The test now prepares the pool first; what it asserts is unchanged. -race, 5 runs: passes.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -38,6 +38,12 @@
 const lenderAddress = "10.8.0.1:7100"
 
 func play(t *testing.T, happens func(t *testing.T, s *stage)) {
+	t.Helper()
+	playPool(t, func(*lender.Pool) {}, happens)
+}
+
+// playPool is play with fields of the lender's pool set before it runs.
+func playPool(t *testing.T, prepare func(*lender.Pool), happens func(t *testing.T, s *stage)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -51,6 +57,7 @@
 		host := n.Host("10.8.0.1", "a")
 		s := &stage{net: n, pool: &lender.Pool{Group: known, Network: host, Codec: platform.Lines{}, Who: "lender", Clock: clock}}
 		s.pool.Configure(8, nil)
+		prepare(s.pool)
 		nobody := &introducer.Introducer{Self: introducer.Peer{Name: "lender", Address: lenderAddress, Zone: "a"}, Near: known.Near}
 		s.lender = &carrier.Carrier{
 			Introducer: nobody, Codec: platform.Lines{}, Clock: clock, Leaving: s.leaving.Load, Log: func(...any) {},
@@ -196,15 +203,17 @@
 // connections or not at all: passed on, a request would go round until its time is up, and
 // take a lane from each instance on its way.
 func TestLoansTakeOneHop(t *testing.T) {
-	play(t, func(t *testing.T, s *stage) {
-		var passedOn atomic.Int64
-		pass := func() (*lender.Conn, error) {
-			passedOn.Add(1)
-			return nil, lender.ErrFull
-		}
-		s.pool.Elsewhere = func(string, string) bool { return true }
-		s.pool.Central = func(context.Context, string, lender.Request) (*lender.Conn, error) { return pass() }
-		s.pool.Carry = func(context.Context, string, []string, lender.Request) (*lender.Conn, error) { return pass() }
+	var passedOn atomic.Int64
+	pass := func() (*lender.Conn, error) {
+		passedOn.Add(1)
+		return nil, lender.ErrFull
+	}
+	prepare := func(p *lender.Pool) {
+		p.Elsewhere = func(string, string) bool { return true }
+		p.Central = func(context.Context, string, lender.Request) (*lender.Conn, error) { return pass() }
+		p.Carry = func(context.Context, string, []string, lender.Request) (*lender.Conn, error) { return pass() }
+	}
+	playPool(t, prepare, func(t *testing.T, s *stage) {
 		x, end := s.stream(t)
 		defer end()
 		must.NoError(t, x.Send(ask("g-1")))
