--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -275,12 +275,8 @@
 	f := open(1, 24, limits[0])
 	usual := func(int) float64 { return limits[0].PerSecond / 1.6 / 24 }
 	f.play(10*time.Second, usual)
-	for n := 18; n < 24; n++ {
-		f.nodes[n].cut = true
-	}
-	ran, refused := sum(f.ran), sum(f.refused)
-	f.play(20*time.Second, usual)
-	must.Less(t, 0.05, float64(sum(f.refused)-refused)/float64(sum(f.ran)-ran))
+	f.cutOff(18, 24)
+	must.Less(t, 0.05, f.refusedIn(20*time.Second, usual))
 	f.check(t)
 }
 
@@ -292,16 +288,10 @@
 			f := open(1, 24, l)
 			usual := func(int) float64 { return 0.9 * l.PerSecond / 24 }
 			f.play(10*time.Second, usual)
-			for n := 18; n < 24; n++ {
-				f.nodes[n].cut = true
-			}
+			f.cutOff(18, 24)
 			f.play(10*time.Second, usual)
-			for n := 18; n < 24; n++ {
-				f.nodes[n].cut = false
-			}
-			ran, refused := sum(f.ran), sum(f.refused)
-			f.play(5*time.Second, usual)
-			must.Less(t, 0.05, float64(sum(f.refused)-refused)/float64(sum(f.ran)-ran))
+			f.heal()
+			must.Less(t, 0.05, f.refusedIn(5*time.Second, usual))
 			f.check(t)
 		})
 	}
@@ -434,6 +424,20 @@
 	}
 }
 
+// heal ends all cuts.
+func (f *fleet) heal() {
+	for _, x := range f.nodes {
+		x.cut = false
+	}
+}
+
+// refusedIn plays on and returns how many operations are refused for each that is run.
+func (f *fleet) refusedIn(lasts time.Duration, perSecond func(node int) float64) float64 {
+	ran, refused := sum(f.ran), sum(f.refused)
+	f.play(lasts, perSecond)
+	return float64(sum(f.refused)-refused) / float64(sum(f.ran)-ran)
+}
+
 // replaceAccountant has another instance keep the accounts from now on.
 func (f *fleet) replaceAccountant(n int) {
 	f.accountant, f.accounts = n, f.ledger()
@@ -451,9 +455,7 @@
 			f.nodes[i].cut = i != f.accountant && f.random.Float64() < 0.17
 		}
 	case 1:
-		for _, x := range f.nodes {
-			x.cut = false
-		}
+		f.heal()
 	case 2:
 		f.restart(n)
 	case 3: // all lose power
