Elector: who is due to be asked is worked out before anybody is asked

go test -race: seven of internal/elector's tests failed, four of them with this race. Callers saw nothing that is known; a status read while it is written may be half of two answers, and the lead is moved on what is read.

Cause: observe started the question to a member and went on to ask due() about the next, which reads what the primary said. Evidence: noted (link.go) against due (keeper.go). Change: two loops. Why it works: nobody writes a link before the last read.

--- a/internal/elector/keeper.go
+++ b/internal/elector/keeper.go
@@ -207,12 +207,17 @@
 // observe asks all members at once.
 func (k *Keeper) observe(ctx context.Context) View {
 	k.list()
-	var asked sync.WaitGroup
+	// Who is due depends on what the primary said, which its answer changes.
+	var due []*link
 	for _, l := range k.links {
 		if k.due(l) {
-			asked.Go(func() { k.ask(ctx, l) })
+			due = append(due, l)
 		}
 	}
+	var asked sync.WaitGroup
+	for _, l := range due {
+		asked.Go(func() { k.ask(ctx, l) })
+	}
 	asked.Wait()
 	v := k.view()
 	k.countOut()
