Elector: each keeper reports its end on its own channel

go test -race: TestStoreAway. Cause: a keeper's end was sent on whatever duty.ended held when it ended. After a duty was lost and taken again, the old keeper's end went to the new one's channel, and end() gave the lease back without waiting for the keeper that runs: two instances could act for one group for a moment. Evidence: begin against begin.func1. Change: the channel is captured. Why it works: end() waits for the keeper whose channel it holds.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -384,8 +384,10 @@
 	d.held = true
 	e.Log("event", "duty-taken", "group", group, "fence", d.record.Revision)
 	keep, cancel := context.WithCancel(ctx)
-	d.cancel, d.ended = cancel, make(chan error, 1)
-	go func() { d.ended <- e.Keep(keep, group, &Duty{elector: e, group: group}) }()
+	// The duty may be taken again before this keeper has ended.
+	ended := make(chan error, 1)
+	d.cancel, d.ended = cancel, ended
+	go func() { ended <- e.Keep(keep, group, &Duty{elector: e, group: group}) }()
 }
 
 // encode writes a record in this instance's name, under a lease.
