Elector tests: fields are set before what uses them runs, or under its mutex

Three tests (TestChangeRightAfterClosing, TestReasonEndsBeforeFence, TestNobodyTriesWithoutStore) failed under -race for what they did themselves. Assertions unchanged.

--- a/internal/elector/change_test.go
+++ b/internal/elector/change_test.go
@@ -50,7 +50,10 @@
 }
 
 func (d *fakeDuty) Fence(_ context.Context, f elector.Facts) (int64, error) {
-	time.Sleep(d.slow)
+	d.mutex.Lock()
+	slow := d.slow
+	d.mutex.Unlock()
+	time.Sleep(slow)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.fence++
@@ -58,6 +61,13 @@
 	return d.fence, nil
 }
 
+// set changes the duty while a keeper has it.
+func (d *fakeDuty) set(change func()) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	change()
+}
+
 func (d *fakeDuty) Facts() elector.Facts {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -283,7 +293,7 @@
 // it, its replicas resumed, and a caller's write lost.
 func TestChangeRightAfterClosing(t *testing.T) {
 	play(t, func(t *testing.T, s *stage) {
-		s.duty.facts.Open = true
+		s.duty.set(func() { s.duty.facts.Open = true })
 		time.Sleep(300 * time.Millisecond)
 		s.group.Leave("g-1")
 		time.Sleep(5 * time.Second)
@@ -527,7 +537,7 @@
 func TestReasonEndsBeforeFence(t *testing.T) {
 	play(t, func(t *testing.T, s *stage) {
 		time.Sleep(2 * time.Second)
-		s.duty.slow = time.Second
+		s.duty.set(func() { s.duty.slow = time.Second })
 		begins := s.on("move-begins")
 		s.group.Crash("g-1")
 		<-begins
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -25,10 +25,14 @@
 }
 
 func startHolder(ctx context.Context, m *storer.Memory, name string, clock func() tracker.Stamp, turn func(group, last string) int) *holder {
+	return startHolderInTouch(ctx, m, name, clock, turn, nil)
+}
+
+func startHolderInTouch(ctx context.Context, m *storer.Memory, name string, clock func() tracker.Stamp, turn func(group, last string) int, inTouch func() bool) *holder {
 	ctx, cancel := context.WithCancel(ctx)
 	h := &holder{cancel: cancel, ended: make(chan error, 2)}
 	h.elector = &elector.Elector{
-		Store: m, Clock: clock, Name: name, Groups: func() []string { return []string{"g"} }, Turn: turn,
+		Store: m, Clock: clock, Name: name, Groups: func() []string { return []string{"g"} }, Turn: turn, InTouch: inTouch,
 		Keep: func(ctx context.Context, _ string, d *elector.Duty) error {
 			h.duty.Store(d)
 			<-ctx.Done()
@@ -273,8 +277,7 @@
 		clock := func() tracker.Stamp { return time.Since(begin) + time.Hour }
 		var away atomic.Bool
 		away.Store(true)
-		h := startHolder(ctx, m, "a", clock, func(string, string) int { return 2 })
-		h.elector.InTouch = func() bool { return !away.Load() }
+		h := startHolderInTouch(ctx, m, "a", clock, func(string, string) int { return 2 }, func() bool { return !away.Load() })
 		time.Sleep(time.Minute)
 		must.Eq(t, 0, m.Calls()["grant"])
 		away.Store(false)
