--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -390,40 +389,6 @@
 	go func() { ended <- e.Keep(keep, group, &Duty{elector: e, group: group}) }()
 }
 
-// encode writes a record in this instance's name, under a lease.
-func (e *Elector) encode(r record, lease storer.Lease) []byte {
-	r.Holder, r.Lease = e.Name, int64(lease)
-	text, err := json.Marshal(r)
-	if err != nil {
-		panic("elector: record: " + err.Error())
-	}
-	return text
-}
-
-// errNoHolder rejects a record that names nobody.
-var errNoHolder = errors.New("it names no holder")
-
-// read reads a record.
-func read(value []byte) (record, error) {
-	var r record
-	if err := json.Unmarshal(value, &r); err != nil {
-		return record{}, err
-	}
-	if r.Holder == "" {
-		return record{}, errNoHolder
-	}
-	return r, nil
-}
-
-// decode reads a record that Saw or take has let in; without one it names nobody.
-func decode(value []byte) record {
-	r, err := read(value)
-	if err != nil {
-		return record{}
-	}
-	return r
-}
-
 // end gives everything back, so that others take over at once.
 func (e *Elector) end() {
 	e.mutex.Lock()
@@ -450,63 +415,3 @@
 		e.Log("event", "lease-kept", "cause", err)
 	}
 }
-
-// Holds reports whether the duty is surely held for that much longer.
-func (d *Duty) Holds(more time.Duration) bool {
-	e := d.elector
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.duty(d.group).held && e.Clock()+more+leaseMargin < e.until
-}
-
-// Facts returns what was recorded last.
-func (d *Duty) Facts() Facts {
-	e := d.elector
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	r := decode(e.duty(d.group).record.Value)
-	return Facts{Members: r.Members, Open: r.Open, Lead: Lead{ID: r.Leader, Born: r.LeaderBorn, Term: r.Term}}
-}
-
-// Fence records facts and returns the record's new revision, which is above every
-// fence used before: by other holders, and by this one in a call that may still be
-// carried out. While the store doesn't answer, the fence of the last record serves, if
-// no call under it is open.
-func (d *Duty) Fence(ctx context.Context, f Facts) (int64, error) {
-	e := d.elector
-	e.mutex.Lock()
-	p, lease, spent := e.duty(d.group).record, e.lease, e.duty(d.group).spent
-	e.mutex.Unlock()
-	old := p.Revision
-	r := decode(p.Value)
-	r.Members, r.Open = f.Members, f.Open
-	r.Leader, r.LeaderBorn, r.Term = f.Lead.ID, f.Lead.Born, f.Lead.Term
-	p.Value = e.encode(r, lease)
-	now, ok, err := e.Store.Swap(ctx, p, lease)
-	if err != nil {
-		if spent || old == 0 || !d.Holds(0) {
-			return 0, err
-		}
-		e.Log("event", "fence-reused", "group", d.group, "fence", old, "cause", err)
-		return old, nil
-	}
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	x := e.duty(d.group)
-	if now.Revision > x.record.Revision {
-		e.learn(x, now)
-	}
-	if !ok && decode(now.Value).Holder != e.Name {
-		return 0, errNotHeld
-	}
-	x.spent = false
-	return now.Revision, nil
-}
-
-// Spend notes that an order under the newest fence got no answer.
-func (d *Duty) Spend() {
-	e := d.elector
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.duty(d.group).spent = true
-}
--- a/internal/limiter/absence.go
+++ b/internal/limiter/absence.go
@@ -74,7 +74,7 @@
 	sum := a.unknown(away)
 	for _, p := range a.parts {
 		if p.away(now) {
-			sum += p.alone
+			sum += p.isolatedRate
 		}
 	}
 	return min(1, sum/a.limit.PerSecond)
@@ -103,9 +103,9 @@
 	return min(a.limit.PerSecond, untold*even+inherited)
 }
 
-// alone is what an instance may run a second while it is cut off: the even part, and beside it
+// isolatedRate is what an instance may run a second while it is cut off: the even part, and beside it
 // as much as it is asked for, as long as all parts are within the limit.
-func (a *account) alone(p *part, away absence, share float64) float64 {
+func (a *account) isolatedRate(p *part, away absence, share float64) float64 {
 	var even float64
 	if p.expected {
 		even = evenPart * a.limit.PerSecond / float64(away.expected)
@@ -132,7 +132,7 @@
 	var sum float64
 	for _, p := range a.parts {
 		if p != but {
-			sum += p.alone
+			sum += p.isolatedRate
 		}
 	}
 	return sum
--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -68,8 +68,8 @@
 		// demand is how many operations a second were asked for at a moment.
 		demand float64
 		told   Stamp
-		// alone is what the instance may run a second while it is cut off.
-		alone float64
+		// isolatedRate is what the instance may run a second while it is cut off.
+		isolatedRate float64
 	}
 
 	// Balance is an account as operators see it.
@@ -289,8 +289,8 @@
 		share = p.demand / all
 	}
 	x := Allowance{Customer: s.Customer, Tight: available < tightPart*t.burst(a.limit)+untoldEach*float64(reporters)}
-	p.alone = a.alone(p, away, share)
-	x.Part = p.alone
+	p.isolatedRate = a.isolatedRate(p, away, share)
+	x.Part = p.isolatedRate
 	// What waits now may take all there is; what may come, the instance's part of it. An
 	// operation that may not come is leased to nobody: dozens of instances with one each
 	// would hold all that a small customer has.
--- a/internal/limiter/meter.go
+++ b/internal/limiter/meter.go
@@ -1,8 +1,6 @@
 package limiter
 
 import (
-	"hash/fnv"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -60,36 +58,6 @@
 		// since then was.
 		answered, asked Stamp
 	}
-
-	customer struct {
-		// tokens are leased until a moment.
-		tokens int
-		until  Stamp
-		// unreported is what has been run and is in no report, sent what is in the one that
-		// has not been answered, ran what is in answered ones.
-		unreported, sent, ran window
-		// waiting is how many operations wait for a lease.
-		waiting int
-		// demand is how many operations a second were asked for, at a moment.
-		demand   float64
-		demandAt Stamp
-		// tight is until when nothing may be run without a lease.
-		tight Stamp
-		// refused is until when the accountant is not asked again, having had nothing to
-		// lease; more is when it may have.
-		refused, more Stamp
-		// told is when the report was sent of which the rest is the answer; 0 before one.
-		told Stamp
-		// part is what may be run a second while this instance is cut off, saved what may be
-		// run of it without a lease.
-		part    float64
-		saved   float64
-		savedAt Stamp
-		// phase is where between two operations an instance begins that goes by its part; alone
-		// is set while it does.
-		phase float64
-		alone bool
-	}
 )
 
 // Decide decides about an operation of a customer. After Ask, Wait is to be called and the
@@ -106,10 +74,10 @@
 		c.want(now)
 	}
 	isolated := m.isolated(now)
-	if isolated && !c.alone {
+	if isolated && !c.isolated {
 		c.isolate(m.asked + isolatedAfter)
 	}
-	c.alone = isolated
+	c.isolated = isolated
 	c.save(now, limit, m.Instances(), m.Lends())
 	switch {
 	case c.tokens > 0 && now < c.until:
@@ -151,76 +119,11 @@
 	}
 }
 
-// customer returns what is known of a customer, as one that is new where nothing is.
-func (m *Meter) customer(now Stamp, name string, limit identifier.Limit) *customer {
-	if m.customers == nil {
-		m.customers = map[string]*customer{}
-	}
-	c, ok := m.customers[name]
-	if !ok {
-		c = &customer{demandAt: now, savedAt: now, phase: m.phase(name)}
-		c.saved = c.phase
-		if c.phase*float64(m.Instances()) < firstPart*limit.Burst {
-			c.saved = 1
-		}
-		m.customers[name] = c
-	}
-	return c
-}
-
-// phase is evenly spread from 0 to 1 over the instances.
-func (m *Meter) phase(customer string) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(m.Instance + "/" + customer)) // never fails
-	return rand.New(rand.NewPCG(h.Sum64(), m.Run)).Float64()
-}
-
-// isolate begins to go by the instance's part, at a moment. Load pattern: all instances go by
-// their parts at once, when the accountant falls silent. With an operation saved by each, they
-// would run as many as there are in the same moment, many times what a small customer may.
-func (c *customer) isolate(at Stamp) {
-	c.saved = min(c.saved, c.phase)
-	c.savedAt = max(c.savedAt, at)
-}
-
-// want counts an operation that is asked for.
-func (c *customer) want(now Stamp) {
-	c.demand = decayed(c.demand, now-c.demandAt, demandHalf) + demandStep
-	c.demandAt = now
-}
-
-// demandStep makes a count that halves in demandHalf a rate a second.
-var demandStep = 0.6931 / demandHalf.Seconds()
-
 // isolated reports whether the accountant has not answered for long.
 func (m *Meter) isolated(now Stamp) bool {
 	return m.asked != 0 && m.asked > m.answered && now-m.asked > isolatedAfter
 }
 
-// rate is this instance's part of a customer's limit, in operations a second. One that isn't
-// expected to run operations has none before an accountant tells it one.
-func (c *customer) rate(limit identifier.Limit, instances int, lends bool) float64 {
-	if c.told == 0 && !lends {
-		return 0
-	}
-	if c.told == 0 {
-		return evenPart * limit.PerSecond / float64(max(1, instances))
-	}
-	return min(c.part, limit.PerSecond)
-}
-
-// save adds to what this instance may run of its part. Only one that is cut off saves more
-// than one operation: together with what is leased, all would run too many at once when the
-// accountant dies.
-func (c *customer) save(now Stamp, limit identifier.Limit, instances int, lends bool) {
-	rate, most := c.rate(limit, instances, lends), 1.0
-	if c.alone {
-		most = max(1, rate*isolatedSpan.Seconds())
-	}
-	c.saved = min(most, c.saved+rate*max(0, now-c.savedAt).Seconds())
-	c.savedAt = now
-}
-
 // Due reports whether there is something to report, and whether that should not wait for
 // ReportInterval.
 func (m *Meter) Due(now Stamp) (due, soon bool) {
@@ -235,14 +138,6 @@
 	return due || now-m.answered > restInterval && (len(m.customers) > 0 || m.Lends()), false
 }
 
-// now is the demand at a moment.
-func (c *customer) now(now Stamp) float64 { return decayed(c.demand, now-c.demandAt, demandHalf) }
-
-// ended reports whether a customer is asked for no more.
-func (c *customer) ended(now Stamp) bool {
-	return c.unreported.sum(now) == 0 && c.waiting == 0 && c.now(now) < leastDemand
-}
-
 // Report returns what is to be sent to the accountant now: the last report again, until it is
 // answered.
 func (m *Meter) Report(now Stamp) Report {
