Limiter: the two sides of a cut, each with an accountant, share the limit

Users would see a limit exceeded by up to 46 of 792 operations in 5 s while a third of the instances is cut off together and turns to an accountant of its own, with a customer at 8 times its usual.

Found by a test written for it; TestLimitHoldsUnderFaults has one accountant at a time. Evidence: its trace. Between the sides: both had the whole burst; a side that had been told no part shared out 8/24 of the rate where the other withheld 4/24 (45 operations each half second beside an account that was full); the new accountant began up to 2 s before the old one missed its reporters; back together, the window lacked what had run on the other side. Change: flow is capped by what is not withheld; where a reporter knows of an accountant before, absent instances are taken to have all that its reporters don't; a part counts once the old accountant must have missed the instance (Unheard, one field more on the wire), which takes 1.3 s in place of 2; a report to an accountant that is new again tells what ran since it was heard. Why it works: whatever one side gives out, the other withholds by then.

The package's other tests pass.

--- a/internal/accountant/wire.go
+++ b/internal/accountant/wire.go
@@ -1,6 +1,7 @@
 package accountant
 
 import (
+	"math"
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/limiter"
@@ -8,7 +9,7 @@
 )
 
 func toReport(r limiter.Report) *wire.AccountRequest {
-	w := &wire.AccountRequest{Instance: r.Instance, Run: r.Run, Number: r.Number, New: r.New, Leaves: r.Leaves}
+	w := &wire.AccountRequest{Instance: r.Instance, Run: r.Run, Number: r.Number, New: r.New, Leaves: r.Leaves, UnheardMs: toMillis(r.Unheard)}
 	for _, s := range r.Spendings {
 		x := &wire.Spending{
 			Customer: s.Customer, Before: fromCounts(s.Before), Held: uint32(s.Held), Waiting: uint32(s.Waiting), DemandMilli: uint32(s.Demand * milli),
@@ -26,7 +27,7 @@
 }
 
 func fromReport(w *wire.AccountRequest) limiter.Report {
-	r := limiter.Report{Instance: w.Instance, Run: w.Run, Number: w.Number, New: w.New, Leaves: w.Leaves}
+	r := limiter.Report{Instance: w.Instance, Run: w.Run, Number: w.Number, New: w.New, Leaves: w.Leaves, Unheard: time.Duration(w.UnheardMs) * time.Millisecond}
 	for _, s := range w.Spendings {
 		x := limiter.Spending{
 			Customer: s.Customer, Used: toCounts(s.UsedSlots), Before: toCounts(s.Before), Held: int(s.Held), Waiting: int(s.Waiting), Demand: float64(s.DemandMilli) / milli,
@@ -74,3 +75,11 @@
 	}
 	return w
 }
+
+// toMillis keeps a time that is not 0 from becoming 0.
+func toMillis(d time.Duration) uint32 {
+	if d <= 0 {
+		return 0
+	}
+	return uint32(min(max(1, d.Milliseconds()), math.MaxUint32))
+}
--- a/internal/limiter/absence.go
+++ b/internal/limiter/absence.go
@@ -15,16 +15,19 @@
 	partHeadroom = 1.6
 	// silentAfter is when an instance that has not reported may be cut off; one that is
 	// asked for operations reports at least each restInterval.
-	silentAfter = 2 * time.Second
+	silentAfter = 1300 * time.Millisecond
 	// learnTime is the time in which an accountant learns who ran operations when it began.
 	learnTime = 5 * time.Second
 )
 
 // absence is which of the expected instances don't report.
 type absence struct {
-	// expected is how many there are, told how many of them have told of the time before
-	// these accounts began.
-	expected, told int
+	now Stamp
+	// expected is how many there are, free how many of them have told of the time before these
+	// accounts began, and are withheld for by the accountant of that time.
+	expected, free int
+	// succeeds is set where another may keep accounts for those that are absent.
+	succeeds bool
 	// silent have reported since the accounts began, and may be cut off. The others have
 	// not: earlier is how many ran operations when the accounts began, joined how many came
 	// since.
@@ -41,7 +44,7 @@
 		r.expected = false
 	}
 	expected := l.Expected()
-	away := absence{expected: len(expected)}
+	away := absence{now: now, expected: len(expected), succeeds: l.succeeds}
 	for _, name := range expected {
 		if now-l.began < learnTime {
 			l.earlier[name] = true
@@ -58,8 +61,8 @@
 		case r.away(now):
 			away.silent = append(away.silent, name)
 		}
-		if ok && r.told {
-			away.told++
+		if ok && r.told && now >= r.free {
+			away.free++
 		}
 	}
 	return away
@@ -94,15 +97,31 @@
 	}
 	var inherited float64
 	switch {
-	case a.told > 0 && away.earlier > 0:
-		reported := a.inherited + even*float64(max(0, away.told-a.told))
-		inherited = max(float64(away.earlier)*even, a.limit.PerSecond-reported)
+	case away.succeeds && away.earlier > 0:
+		inherited = max(float64(away.earlier)*even, a.limit.PerSecond-a.free(away, even))
 	case away.earlier > 0:
 		inherited = float64(away.earlier) / float64(away.expected) * a.limit.PerSecond
 	}
 	return min(a.limit.PerSecond, untold*even+inherited)
 }
 
+// free is how many operations a second the accountant before leaves to those that have told
+// their parts here: it withholds them once it has not heard of them for long enough.
+func (a *account) free(away absence, even float64) float64 {
+	var sum float64
+	untold := away.free
+	for r, part := range a.inherited {
+		if away.now < r.free {
+			continue
+		}
+		sum += part
+		if r.expected {
+			untold--
+		}
+	}
+	return sum + even*float64(max(0, untold))
+}
+
 // isolatedRate is what an instance may run a second while it is cut off: the even part, and beside it
 // as much as it is asked for, as long as all parts are within the limit.
 func (a *account) isolatedRate(p *part, away absence, share float64) float64 {
--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -24,8 +24,11 @@
 		Expected func() []string
 
 		// began is when this instance became the accountant, earlier who ran operations then.
-		began     Stamp
-		earlier   map[string]bool
+		began   Stamp
+		earlier map[string]bool
+		// succeeds is set where a reporter knows of an accountant before this one, which may
+		// still keep accounts for others.
+		succeeds  bool
 		mutex     sync.Mutex
 		accounts  map[string]*account
 		reporters map[string]*reporter
@@ -37,6 +40,8 @@
 		heard       Stamp
 		// expected is set where it is one of the expected instances.
 		expected bool
+		// free is from when the accountant before withholds what this instance may run.
+		free Stamp
 		// told is set once it has told what it ran before these accounts began, left once it
 		// reports to another.
 		told, left bool
@@ -52,10 +57,8 @@
 		flow  float64
 		at    Stamp
 		parts map[string]*part
-		// inherited is the sum of the parts that reporters were told before these accounts
-		// began, told how many were told one.
-		inherited float64
-		told      int
+		// inherited are the parts that reporters were told before these accounts began.
+		inherited map[*reporter]float64
 	}
 
 	// part is an instance's part in an account.
@@ -104,6 +107,7 @@
 
 func (l *Ledger) open(now Stamp) {
 	l.accounts, l.reporters, l.earlier, l.began = map[string]*account{}, map[string]*reporter{}, map[string]bool{}, now
+	l.succeeds = false
 	l.Run++
 }
 
@@ -137,6 +141,10 @@
 		return answer
 	}
 	inherits := !from.told
+	if inherits && r.Unheard > 0 {
+		from.free = now + silentAfter - min(silentAfter, r.Unheard)
+		l.succeeds = true
+	}
 	for _, s := range r.Spendings {
 		limit := limits(s.Customer)
 		if !limit.Limited() {
@@ -144,13 +152,13 @@
 		}
 		a := l.account(now, s.Customer, limit, away)
 		if inherits && s.Told {
-			a.inherited, a.told = a.inherited+s.Part, a.told+1
+			a.inherited[from] = s.Part
 		}
 		if again {
 			s.Used = nil
 		}
-		if !from.told {
-			a.remember(now, s.Before)
+		if r.New && !again {
+			a.remember(now, s.Before, gap)
 		}
 		a.useLate(now, s.Used, gap-silentAfter)
 		answer.Allowances = append(answer.Allowances, a.take(now, r.Instance, from, s, l.Tolerance, away, len(l.reporters)))
@@ -184,7 +192,7 @@
 func (l *Ledger) account(now Stamp, customer string, limit identifier.Limit, away absence) *account {
 	a, ok := l.accounts[customer]
 	if !ok {
-		a = &account{flow: freshPart * l.Tolerance.burst(limit), at: now, parts: map[string]*part{}}
+		a = &account{flow: freshPart * l.Tolerance.burst(limit), at: now, parts: map[string]*part{}, inherited: map[*reporter]float64{}}
 		l.accounts[customer] = a
 	}
 	a.limit = limit
@@ -206,7 +214,7 @@
 		}
 	}
 	left := 1 - a.withheld(now, away)
-	a.flow = min(t.burst(a.limit), a.flow+left*t.rate(a.limit)*(now-a.at).Seconds())
+	a.flow = min(left*t.burst(a.limit), a.flow+left*t.rate(a.limit)*(now-a.at).Seconds())
 	a.at = now
 }
 
@@ -227,11 +235,15 @@
 	}
 }
 
-// remember takes in what an instance has reported to the accountant before this one.
-func (a *account) remember(now Stamp, before []int) {
-	a.used.addList(now, before)
+// remember takes in what an instance has reported to others since it was heard here.
+func (a *account) remember(now Stamp, before []int, unheard time.Duration) {
 	for i, n := range before {
-		if slotAge(before, i) < time.Second {
+		age := slotAge(before, i)
+		if age >= unheard {
+			continue
+		}
+		a.used.add(now-age, n)
+		if age < time.Second {
 			a.flow -= float64(n)
 		}
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -129,7 +129,10 @@
 		// New is set on reports to an accountant that is new to the instance.
 		New bool
 		// Leaves is set on the last report to an accountant.
-		Leaves    bool
+		Leaves bool
+		// Unheard, on a New report, is for how long the accountant before can't have heard of
+		// the instance: it doesn't withhold the instance's parts sooner. 0 where there was none.
+		Unheard   time.Duration
 		Spendings []Spending
 	}
 
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -35,7 +35,9 @@
 		// accounts change together.
 		accountant int
 		accounts   *limiter.Ledger
-		flying     []message
+		// side is the ledger of those that are cut off, where these have an accountant.
+		side   *limiter.Ledger
+		flying []message
 		// ran and refused are how many operations were in each step.
 		ran, refused []int
 		// loss is how often a message is lost.
@@ -183,9 +185,9 @@
 		switch {
 		case m.at > f.now:
 			f.flying = append(f.flying, m)
-		case x.cut || m.run != x.runs || f.accountant < 0 || f.nodes[f.accountant].cut != x.cut:
-		case m.report != nil && !f.nodes[f.accountant].paused:
-			answer := f.accounts.Take(f.now, *m.report, func(string) identifier.Limit { return f.limit })
+		case m.run != x.runs || f.reach(x) == nil:
+		case m.report != nil && (x.cut || !f.nodes[f.accountant].paused):
+			answer := f.reach(x).Take(f.now, *m.report, func(string) identifier.Limit { return f.limit })
 			f.send(message{node: m.node, run: m.run, sent: m.sent, answer: answer})
 		case m.report == nil && !x.paused && x.waiting && m.sent == x.sentAt:
 			x.waiting = false
@@ -194,6 +196,17 @@
 	}
 }
 
+// reach returns the accounts that an instance reports to, nil while it reaches none.
+func (f *fleet) reach(x *node) *limiter.Ledger {
+	switch {
+	case x.cut:
+		return f.side
+	case f.accountant < 0 || f.nodes[f.accountant].cut:
+		return nil
+	}
+	return f.accounts
+}
+
 // check asserts that no window has more than the limit and what is tolerated.
 func (f *fleet) check(t *testing.T) {
 	t.Helper()
@@ -372,6 +385,33 @@
 	}
 }
 
+// Guards against the two sides of a cut running the limit twice, each with an accountant of its
+// own, wherever the load was before.
+func TestSidesOfACutShareTheLimit(t *testing.T) {
+	for _, l := range limits {
+		for _, before := range []float64{0, 0.1, 1, 5} {
+			t.Run(fmt.Sprint(l.PerSecond, " ", before, " of usual on the smaller side before"), func(t *testing.T) {
+				f := open(*from, 24, l)
+				usual := l.PerSecond / 1.6 / 24
+				f.play(10*time.Second, func(n int) float64 {
+					if n >= 16 {
+						return before * usual
+					}
+					return usual
+				})
+				hot := func(int) float64 { return 8 * usual }
+				for range 3 {
+					f.splitOff(16, 24)
+					f.play(12*time.Second, hot)
+					f.rejoin()
+					f.play(3*time.Second, hot)
+				}
+				f.check(t)
+			})
+		}
+	}
+}
+
 // Guards against callers that a cut has moved being refused by instances that were asked for
 // little before it: six of 24 may run an eighth of the limit.
 func TestCutMovesCallers(t *testing.T) {
@@ -424,6 +464,26 @@
 	}
 }
 
+// splitOff cuts instances off together; they have an accountant of their own.
+func (f *fleet) splitOff(from, to int) {
+	f.cutOff(from, to)
+	f.side = f.ledger()
+	for _, x := range f.nodes[from:to] {
+		_ = x.meter.Restart(f.now)
+	}
+}
+
+// rejoin has those that were split off report to the accountant again.
+func (f *fleet) rejoin() {
+	for _, x := range f.nodes {
+		if x.cut {
+			_ = x.meter.Restart(f.now)
+		}
+	}
+	f.side = nil
+	f.heal()
+}
+
 // heal ends all cuts.
 func (f *fleet) heal() {
 	for _, x := range f.nodes {
--- a/internal/limiter/meter.go
+++ b/internal/limiter/meter.go
@@ -57,6 +57,8 @@
 		// answered is when a report that was answered was sent, asked when the first one
 		// since then was.
 		answered, asked Stamp
+		// before is when the last report was sent that the accountant before has answered.
+		before Stamp
 	}
 )
 
@@ -150,7 +152,7 @@
 		return m.again(now)
 	}
 	m.number++
-	r := Report{Instance: m.Instance, Run: m.Run, Number: m.number, New: m.known == 0}
+	r := Report{Instance: m.Instance, Run: m.Run, Number: m.number, New: m.known == 0, Unheard: m.unheard(now)}
 	for name, c := range m.customers {
 		ended := c.ended(now)
 		if !ended && c.unreported.sum(now) == 0 && c.waiting == 0 && !(r.New && (c.told != 0 || c.ran.sum(now) > 0)) {
@@ -173,9 +175,19 @@
 	return r
 }
 
+// unheard is for how long the accountant before can't have heard of this instance, 0 where
+// there was none.
+func (m *Meter) unheard(now Stamp) time.Duration {
+	if m.before == 0 {
+		return 0
+	}
+	return max(1, now-m.before)
+}
+
 // again returns the report that has not been answered, with what it tells as old as it is now.
 func (m *Meter) again(now Stamp) Report {
 	r := *m.sent
+	r.Unheard = m.unheard(now)
 	r.Spendings = slices.Clone(r.Spendings)
 	for i := range r.Spendings {
 		s := &r.Spendings[i]
@@ -233,7 +245,7 @@
 func (m *Meter) Restart(now Stamp) Report {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.known = 0
+	m.known, m.before = 0, m.answered
 	m.number++
 	last := Report{Instance: m.Instance, Run: m.Run, Number: m.number, Leaves: true}
 	for _, c := range m.customers {
