Tests of lender, watcher and launcher: no data races of their own

go test -race ./... failed in these packages for what the tests did: Pool.Sharers set on a pool that ran, versions read without their mutex, callers counted by several goroutines. Assertions unchanged; -race passes in lender and watcher, and for the launcher's tests that failed.

--- a/internal/launcher/keys_test.go
+++ b/internal/launcher/keys_test.go
@@ -176,8 +176,8 @@
 
 // malformed sends a first line and reads what comes until the instance closes.
 func (f *fleet) malformed(i *instance, line string) {
-	f.callers++
-	conn, err := f.net.Host(fmt.Sprintf("10.7.0.%d", f.callers), "a").Dial(f.ctx, i.host.IP+":5000")
+	caller := f.callers.Add(1)
+	conn, err := f.net.Host(fmt.Sprintf("10.7.0.%d", caller), "a").Dial(f.ctx, i.host.IP+":5000")
 	must.NoError(f.t, err)
 	fmt.Fprintf(conn, "%s\r\n", line)
 	_, _ = io.ReadAll(conn)
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -49,7 +49,7 @@
 		ctx      context.Context
 		running  sync.WaitGroup
 		log      lockedBuffer
-		callers  int
+		callers  atomic.Int64
 		versions int64
 		// dutiless instances never take a duty.
 		dutiless bool
@@ -252,8 +252,8 @@
 
 // callWith is call with a key.
 func (f *fleet) callWith(i *instance, database, key string) func(text string) string {
-	f.callers++
-	conn, err := f.net.Host(fmt.Sprintf("10.7.0.%d", f.callers), "a").Dial(f.ctx, i.host.IP+":5000")
+	caller := f.callers.Add(1)
+	conn, err := f.net.Host(fmt.Sprintf("10.7.0.%d", caller), "a").Dial(f.ctx, i.host.IP+":5000")
 	must.NoError(f.t, err)
 	in := bufio.NewReader(conn)
 	fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
@@ -262,7 +262,7 @@
 	if strings.HasPrefix(line, "ERROR") {
 		return func(string) string { return strings.Fields(line)[1] }
 	}
-	n, name := 0, fmt.Sprintf("c%d", f.callers)
+	n, name := 0, fmt.Sprintf("c%d", caller)
 	return func(text string) string {
 		n++
 		fmt.Fprintf(conn, "QUERY %s-%d %s\r\n", name, n, text)
--- a/internal/lender/evict_test.go
+++ b/internal/lender/evict_test.go
@@ -51,9 +51,8 @@
 func TestConnectionsKeepToTheirCustomer(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			play(t, 16, 1, func(t *testing.T, s *stage) {
+			playShared(t, &liner.Group{Connections: 16}, 1, 1, func(t *testing.T, s *stage) {
 				p := s.pools[0]
-				p.Sharers = func(string, string) int { return 1 }
 				p.Configure(16, directory(40))
 				var running sync.WaitGroup
 				for caller := range 12 {
@@ -93,9 +92,8 @@
 // work, as customers are. Held for those who come soonest, most statements find a connection;
 // opened for each, connections would hold the member's two slots for longer than statements.
 func TestMostStatementsFindTheirConnection(t *testing.T) {
-	playGroup(t, &liner.Group{Connections: 24, Slots: 2, Queue: 16, Handshake: 12 * time.Millisecond}, 1, func(t *testing.T, s *stage) {
+	playShared(t, &liner.Group{Connections: 24, Slots: 2, Queue: 16, Handshake: 12 * time.Millisecond}, 1, 1, func(t *testing.T, s *stage) {
 		p := s.pools[0]
-		p.Sharers = func(string, string) int { return 1 }
 		p.Configure(24, directory(40))
 		random := rand.New(rand.NewPCG(1, 1))
 		before, statements := 0, 0
@@ -149,9 +147,8 @@
 // callers of a hot one that never pause, and how much these had served.
 func p99Beside(t *testing.T, hotCallers int) (p99 time.Duration, hotServed int) {
 	group := &liner.Group{Connections: 80, Slots: 2, Queue: 64, Handshake: 12 * time.Millisecond}
-	playGroup(t, group, 1, func(t *testing.T, s *stage) {
+	playShared(t, group, 1, 1, func(t *testing.T, s *stage) {
 		p := s.pools[0]
-		p.Sharers = func(string, string) int { return 1 }
 		p.Configure(80, directory(21))
 		var mutex sync.Mutex
 		var waits []time.Duration
--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -33,6 +33,13 @@
 
 // playGroup is play with members as given.
 func playGroup(t *testing.T, group *liner.Group, n int, happens func(t *testing.T, s *stage)) {
+	t.Helper()
+	playShared(t, group, n, 0, happens)
+}
+
+// playShared is playGroup with a number of instances that share a member's connections; 0 is
+// not known.
+func playShared(t *testing.T, group *liner.Group, n, sharers int, happens func(t *testing.T, s *stage)) {
 	t.Helper()
 	connections := group.Connections
 	synctest.Test(t, func(t *testing.T) {
@@ -51,6 +58,9 @@
 				Group: g, Network: s.net.Host(fmt.Sprintf("10.8.0.%d", i+1), "a"), Codec: platform.Lines{},
 				Who: "test", Clock: func() tracker.Stamp { return time.Since(begin) + time.Hour },
 			}
+			if sharers > 0 {
+				p.Sharers = func(string, string) int { return sharers }
+			}
 			p.Configure(connections, nil)
 			s.pools = append(s.pools, p)
 			running.Go(func() { _ = p.Run(ctx) })
@@ -343,9 +353,8 @@
 // the member's slots. Where an instance's share is two, none waits: others need the places.
 func TestOverlappingStatements(t *testing.T) {
 	overlap := func(t *testing.T, connections, sharers int) (opened, idle int) {
-		play(t, connections, 1, func(t *testing.T, s *stage) {
+		playShared(t, &liner.Group{Connections: connections}, 1, sharers, func(t *testing.T, s *stage) {
 			p := s.pools[0]
-			p.Sharers = func(string, string) int { return sharers }
 			time.Sleep(time.Second)
 			_, _, _, before := p.Load()
 			for range 20 {
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -133,6 +134,13 @@
 	return ok && !m.Leaving && !m.Expired
 }
 
+// configured returns the versions that came into force.
+func (s *stage) configured() []int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.versions)
+}
+
 func (s *stage) known(id string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -151,7 +159,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
-		must.Eq(t, []int64{7, 9, 12}, s.versions)
+		must.Eq(t, []int64{7, 9, 12}, s.configured())
 	})
 }
 
@@ -284,15 +292,15 @@
 	play(t, func(t *testing.T, s *stage) {
 		s.tell(told(90, "20", "n"))
 		time.Sleep(time.Second)
-		must.Eq(t, []int64{7}, s.versions) // the store answers: nobody is asked
+		must.Eq(t, []int64{7}, s.configured()) // the store answers: nobody is asked
 		s.away(true)
 		time.Sleep(4 * time.Second)
-		must.Eq(t, []int64{7, 20}, s.versions)
+		must.Eq(t, []int64{7, 20}, s.configured())
 		must.True(t, s.usable("n"))
 		must.False(t, s.usable("m"))
 		s.tell(told(80, "19", "m", "n"))
 		time.Sleep(2 * time.Second)
-		must.Eq(t, []int64{7, 20}, s.versions)
+		must.Eq(t, []int64{7, 20}, s.configured())
 		must.False(t, s.usable("m"))
 	})
 }
@@ -312,7 +320,7 @@
 		n.Pairs = []storer.Pair{s.pairs["configuration"], s.pairs["member/m"]}
 		s.tell(n)
 		time.Sleep(time.Second)
-		must.Eq(t, []int64{7, 20}, s.versions)
+		must.Eq(t, []int64{7, 20}, s.configured())
 		calls := total(s.store.Calls())
 		time.Sleep(10 * time.Second)
 		must.Eq(t, calls, total(s.store.Calls()))
@@ -320,7 +328,7 @@
 		s.tell(n)
 		s.put(t, "configuration", "31")
 		time.Sleep(2500 * time.Millisecond)
-		must.Eq(t, []int64{7, 20, 31}, s.versions)
+		must.Eq(t, []int64{7, 20, 31}, s.configured())
 	})
 }
 
@@ -348,7 +356,8 @@
 			s.store.SetFaults(func(f *storer.Faults) { f.Down = false })
 			s.put(t, "configuration", "9")
 			time.Sleep(2 * time.Second)
-			must.Eq(t, int64(9), s.versions[len(s.versions)-1])
+			versions := s.configured()
+			must.Eq(t, int64(9), versions[len(versions)-1])
 		})
 		return n
 	}
