Limiter: a telling counts whole when its reporter was just heard unaware

Cause: what ran before is counted only as far as it is newer than the reporter's last report. An instance that has not noticed that the accounts are new reports once before it tells; that report made everything old. Change: the first telling counts whole.

Test, failing before: TestTellingAfterAnUnawareReport (used 0, now 10).

--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -141,6 +141,9 @@
 		return answer
 	}
 	inherits := !from.told
+	if inherits {
+		gap = now // nothing was told here before
+	}
 	if inherits && r.Unheard > 0 {
 		from.free = now + silentAfter - min(silentAfter, r.Unheard)
 		l.succeeds = true
--- a/internal/limiter/ledger_test.go
+++ b/internal/limiter/ledger_test.go
@@ -74,3 +74,12 @@
 	must.Eq(t, limiter.Allowance{}, unaware)
 	must.Positive(t, d.report("a", limiter.Spending{Waiting: 10, Demand: 10}).Tokens)
 }
+
+// Guards against a telling that counts for nothing because its reporter was heard a moment before,
+// not having noticed that the accounts are new.
+func TestTellingAfterAnUnawareReport(t *testing.T) {
+	d := newDesk(limits[1], "a")
+	d.take(limiter.Report{Instance: "a", Run: 1, Spendings: []limiter.Spending{{Waiting: 1}}})
+	d.report("a", limiter.Spending{Before: []int{7, 3}})
+	must.Eq(t, 10.0, d.balance().Used)
+}
