--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -26,8 +27,10 @@
 	// acquireStagger is the delay between the acquisition attempts of successive instances, so
 	// that most learn of the new owner before they try.
 	acquireStagger = 250 * time.Millisecond
-	// staggeredInstances is the number of instances with an individual delay; all others pick a
-	// random, longer one.
+	// acquireJitter is the random part of the delay. Groups due within it are acquired together.
+	acquireJitter = acquireStagger / 4
+	// staggeredInstances is the number of instances that wait acquireStagger after each other;
+	// the others, which try only if all of these fail, follow at half of it with more jitter.
 	staggeredInstances = 8
 	// coldStartDelay is how long no instance acquires groups when the whole fleet starts, since
 	// instances do not know each other yet. coldStartStagger then replaces acquireStagger.
@@ -47,7 +50,7 @@
 	// Elector acquires groups that have no owner, with one record per group in the store, all
 	// under one lease. Set the exported fields, then call Run.
 	Elector struct {
-		Store storer.Store
+		Store storer.BatchStore
 		Clock func() tracker.Timestamp
 		// Name identifies this process; it is new after each restart.
 		Name string
@@ -66,6 +69,8 @@
 
 		mutex      sync.Mutex
 		ownerships map[string]*groupOwnership
+		// owned counts the ownerships that are held.
+		owned int
 		// vacated receives when a group has lost its owner since the last tick.
 		vacated   chan struct{}
 		startedAt tracker.Timestamp
@@ -223,18 +228,27 @@
 // tick renews the lease and acquires vacant groups. It reports whether any group is vacant.
 func (e *Elector) tick(ctx context.Context) (anyVacant bool) {
 	e.renewLease(ctx)
+	var due, soon []string
+	e.mutex.Lock()
 	for _, g := range e.Groups() {
-		e.mutex.Lock()
 		o := e.ownership(g)
-		due := e.shouldAcquire(g, o)
+		switch wait := e.acquireWait(g, o); {
+		case wait <= 0:
+			due = append(due, g)
+		case wait <= acquireJitter:
+			soon = append(soon, g)
+		}
 		anyVacant = anyVacant || o.vacant()
 		if !o.held && e.ownsRecord(o) {
 			e.startSupervisor(ctx, g, o)
 		}
-		e.mutex.Unlock()
-		if due {
-			e.acquire(ctx, g, o)
-		}
+	}
+	e.mutex.Unlock()
+	if len(due) == 0 {
+		return anyVacant
+	}
+	for batch := range slices.Chunk(append(due, soon...), storer.MaxSwaps) {
+		e.acquire(ctx, batch)
 	}
 	return anyVacant
 }
@@ -242,20 +256,23 @@
 // vacant reports whether a group has no owner.
 func (o *groupOwnership) vacant() bool { return !o.held && (o.record.Revision == 0 || o.invalid) }
 
-// shouldAcquire reports whether to try to acquire a group now; the mutex is held. Attempts are
-// staggered among instances to avoid a burst of store calls when an owner dies or the fleet
-// starts.
-func (e *Elector) shouldAcquire(group string, o *groupOwnership) bool {
+// notDue is the result of acquireWait for a group that is not to be acquired.
+const notDue = time.Duration(math.MaxInt64)
+
+// acquireWait returns how long to wait before trying to acquire a group; the mutex is held.
+// Attempts are staggered among instances to avoid a burst of store calls when an owner dies or
+// the fleet starts.
+func (e *Elector) acquireWait(group string, o *groupOwnership) time.Duration {
 	now := e.Clock()
 	if !o.vacant() || e.ColdStart && now-e.startedAt < coldStartDelay || e.StoreReachable != nil && !e.StoreReachable() {
 		// A delay scheduled earlier has passed by the time the group can be acquired.
 		o.acquireAt = 0
-		return false
+		return notDue
 	}
 	if o.acquireAt == 0 {
 		o.acquireAt = now + e.acquireDelay(group, o)
 	}
-	return now >= o.acquireAt
+	return o.acquireAt - now
 }
 
 // acquireDelay returns how long to leave a vacant group to other instances; the mutex is held.
@@ -269,9 +286,10 @@
 		rank = e.AcquireRank(group, decodeOrEmpty(o.record.Value).Owner)
 	}
 	if rank >= staggeredInstances {
-		return staggeredInstances*stagger + rand.N(staggeredInstances*stagger)
+		later := time.Duration(rank-staggeredInstances) * stagger / 2
+		return staggeredInstances*stagger + later + rand.N(stagger)
 	}
-	return time.Duration(rank)*stagger + rand.N(stagger/4)
+	return time.Duration(rank)*stagger + rand.N(acquireJitter)
 }
 
 // renewLease renews the lease while this instance owns a group.
@@ -308,67 +326,93 @@
 // ownsAny reports whether this instance owns a group; the mutex is held. An unused lease is
 // left to expire, which saves renewals by instances that own nothing.
 func (e *Elector) ownsAny() bool {
-	for _, o := range e.ownerships {
-		if o.held {
-			return true
-		}
-	}
-	return false
+	return e.owned > 0
 }
 
 // lose ends the ownership of a group; the mutex is held.
 func (e *Elector) lose(key string, o *groupOwnership, reason string) {
 	o.held, o.acquireAt = false, 0
+	e.owned--
 	o.cancel()
 	e.Log("event", "duty-lost", "duty", key, "why", reason, "fence", o.record.Revision)
 }
 
-// acquire tries to become the owner of a vacant group.
-func (e *Elector) acquire(ctx context.Context, group string, o *groupOwnership) {
-	e.mutex.Lock()
-	o.acquireAt = e.Clock() + acquireRetryInterval
-	lease, old := e.lease, o.record
-	if !o.invalid {
-		old.Revision = 0
+// acquire tries to become the owner of vacant groups with one call. If another instance has
+// acquired one of them, the others are tried again at the next tick.
+func (e *Elector) acquire(ctx context.Context, groups []string) {
+	lease, ok := e.ensureLease(ctx)
+	if !ok {
+		e.postpone(groups)
+		return
 	}
-	e.mutex.Unlock()
-	if lease == 0 {
-		sentAt := e.Clock()
-		l, err := e.Store.Grant(ctx, leaseTTL)
-		if err != nil {
-			return
+	pairs := make([]storer.Pair, len(groups))
+	e.mutex.Lock()
+	for n, g := range groups {
+		o := e.ownership(g)
+		o.acquireAt = e.Clock() + acquireRetryInterval
+		pairs[n] = storer.Pair{Key: OwnershipPrefix + g, Value: e.encode(decodeOrEmpty(o.record.Value), lease)}
+		if o.invalid {
+			pairs[n].Revision = o.record.Revision
 		}
-		e.mutex.Lock()
-		e.lease, e.renewedAt, e.leaseExpiry = l, sentAt, sentAt+leaseTTL
-		lease = l
-		e.mutex.Unlock()
 	}
-	value := e.encode(decodeOrEmpty(old.Value), lease)
-	now, ok, err := e.Store.Swap(ctx, storer.Pair{Key: OwnershipPrefix + group, Value: value, Revision: old.Revision}, lease)
+	e.mutex.Unlock()
+	now, ok, err := e.Store.SwapAll(ctx, pairs, lease)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
 	if errors.Is(err, storer.ErrLeaseExpired) {
-		e.mutex.Lock()
 		e.lease = 0
-		e.mutex.Unlock()
-		return
 	}
 	if err != nil {
 		return
 	}
+	for n, g := range groups {
+		o := e.ownership(g)
+		if now[n].Revision > o.record.Revision {
+			e.applyRecord(o, now[n])
+		}
+		switch {
+		case o.held:
+		// An earlier call whose response was lost may have acquired it.
+		case ok || e.ownsRecord(o):
+			e.startSupervisor(ctx, g, o)
+		case now[n].Revision == pairs[n].Revision:
+			o.acquireAt = e.Clock()
+		}
+	}
+}
+
+// postpone delays the next attempt to acquire groups.
+func (e *Elector) postpone(groups []string) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if now.Revision > o.record.Revision {
-		e.applyRecord(o, now)
+	for _, g := range groups {
+		e.ownership(g).acquireAt = e.Clock() + acquireRetryInterval
 	}
-	// An earlier call whose response was lost may have acquired it.
-	if (!ok && !e.ownsRecord(o)) || o.held {
-		return
+}
+
+// ensureLease returns the current lease, or a new one if there is none.
+func (e *Elector) ensureLease(ctx context.Context) (storer.Lease, bool) {
+	e.mutex.Lock()
+	lease := e.lease
+	e.mutex.Unlock()
+	if lease != 0 {
+		return lease, true
 	}
-	e.startSupervisor(ctx, group, o)
+	sentAt := e.Clock()
+	lease, err := e.Store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return 0, false
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.lease, e.renewedAt, e.leaseExpiry = lease, sentAt, sentAt+leaseTTL
+	return lease, true
 }
 
 // startSupervisor starts the group's supervisor; the mutex is held.
 func (e *Elector) startSupervisor(ctx context.Context, group string, o *groupOwnership) {
 	o.held = true
+	e.owned++
 	e.Log("event", "duty-taken", "group", group, "fence", o.record.Revision)
 	supervisorCtx, cancel := context.WithCancel(ctx)
 	// The group may be acquired again before this supervisor has stopped.
@@ -381,7 +425,7 @@
 func (e *Elector) shutdown() {
 	e.mutex.Lock()
 	lease := e.lease
-	e.lease = 0
+	e.lease, e.owned = 0, 0
 	var done []chan error
 	for _, o := range e.ownerships {
 		if o.held {
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -43,7 +43,7 @@
 	go func() { i.done <- i.elector.Run(ctx) }()
 	w := &watcher.Watcher{
 		Source: m, MaxPropagationDelay: 3 * time.Second, Clock: clock, OwnershipPrefix: elector.OwnershipPrefix, ConfigurationKey: "configuration", MemberPrefix: "member/",
-		OnMembers: func([]tracker.Member) {}, OnOwnership: i.elector.HandleRecord, Log: func(...any) {},
+		OnMembers: func(map[string][]tracker.Member) {}, OnOwnership: i.elector.HandleRecord, Log: func(...any) {},
 	}
 	go func() { i.done <- w.Run(ctx) }()
 	return i
--- a/internal/standin/platformer/platformer.go
+++ b/internal/standin/platformer/platformer.go
@@ -3,11 +3,13 @@
 package platformer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -25,6 +27,11 @@
 		// Promote promotes a member; an error is returned as 409 Conflict.
 		Promote func(group, member string) error
 
+		// PageSize is the number of items in a page of a range, 0 for a small default.
+		PageSize int
+		// WholeReads counts the reads of the whole store, ListedPages the pages of other reads.
+		WholeReads, ListedPages atomic.Int64
+
 		mutex         sync.Mutex
 		fencingTokens map[string]int64 // highest seen, by group
 	}
@@ -47,8 +54,9 @@
 	}
 )
 
-// pageSize is the number of items in a page of a range, small enough that tests need several pages.
-const pageSize = 2
+// defaultPageSize is the number of items in a page of a range, small enough that tests need
+// several pages.
+const defaultPageSize = 2
 
 // Run serves until the context ends.
 func (p *Platform) Run(ctx context.Context) error {
@@ -108,6 +116,11 @@
 }
 
 func (p *Platform) handleRange(w http.ResponseWriter, r *http.Request) {
+	if q := r.URL.Query(); q.Get("prefix") != "" {
+		p.ListedPages.Add(1)
+	} else if q.Get("after") == "" {
+		p.WholeReads.Add(1)
+	}
 	list, revision, err := p.Store.Snapshot(r.Context(), r.URL.Query().Get("prefix"))
 	if err != nil {
 		writeError(w, err)
@@ -117,9 +130,10 @@
 	for len(list) > 0 && list[0].Key <= after {
 		list = list[1:]
 	}
-	more := len(list) > pageSize
+	size := cmp.Or(p.PageSize, defaultPageSize)
+	more := len(list) > size
 	if more {
-		list = list[:pageSize]
+		list = list[:size]
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"items": toWireItems(list), "has_more": more, "at_rev": revision})
 }
@@ -146,27 +160,33 @@
 
 func (p *Platform) handleTransaction(w http.ResponseWriter, r *http.Request) {
 	var t transaction
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil || len(t.Conditions) != 1 {
-		writeJSON(w, http.StatusBadRequest, map[string]string{"error": "exactly one condition is required"})
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil || len(t.Conditions) == 0 || len(t.Conditions) > storer.MaxSwaps || len(t.Writes)+len(t.Deletes) != len(t.Conditions) || len(t.Deletes) > 1 {
+		writeJSON(w, http.StatusBadRequest, map[string]string{"error": "one condition for each write, or for one delete, is required"})
 		return
 	}
-	pair := storer.Pair{Key: t.Conditions[0].Key, Revision: t.Conditions[0].Revision}
-	var current storer.Pair
+	pairs := make([]storer.Pair, len(t.Conditions))
+	for n, c := range t.Conditions {
+		pairs[n] = storer.Pair{Key: c.Key, Revision: c.Revision}
+	}
+	var current []storer.Pair
 	var ok bool
 	var err error
 	if len(t.Deletes) > 0 {
-		ok, err = p.Store.Delete(r.Context(), pair)
+		ok, err = p.Store.Delete(r.Context(), pairs[0])
+		current = pairs
 	} else {
-		pair.Value = t.Writes[0].Value
-		current, ok, err = p.Store.Swap(r.Context(), pair, storer.Lease(t.Writes[0].Lease))
+		for n, x := range t.Writes {
+			pairs[n].Value = x.Value
+		}
+		current, ok, err = p.Store.SwapAll(r.Context(), pairs, storer.Lease(t.Writes[0].Lease))
 	}
 	switch {
 	case err != nil:
 		writeError(w, err)
 	case !ok:
-		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"items": toWireItems([]storer.Pair{current})})
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"items": toWireItems(current)})
 	default:
-		writeJSON(w, http.StatusOK, map[string]int64{"revision": current.Revision})
+		writeJSON(w, http.StatusOK, map[string]int64{"revision": current[0].Revision})
 	}
 }
 
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -49,6 +49,18 @@
 	}
 )
 
+// MaxSwaps is the maximum number of pairs in a call of BatchStore.SwapAll.
+const MaxSwaps = 32
+
+// BatchStore is a Store with atomic writes of several keys.
+type BatchStore interface {
+	Store
+	// SwapAll writes all pairs if each key's revision is that of its pair, otherwise none. It
+	// returns the keys after the call, in the order of the pairs. All written keys get the same
+	// revision.
+	SwapAll(ctx context.Context, pairs []Pair, lease Lease) (now []Pair, ok bool, err error)
+}
+
 // Errors of the store.
 var (
 	// ErrLeaseExpired means that a lease has ended and its keys are deleted.
