Forwarder, discoverer: holders are ranked after a change, not twice a second

Cause: each instance ranked the instances of its zone for every group each 500 ms, and again whenever any peer became known. Of remote zones only eight peers are kept, so that in a large fleet listed ones were added and evicted all the time, and each counted as new: groups times instances, in every instance. And of a zone at most 256 peers were kept, so from 1,537 instances in six zones on the instances of a region disagreed about who reads the store.

Change: the forwarder keeps a version of each zone's list and ranks a group's holders again only if it has changed; additions are counted by zone; a remote zone that is full of working peers takes no listed ones; 1,024 peers of a near zone are kept, 3.3 times what 1,828 instances in six zones need (100 B each).

TestRankingsFollowChanges fails on the code before (it ranked 120 times a group and minute); TestRegionIsComplete failed at 1,828 instances: 513 of 610 known.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -22,9 +22,12 @@
 	// peerRetention is how long a failing peer is kept after it was last seen.
 	peerRetention = 2 * time.Minute
 	// maxPeersNearZone and maxPeersRemoteZone bound the peers kept of each zone inside and
-	// outside the region. A region must be complete, so that its instances agree on the
-	// readers of the store; with KeepAllZones, maxPeersNearZone applies to all zones.
-	maxPeersNearZone, maxPeersRemoteZone = 256, 8
+	// outside the region. A region must be complete, so that its instances agree on the tree
+	// by which the store's state is distributed; with KeepAllZones, maxPeersNearZone applies to
+	// all zones.
+	maxPeersNearZone, maxPeersRemoteZone = 1024, 8
+	// unlimitedPeers is the number of peers up to which all are kept.
+	unlimitedPeers = 256
 	// maxPeersInReply bounds the peers listed in a reply.
 	maxPeersInReply = 32
 	// monitoredPeers is how many peers an instance contacts regularly. More than one, so that
@@ -61,8 +64,8 @@
 
 		mutex sync.Mutex
 		peers map[string]*peerState
-		// added counts the peers added since the start.
-		added int
+		// added counts the peers added since the start, by zone.
+		added map[string]int
 	}
 
 	// peerState is the contact history of a peer.
@@ -104,33 +107,74 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if s, ok := d.peers[p.Name]; ok && s.contacted {
+	s, known := d.peers[p.Name]
+	if known && s.contacted || !known && d.zoneFull(p.Zone) {
 		return
 	}
 	d.peerState(p).lastSeen = now
 	d.evict(p.Zone)
 }
 
+// zoneFull reports whether a zone has as many peers as are kept, and none of them fails. Adding
+// one and evicting another for each listed peer would cost more than it is worth.
+func (d *Discoverer) zoneFull(zone string) bool {
+	if len(d.peers) < unlimitedPeers {
+		return false
+	}
+	n := 0
+	for _, s := range d.peers {
+		if s.Zone != zone {
+			continue
+		}
+		if s.failures > 0 {
+			return false
+		}
+		n++
+	}
+	return n == d.zoneLimit(zone)
+}
+
+// zoneLimit returns how many peers of a zone are kept.
+func (d *Discoverer) zoneLimit(zone string) int {
+	if d.KeepAllZones.Load() || d.distance(Peer{Zone: zone}) <= regionDistance {
+		return maxPeersNearZone
+	}
+	return maxPeersRemoteZone
+}
+
 // peerState returns the state of a peer, which it adds if it is unknown.
 func (d *Discoverer) peerState(p Peer) *peerState {
 	if d.peers == nil {
-		d.peers = map[string]*peerState{}
+		d.peers, d.added = map[string]*peerState{}, map[string]int{}
 	}
 	s, ok := d.peers[p.Name]
 	if !ok {
 		s = &peerState{Peer: p}
 		d.peers[p.Name] = s
-		d.added++
+		d.added[p.Zone]++
 	}
 	return s
 }
 
-// AddedCount returns how many peers were added since the start. Callers that cache results derived
-// from the peers use it to detect changes.
-func (d *Discoverer) AddedCount() int {
+// AddedCount returns how many peers of a zone were added since the start. Callers that cache results
+// derived from the zone's peers use it to detect changes.
+func (d *Discoverer) AddedCount(zone string) int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.added[zone]
+}
+
+// RegionAddedCount is AddedCount for all zones of this instance's region.
+func (d *Discoverer) RegionAddedCount() int {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.added
+	n := 0
+	for zone, added := range d.added {
+		if d.distance(Peer{Zone: zone}) <= regionDistance {
+			n += added
+		}
+	}
+	return n
 }
 
 // RecordFailure records a failed call to an address.
@@ -312,13 +356,10 @@
 
 // evict removes the least recently seen peers of a zone that exceeds its limit.
 func (d *Discoverer) evict(zone string) {
-	if len(d.peers) <= maxPeersNearZone {
+	if len(d.peers) <= unlimitedPeers {
 		return
 	}
-	limit := maxPeersRemoteZone
-	if d.KeepAllZones.Load() || d.distance(Peer{Zone: zone}) <= regionDistance {
-		limit = maxPeersNearZone
-	}
+	limit := d.zoneLimit(zone)
 	var list []*peerState
 	for _, s := range d.peers {
 		if s.Zone == zone {
--- a/internal/discoverer/discoverer_test.go
+++ b/internal/discoverer/discoverer_test.go
@@ -79,6 +79,20 @@
 	must.Eq(t, 32, len(d.PeersForReply(time.Hour)))
 }
 
+// An instance must know its whole region, or instances disagree about who reads the store for whom.
+func TestRegionIsComplete(t *testing.T) {
+	for _, instances := range []int{986, 1828, 3656} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			d := newDiscoverer() // zones a and b are one region
+			for n := range instances {
+				d.RecordListed(time.Duration(n), peer(fmt.Sprint("p", n), string(rune('a'+n%6))))
+			}
+			must.LessEq(t, instances/3+4*8+2, len(d.Peers(time.Hour)))
+			must.GreaterEq(t, instances/3, len(d.OwnRegion(time.Hour)))
+		})
+	}
+}
+
 // Each instance of a zone is monitored by the same number of others.
 func TestMonitored(t *testing.T) {
 	monitoredBy := map[string]int{}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -50,6 +50,8 @@
 	Clock      func() tracker.Timestamp
 	// Pool returns the connection pool of a group, nil if the group is unknown.
 	Pool func(group string) *lender.Pool
+	// MemberZone, when set, returns the availability zone of a member, "" if unknown.
+	MemberZone func(group, member string) string
 	// Connections returns how many connections a member of a group accepts from all instances,
 	// 0 if unknown.
 	Connections func(group string) int
@@ -67,6 +69,9 @@
 	// lastLender is the address of the peer that last lent a connection to a member.
 	lastLender  map[string]string
 	assignments map[string]*assignment
+	// zones caches the instances by zone; zoneVersions is the last version given to one.
+	zones        map[string]*zoneState
+	zoneVersions int
 	// refusals is when a peer last refused a loan for a member, by peer address and member.
 	refusals map[[2]string]tracker.Timestamp
 	// holderFailures is when a holder last failed, by address and member; an empty member
@@ -76,6 +81,7 @@
 
 	lent     atomic.Int64
 	borrowed atomic.Int64
+	rankings atomic.Int64
 }
 
 // LentCount returns how many connections are currently lent to peers.
@@ -85,6 +91,9 @@
 // started.
 func (fw *Forwarder) BorrowedCount() int { return int(fw.borrowed.Load()) }
 
+// RankingCount returns how often this instance has ranked instances as holders since it started.
+func (fw *Forwarder) RankingCount() int { return int(fw.rankings.Load()) }
+
 // Close closes all idle streams.
 func (fw *Forwarder) Close() {
 	fw.mutex.Lock()
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -244,3 +244,33 @@
 	}
 	must.True(t, c.HeldElsewhere("g", "g-1"))
 }
+
+// rankings returns how often the holders of groups are ranked within a minute in which no instance
+// of the zone changes, while peers in other zones come and go.
+func rankings(instances, groups int) int {
+	now := time.Hour
+	i := &discoverer.Discoverer{Self: discoverer.Peer{Name: "z", Address: "z:1", Zone: "a", Millicores: 192}, SameRegion: func(string) bool { return false }}
+	c := &forwarder.Forwarder{
+		Discoverer: i, Clock: func() tracker.Timestamp { return now }, Connections: func(string) int { return 12 }, Zones: 3, Log: func(...any) {},
+	}
+	for n := range instances {
+		name := fmt.Sprint("p", n)
+		i.RecordListed(now, discoverer.Peer{Name: name, Address: name + ":1", Zone: "a", Millicores: 800})
+	}
+	for n := range 600 {
+		now += 100 * time.Millisecond
+		name := fmt.Sprint("q", n%300)
+		i.RecordContact(now, discoverer.Peer{Name: name, Address: name + ":1", Zone: "b"})
+		for g := range groups {
+			c.HeldElsewhere(fmt.Sprint("g", g), "m")
+		}
+	}
+	return c.RankingCount()
+}
+
+// Guards against rankings at regular intervals, whose cost is the product of groups and instances.
+func TestRankingsFollowChanges(t *testing.T) {
+	must.Eq(t, 20, rankings(60, 20))
+	must.Eq(t, 40, rankings(60, 40))
+	must.Eq(t, 20, rankings(120, 20))
+}
--- a/internal/forwarder/holders.go
+++ b/internal/forwarder/holders.go
@@ -8,14 +8,17 @@
 
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/concentrator"
+	"github.com/oriolegw/oriolegw/internal/discoverer"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
 const (
-	// holdersTTL is how long the choice of holders is cached. Failed loans reveal dead holders
-	// sooner.
+	// holdersTTL is how long the list of a zone's instances is cached. Failed loans reveal dead
+	// holders sooner.
 	holdersTTL = 500 * time.Millisecond
+	// maxRankedMembers bounds the cached rankings of a group, whose members may be replaced.
+	maxRankedMembers = 32
 	// maxHoldersTried is how many holders are tried before the instance opens its own connection.
 	maxHoldersTried = 4
 	// attemptTimeout bounds one attempt to borrow; the members are then chosen again, since the
@@ -33,18 +36,36 @@
 	// assignment is the cached choice of the instances that hold a group's connections.
 	assignment struct {
 		concentrator.Selector
-		updatedAt tracker.Timestamp
-		// peersAdded is the discoverer's count of added peers at updatedAt.
-		peersAdded int
-		// zoneHolders hold this zone's connections to all members; empty unless the placement
-		// is concentrator.PerZone.
-		zoneHolders holders
+		// fleet is the input of the last decision.
+		fleet concentrator.Fleet
+		// zoneHolders hold this zone's connections to all members; they are computed on demand
+		// and unused unless the placement is concentrator.PerZone.
+		zoneHolders ranking
 		// memberHolders are the holders per member, computed on demand.
-		memberHolders map[string]holders
+		memberHolders map[string]ranking
 		// holderCount is how many instances hold connections to a member.
 		holderCount int
 	}
 
+	// ranking is a list of holders with the version of the zone that it was computed from.
+	ranking struct {
+		zone    string
+		version int
+		holders holders
+	}
+
+	// zoneState is the cached list of a zone's available instances.
+	zoneState struct {
+		instances []discoverer.Peer
+		// version changes with instances, so that holders are ranked again only after a change.
+		version   int
+		updatedAt tracker.Timestamp
+		// peersAdded is the discoverer's count of the zone's added peers at updatedAt, and
+		// draining whether this instance was draining.
+		peersAdded int
+		draining   bool
+	}
+
 	// holders are addresses in order of preference; "" is this instance.
 	holders []string
 )
@@ -69,44 +90,102 @@
 // holders returns the holders of a group's connections to a member; empty if each instance
 // holds its own.
 func (fw *Forwarder) holders(group, member string) holders {
-	// Must precede the lock: memberZone takes locks of the group's pool.
+	// Must precede the lock: memberZone takes locks of its own.
 	zone := fw.memberZone(group, member)
 	fw.mutex.Lock()
 	defer fw.mutex.Unlock()
 	h := fw.assignment(group)
-	if h.Placement() != concentrator.PerMember {
-		return h.zoneHolders
+	switch h.Placement() {
+	case concentrator.PerZone:
+		fw.refresh(&h.zoneHolders, group, fw.Discoverer.Self.Zone)
+		return h.zoneHolders.holders
+	case concentrator.PerMember:
+		r, ok := h.memberHolders[member]
+		if !ok && len(h.memberHolders) >= maxRankedMembers {
+			clear(h.memberHolders)
+		}
+		fw.refresh(&r, member, zone)
+		h.memberHolders[member] = r
+		return r.holders
+	default:
+		return nil
+	}
+}
+
+// refresh ranks the instances of a zone for a key again if they have changed. Instances of this
+// zone replace those of one that has none. The mutex is held.
+func (fw *Forwarder) refresh(r *ranking, key, zone string) {
+	z := fw.zone(zone)
+	if len(z.instances) == 0 {
+		zone = fw.Discoverer.Self.Zone
+		z = fw.zone(zone)
+	}
+	if r.version == z.version && r.zone == zone {
+		return
 	}
-	list, ok := h.memberHolders[member]
+	fw.rankings.Add(1)
+	*r = ranking{zone: zone, version: z.version, holders: fw.rank(key, z.instances)}
+}
+
+// zone returns the available instances of a zone. The mutex is held.
+func (fw *Forwarder) zone(name string) *zoneState {
+	now := fw.Clock()
+	z, ok := fw.zones[name]
 	if !ok {
-		list = fw.rankInZone(member, zone)
-		h.memberHolders[member] = list
+		z = &zoneState{}
+		if fw.zones == nil {
+			fw.zones = map[string]*zoneState{}
+		}
+		fw.zones[name] = z
+	}
+	// A just started instance knows no peers yet. Newly discovered peers invalidate the cache,
+	// so that a fleet-wide restart doesn't make every instance connect to every member.
+	added := fw.Discoverer.AddedCount(name)
+	if ok && now-z.updatedAt < holdersTTL && z.peersAdded == added {
+		return z
 	}
-	return list
+	z.updatedAt, z.peersAdded = now, added
+	list := fw.Discoverer.InZone(now, name)
+	slices.SortFunc(list, func(a, b discoverer.Peer) int { return strings.Compare(a.Name, b.Name) })
+	draining := fw.Draining != nil && fw.Draining()
+	if !ok || draining != z.draining || !slices.Equal(list, z.instances) {
+		fw.zoneVersions++
+		z.instances, z.draining, z.version = list, draining, fw.zoneVersions
+	}
+	return z
 }
 
-// assignment returns the current holders of a group's connections. The mutex is held.
+// assignment returns the current placement of a group's connections. The mutex is held.
 func (fw *Forwarder) assignment(group string) *assignment {
-	now := fw.Clock()
 	if fw.assignments == nil {
 		fw.assignments = map[string]*assignment{}
 	}
 	h, ok := fw.assignments[group]
 	if !ok {
-		h = &assignment{}
+		h = &assignment{memberHolders: map[string]ranking{}}
 		fw.assignments[group] = h
 	}
-	// A just started instance knows no peers yet. Newly discovered peers invalidate the cache,
-	// so that a fleet-wide restart doesn't make every instance connect to every member.
-	added := fw.Discoverer.AddedCount()
-	if ok && now-h.updatedAt < holdersTTL && h.peersAdded == added {
+	// Assumes that all zones have about as many instances.
+	instances := len(fw.zone(fw.Discoverer.Self.Zone).instances)
+	f := concentrator.Fleet{Connections: fw.Connections(group), Instances: instances * fw.Zones, Zones: fw.Zones, Customers: fw.customerCount()}
+	if f == h.fleet {
 		return h
 	}
-	h.peersAdded, h.updatedAt = added, now
+	h.fleet = f
 	before := h.Placement()
-	fw.updatePlacement(now, group, h)
+	switch h.Decide(f) {
+	case concentrator.PerInstance:
+		h.holderCount = f.Instances
+	case concentrator.PerZone:
+		h.holderCount = fw.Zones
+	case concentrator.PerMember:
+		h.holderCount = 1
+	}
 	if after := h.Placement(); after != before {
-		fw.Log("event", "concentrated", "group", group, "placement", after, "holders", strings.Join(h.zoneHolders, ","))
+		if after == concentrator.PerZone {
+			fw.refresh(&h.zoneHolders, group, fw.Discoverer.Self.Zone)
+		}
+		fw.Log("event", "concentrated", "group", group, "placement", after, "holders", strings.Join(h.zoneHolders.holders, ","))
 	}
 	return h
 }
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -6,7 +6,6 @@
 
 	"github.com/oriolegw/oriolegw/internal/concentrator"
 	"github.com/oriolegw/oriolegw/internal/discoverer"
-	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
 // MemberHolders returns the addresses of the instances that hold connections for the members of
@@ -50,17 +49,6 @@
 	return list[i]
 }
 
-// rankInZone ranks the instances of a member's availability zone as holders, or those of this
-// instance's zone if that zone has none. The mutex is held.
-func (fw *Forwarder) rankInZone(member, zone string) holders {
-	now := fw.Clock()
-	inZone := fw.Discoverer.InZone(now, zone)
-	if len(inZone) == 0 {
-		inZone = fw.Discoverer.OwnZone(now)
-	}
-	return fw.rank(member, inZone)
-}
-
 // rank orders instances as holders for a key, without this one while it is draining.
 func (fw *Forwarder) rank(key string, list []discoverer.Peer) holders {
 	var candidates []concentrator.Candidate
@@ -84,32 +72,10 @@
 
 // memberZone returns a member's availability zone, "" if unknown.
 func (fw *Forwarder) memberZone(group, member string) string {
-	if fw.Pool == nil {
-		return ""
-	}
-	p := fw.Pool(group)
-	if p == nil {
+	if fw.MemberZone == nil {
 		return ""
 	}
-	m, _ := p.Group.Member(member)
-	return m.Zone
-}
-
-// updatePlacement recomputes a group's placement and holders.
-func (fw *Forwarder) updatePlacement(now tracker.Timestamp, group string, h *assignment) {
-	zone := fw.Discoverer.OwnZone(now)
-	// Assumes that all zones have about as many instances.
-	f := concentrator.Fleet{Connections: fw.Connections(group), Instances: len(zone) * fw.Zones, Zones: fw.Zones, Customers: fw.customerCount()}
-	h.zoneHolders, h.memberHolders = nil, map[string]holders{}
-	switch h.Decide(f) {
-	case concentrator.PerInstance:
-		h.holderCount = f.Instances
-	case concentrator.PerZone:
-		h.holderCount = fw.Zones
-		h.zoneHolders = fw.rank(group, zone)
-	case concentrator.PerMember:
-		h.holderCount = 1
-	}
+	return fw.MemberZone(group, member)
 }
 
 func (fw *Forwarder) customerCount() int {
