Exchanger, watcher: the store's state is distributed by a tree, compressed, also at a start

Cause: two instances of a region answered all others twice a second, whatever their size, and went over all pairs for each answer; each change sorted all pairs again.

Change: - distributor arranges a region's instances, larger ones first, as a tree with two parents for 32 children. Replies tell the depth, so that instances that disagree can't follow each other. - recorder keeps changes in the order of their revisions: the work of an update and of an answer follows the changes. The watcher passes on only the groups that have changed. - The whole state, and large changes such as a configuration, are compressed once for all peers that request them. - A starting instance lists the instances of its region (stale reads, a tenth of a call each) and gets the state from its parents; it reads the store only after some seconds without. Records have the zone in their keys, so that a region can be listed.

TestChangesSince is now TestSince of the recorder, with more cases.

--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,12 @@
 slopes:
 	@go test ./internal/standin/mesher -run TestSlopes -slopes -v -timeout 20m | grep -E '=[0-9]|^ok|FAIL'
 
+# make fleet-scale prints what a restart of all instances, a change of the configuration and the
+# loss of a member cost at 9 to 1,828 instances, on virtual time.
+.PHONY: fleet-scale
+fleet-scale:
+	@go test ./internal/exchanger -run TestFleetScale -fleet-scale -count=1 -v -timeout 30m | grep -E 'fleet-scale|^ok|FAIL|expected'
+
 # make measure prints one line per figure: name, value, unit, baseline.
 .PHONY: measure
 measure:
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -8,13 +8,15 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/concentrator"
 	"github.com/oriolegw/oriolegw/internal/discoverer"
+	"github.com/oriolegw/oriolegw/internal/distributor"
 	"github.com/oriolegw/oriolegw/internal/linker"
 	"github.com/oriolegw/oriolegw/internal/linker/wire"
-	"github.com/oriolegw/oriolegw/internal/ranker"
 	"github.com/oriolegw/oriolegw/internal/sleeper"
 	"github.com/oriolegw/oriolegw/internal/storer"
 	"github.com/oriolegw/oriolegw/internal/tracker"
@@ -25,10 +27,12 @@
 const (
 	// callTimeout bounds a request to a peer, including the handshake between regions.
 	callTimeout = 400 * time.Millisecond
-	// readersPerRegion is how many instances of a region watch the store for the others, if
-	// there are more than maxIndependentReaders. If all of them fail, the others watch the store
-	// themselves until new ones are selected.
-	readersPerRegion, maxIndependentReaders = 2, 4
+	// maxIndependentReaders is how many instances of a region watch the store each for itself.
+	// If there are more, they are arranged as a tree whose readers watch it for the others. If
+	// all of them fail, the others watch the store themselves until new ones are selected.
+	maxIndependentReaders = 4
+	// treeTTL is how long this instance's place in the tree is cached.
+	treeTTL = 200 * time.Millisecond
 	// stateRequestFanout is how many peers are asked for the store state concurrently, since
 	// the nearest one may have lost the store as well.
 	stateRequestFanout = 3
@@ -44,6 +48,8 @@
 	// during firstContactPeriod after its start.
 	firstContactFanout = 4
 	firstContactPeriod = 2 * time.Second
+	// maxReportedReads bounds the reads of a group in one request of a peer.
+	maxReportedReads = 1 << 16
 	// registerRetryDelay is the minimum time between two attempts to write the record of this
 	// instance.
 	registerRetryDelay = time.Second
@@ -60,19 +66,32 @@
 	tracker.FreshnessProof
 }
 
+// GroupReads counts the reads of a group that a replica may serve.
+type GroupReads struct {
+	Group string
+	Count int
+}
+
 // Exchanger sends requests to peers and answers theirs. Set the exported fields, then call Run.
 type Exchanger struct {
 	Discoverer *discoverer.Discoverer
 	Links      *linker.Client
 	Clock      func() tracker.Timestamp
 	// StoreState returns the known state of the store, nil before the first read.
-	StoreState func() *watcher.StoreState
+	StoreState func() *watcher.KnownState
 	// IsReader reports whether this instance watches the store itself and the store is available.
-	IsReader func() bool
-	// Proofs, if set, returns the recent proofs that this instance obtained from primaries.
-	// AddProof is called with the proofs received from a peer.
-	Proofs   func() []GroupProof
+	// FollowsReader reports whether it follows a peer that watches the store.
+	IsReader, FollowsReader func() bool
+	// Proofs, if set, returns the recent proofs that this instance obtained from primaries, of
+	// the given groups or, with nil, of all. AddProof is called with the proofs received from a
+	// peer.
+	Proofs   func(groups []string) []GroupProof
 	AddProof func(GroupProof)
+	// TakeReads, if set, returns the groups whose proofs this instance wants from a peer, with
+	// the reads since the last call, or all for every group. RecordPeerReads is called with those
+	// that a peer has sent.
+	TakeReads       func() (groups []GroupReads, all bool)
+	RecordPeerReads func([]GroupReads)
 	// Lend, if set, serves a peer that borrows connections.
 	Lend func(stream wire.DRPCNeighbours_LendStream) error
 	// Account, if set, handles a usage report of a peer.
@@ -84,10 +103,21 @@
 
 	// contacted is the time of the last request by peer name. It is accessed only by Run.
 	contacted map[string]tracker.Timestamp
-	// readerRequests counts the calls of RequestState, which are not concurrent.
-	readerRequests int
+	// parentRequests counts the calls of RequestState, which are not concurrent.
+	parentRequests int
+	// parentDepth is the depth of the peer that last sent the state.
+	parentDepth atomic.Uint32
+	// compressed is the whole state as sent to peers that know nothing.
+	compressed compressedState
 
 	mutex sync.Mutex
+	// parents caches the result of parentAddresses.
+	parents   []string
+	parentsAt tracker.Timestamp
+	// peersAdded is the discoverer's count of the region's added peers at parentsAt.
+	peersAdded int
+	// listed is set once the records of the other instances were read.
+	listed bool
 	// ownRecord is the record of this instance in the store.
 	ownRecord storer.Pair
 	// registerTriedAt is when the record was last written.
@@ -138,14 +168,14 @@
 // RequestState requests the store state after a revision from peers and returns the newest answer.
 // It implements watcher.Watcher.RequestState and must not be called concurrently.
 func (e *Exchanger) RequestState(ctx context.Context, revision int64) (watcher.StoreState, error) {
-	if readers := e.readerAddresses(); !slices.Contains(readers, "") {
-		return e.requestFromReader(ctx, readers, revision)
+	if parents := e.parentAddresses(); len(parents) > 0 {
+		return e.requestFromParents(ctx, parents, revision)
 	}
 	list := e.Discoverer.Addresses(e.Clock(), stateRequestFanout)
 	answers := make(chan watcher.StoreState, len(list))
 	for _, address := range list {
 		go func() {
-			state, err := e.request(ctx, address, &wire.TellRequest{Revision: revision})
+			state, err := e.request(ctx, address, &wire.TellRequest{Revision: revision, Compress: true})
 			if err != nil {
 				state = watcher.StoreState{}
 			}
@@ -167,12 +197,20 @@
 	return best, nil
 }
 
-// requestFromReader requests the store state from the readers in round-robin order, and
-// tries the next one if a reader fails.
-func (e *Exchanger) requestFromReader(ctx context.Context, readers []string, revision int64) (watcher.StoreState, error) {
-	e.readerRequests++
-	for i := range readers {
-		state, err := e.request(ctx, readers[(e.readerRequests+i)%len(readers)], &wire.TellRequest{Revision: revision, Proofs: true, Changes: true})
+// requestFromParents requests the store state from the parents in round-robin order, and tries
+// the next one if a parent fails.
+func (e *Exchanger) requestFromParents(ctx context.Context, parents []string, revision int64) (watcher.StoreState, error) {
+	e.parentRequests++
+	r := &wire.TellRequest{Revision: revision, Proofs: true, Changes: true, Compress: true}
+	if e.TakeReads != nil {
+		groups, all := e.TakeReads()
+		r.Selective, r.Proofs = !all, all || len(groups) > 0
+		for _, g := range groups {
+			r.Reads = append(r.Reads, &wire.GroupReads{Group: g.Group, Count: uint32(g.Count)})
+		}
+	}
+	for i := range parents {
+		state, err := e.request(ctx, parents[(e.parentRequests+i)%len(parents)], r)
 		if err == nil && state.Revision != 0 {
 			return state, nil
 		}
@@ -180,29 +218,54 @@
 	return watcher.StoreState{}, errNoPeerState
 }
 
-// readerAddresses returns the addresses of the instances that watch the store for this
-// region, "" for this instance. It omits unresponsive peers, so that a partitioned
+// parentAddresses returns the addresses of the instances from which this one gets the store's
+// state, none if it watches the store itself. It omits unresponsive peers, so that a partitioned
 // zone selects its own readers.
-func (e *Exchanger) readerAddresses() []string {
-	list := e.Discoverer.OwnRegion(e.Clock())
+func (e *Exchanger) parentAddresses() []string {
+	now, added := e.Clock(), e.Discoverer.RegionAddedCount()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.parentsAt == 0 || now-e.parentsAt > treeTTL || added != e.peersAdded {
+		e.parents, e.parentsAt, e.peersAdded = e.computeParents(now), now, added
+	}
+	return e.parents
+}
+
+func (e *Exchanger) computeParents(now tracker.Timestamp) []string {
+	list := e.Discoverer.OwnRegion(now)
 	if len(list) <= maxIndependentReaders {
-		return []string{""}
+		return nil
 	}
-	var addresses []string
-	for _, p := range ranker.Rank(InstancePrefix, list, peerName)[:readersPerRegion] {
-		if p.Name == e.Discoverer.Self.Name {
-			p.Address = ""
-		}
-		addresses = append(addresses, p.Address)
+	addresses := make(map[string]string, len(list))
+	candidates := make([]concentrator.Candidate, 0, len(list))
+	for _, p := range list {
+		addresses[p.Name] = p.Address
+		candidates = append(candidates, concentrator.Candidate{Name: p.Name, Millicores: p.Millicores})
 	}
-	return addresses
+	order := concentrator.RankHolders(InstancePrefix, candidates)
+	var parents []string
+	for _, i := range distributor.Parents(slices.Index(order, e.Discoverer.Self.Name)) {
+		parents = append(parents, addresses[order[i]])
+	}
+	return parents
 }
 
-func peerName(p discoverer.Peer) string { return p.Name }
-
 // FollowsPeers reports whether others read the store for this instance. It implements
 // watcher.Watcher's FollowsPeers.
-func (e *Exchanger) FollowsPeers() bool { return !slices.Contains(e.readerAddresses(), "") }
+func (e *Exchanger) FollowsPeers() bool { return len(e.parentAddresses()) > 0 }
+
+// depth returns the number of instances from this one to the store, itself included, and 0 if
+// the store isn't reached.
+func (e *Exchanger) depth() uint32 {
+	switch {
+	case e.IsReader():
+		return 1
+	case e.FollowsReader != nil && e.FollowsReader():
+		return min(e.parentDepth.Load(), distributor.MaxDepth) + 1
+	default:
+		return 0
+	}
+}
 
 // request sends a request to a peer and records the peers and proofs of its reply.
 func (e *Exchanger) request(ctx context.Context, address string, r *wire.TellRequest) (watcher.StoreState, error) {
@@ -211,7 +274,10 @@
 	requestedAt := e.Clock()
 	err := e.Links.Call(ctx, callTimeout, address, func(ctx context.Context, l *linker.Link) (err error) {
 		reply, err = wire.NewDRPCNeighboursClient(l.Conn()).Tell(ctx, r)
-		return err
+		if err != nil {
+			return err
+		}
+		return decompressItems(reply)
 	})
 	if err != nil {
 		if ctx.Err() == nil {
@@ -233,7 +299,13 @@
 			At: requestedAt - time.Duration(p.AgeUs)*time.Microsecond, Position: orderer.Position{Term: p.Term, Offset: p.Offset},
 		}})
 	}
-	state := watcher.StoreState{Revision: reply.Revision, Partial: reply.Partial, Sender: responder.Name, SenderIsReader: reply.Reads, ConfirmedAt: requestedAt - time.Duration(reply.AgeMs)*time.Millisecond}
+	if r.Changes {
+		e.parentDepth.Store(max(1, reply.Depth))
+	}
+	state := watcher.StoreState{
+		Revision: reply.Revision, Partial: reply.Partial, Sender: responder.Name, SenderIsReader: reply.Reads && reply.Depth < distributor.MaxDepth,
+		ConfirmedAt: requestedAt - time.Duration(reply.AgeMs)*time.Millisecond,
+	}
 	for _, x := range reply.Items {
 		state.Pairs = append(state.Pairs, storer.Pair{Key: x.Key, Value: x.Value, Revision: x.Revision})
 	}
@@ -250,32 +322,65 @@
 			reply.Peers = append(reply.Peers, toPeer(p))
 		}
 	}
+	e.recordPeerReads(r)
 	if r.Proofs && e.Proofs != nil {
-		reply.Proofs = e.encodeProofs()
+		reply.Proofs = e.encodeProofs(r)
 	}
 	state := e.StoreState()
 	if state == nil || r.PeersOnly {
 		return reply
 	}
-	reply.Reads = e.IsReader()
+	reply.Depth = e.depth()
+	reply.Reads = reply.Depth > 0
 	reply.Revision, reply.AgeMs = state.Revision, uint32(max(0, now-state.ConfirmedAt).Milliseconds())
-	if r.Revision >= state.Revision {
-		return reply
+	if r.Revision < state.Revision {
+		e.addItems(reply, r, state)
 	}
-	pairs := state.Pairs
+	return reply
+}
+
+// addItems adds the state after the revision of a request to its reply.
+func (e *Exchanger) addItems(reply *wire.TellReply, r *wire.TellRequest, state *watcher.KnownState) {
+	var pairs []storer.Pair
 	if r.Changes {
-		pairs, reply.Partial = state.ChangesSince(r.Revision)
+		pairs, reply.Partial = state.Records.Since(r.Revision)
 	}
-	for _, p := range pairs {
-		reply.Items = append(reply.Items, &wire.StoreItem{Key: p.Key, Value: p.Value, Revision: p.Revision})
+	switch {
+	case reply.Partial && r.Compress:
+		reply.Compressed = e.compressed.getChanges(pairs, r.Revision, state.Revision)
+	case r.Compress:
+		reply.Compressed, reply.Revision = e.compressed.getWhole(e.Clock(), state)
+	case !reply.Partial:
+		pairs, _ = state.Records.Whole()
 	}
-	return reply
+	if reply.Compressed == nil {
+		reply.Items = toItems(pairs)
+	}
+}
+
+// recordPeerReads passes on the reads that a peer has reported.
+func (e *Exchanger) recordPeerReads(r *wire.TellRequest) {
+	if e.RecordPeerReads == nil || len(r.Reads) == 0 {
+		return
+	}
+	list := make([]GroupReads, 0, len(r.Reads))
+	for _, g := range r.Reads {
+		list = append(list, GroupReads{Group: g.Group, Count: int(min(g.Count, maxReportedReads))})
+	}
+	e.RecordPeerReads(list)
 }
 
-// encodeProofs returns the recent proofs for a reply. Ages are rounded up: a proof that
+// encodeProofs returns the recent proofs that a request asks for. Ages are rounded up: a proof that
 // appears newer than it is would let a read miss acknowledged commits.
-func (e *Exchanger) encodeProofs() []*wire.GroupProof {
-	known := e.Proofs()
+func (e *Exchanger) encodeProofs(r *wire.TellRequest) []*wire.GroupProof {
+	var groups []string
+	if r.Selective {
+		groups = make([]string, 0, len(r.Reads))
+		for _, g := range r.Reads {
+			groups = append(groups, g.Group)
+		}
+	}
+	known := e.Proofs(groups)
 	now := e.Clock()
 	list := make([]*wire.GroupProof, 0, len(known))
 	for _, p := range known {
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -1,6 +1,8 @@
 package exchanger_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"testing"
@@ -12,6 +14,7 @@
 	"github.com/oriolegw/oriolegw/internal/exchanger"
 	"github.com/oriolegw/oriolegw/internal/linker"
 	"github.com/oriolegw/oriolegw/internal/linker/wire"
+	"github.com/oriolegw/oriolegw/internal/recorder"
 	"github.com/oriolegw/oriolegw/internal/standin/netsimulator"
 	"github.com/oriolegw/oriolegw/internal/storer"
 	"github.com/oriolegw/oriolegw/internal/tracker"
@@ -21,15 +24,17 @@
 	"google.golang.org/protobuf/proto"
 )
 
-func newExchanger(name string, known *watcher.StoreState) *exchanger.Exchanger {
+func newExchanger(name string, known *watcher.KnownState) *exchanger.Exchanger {
 	return &exchanger.Exchanger{
 		Discoverer: &discoverer.Discoverer{Self: discoverer.Peer{Name: name, Address: name + ":1", Zone: "a"}, SameRegion: func(string) bool { return false }},
-		Clock:      func() tracker.Timestamp { return time.Hour }, StoreState: func() *watcher.StoreState { return known }, IsReader: func() bool { return true }, Log: func(...any) {},
+		Clock:      func() tracker.Timestamp { return time.Hour }, StoreState: func() *watcher.KnownState { return known }, IsReader: func() bool { return true }, Log: func(...any) {},
 	}
 }
 
-func storeState(revision int64) *watcher.StoreState {
-	return &watcher.StoreState{Revision: revision, ConfirmedAt: time.Hour - time.Second, Pairs: []storer.Pair{{Key: "k", Value: []byte("v"), Revision: 3}}}
+func storeState(revision int64) *watcher.KnownState {
+	r := &recorder.Recorder{}
+	r.Apply([]storer.Pair{{Key: "k", Value: []byte("v"), Revision: 3}}, revision, true)
+	return &watcher.KnownState{Revision: revision, ConfirmedAt: time.Hour - time.Second, Records: r}
 }
 
 // The reply holds store items only for an outdated peer, and only peers if requested or if
@@ -204,7 +209,7 @@
 					y.Discoverer.RecordListed(9*time.Hour, discoverer.Peer{Name: ip, Address: ip + ":1", Zone: "a"})
 					x := newExchanger(ip, storeState(7))
 					x.Clock = func() tracker.Timestamp { return time.Since(start) + time.Hour }
-					x.Proofs = func() []exchanger.GroupProof {
+					x.Proofs = func([]string) []exchanger.GroupProof {
 						defer time.Sleep(c.pause)
 						return []exchanger.GroupProof{{Group: "g", FreshnessProof: tracker.FreshnessProof{At: provenAt.Sub(start) + time.Hour, Position: orderer.Position{Term: 2, Offset: 9}}}}
 					}
@@ -239,3 +244,72 @@
 		})
 	}
 }
+
+// replyBytes returns the size of a reply to a follower that uses ten of many groups.
+func replyBytes(groups int) int {
+	x := newExchanger("x", storeState(9))
+	x.Proofs = func(wanted []string) (list []exchanger.GroupProof) {
+		if wanted == nil {
+			for g := range groups {
+				wanted = append(wanted, fmt.Sprintf("group-%04d", g))
+			}
+		}
+		for _, g := range wanted {
+			list = append(list, exchanger.GroupProof{Group: g, FreshnessProof: tracker.FreshnessProof{At: time.Hour, Position: orderer.Position{Term: 1, Offset: 5}}})
+		}
+		return list
+	}
+	r := &wire.TellRequest{Sender: &wire.Peer{Name: "y", Address: "y:1", Zone: "a"}, Revision: 9, Changes: true, Proofs: true, Selective: true}
+	for g := range 10 {
+		r.Reads = append(r.Reads, &wire.GroupReads{Group: fmt.Sprintf("group-%04d", g), Count: 1})
+	}
+	return proto.Size(x.HandleRequest(r))
+}
+
+// The size of a reply must follow the groups that the peer uses, not the number of groups.
+func TestReplyFollowsInterest(t *testing.T) {
+	must.Eq(t, replyBytes(500), replyBytes(1000))
+	must.LessEq(t, 600, replyBytes(1000))
+}
+
+// After a restart of the fleet many peers request the whole state, which must be encoded once.
+func TestWholeStateIsEncodedOnce(t *testing.T) {
+	steps := func(peers int) int {
+		var pairs []storer.Pair
+		for n := range 1000 {
+			pairs = append(pairs, storer.Pair{Key: fmt.Sprint("servers/", n), Value: bytes.Repeat([]byte("x"), 200), Revision: int64(n + 1)})
+		}
+		known := storeState(9)
+		known.Records = &recorder.Recorder{}
+		known.Records.Apply(pairs, 1000, true)
+		known.Revision = 1000
+		x := newExchanger("x", known)
+		before := known.Records.Steps()
+		for n := range peers {
+			name := fmt.Sprint("y", n)
+			a := x.HandleRequest(&wire.TellRequest{Sender: &wire.Peer{Name: name, Address: name + ":1", Zone: "a"}, Changes: true, Compress: true})
+			must.Eq(t, 1000, a.Revision)
+			must.Less(t, 50<<10, proto.Size(a))
+		}
+		return known.Records.Steps() - before
+	}
+	must.Eq(t, steps(20), steps(40))
+}
+
+// A compressed state that can't be read, or that is far larger than any state, must cost the
+// peer its connection.
+func TestInvalidCompressedState(t *testing.T) {
+	bomb := func(text []byte) []byte {
+		var b bytes.Buffer
+		z := gzip.NewWriter(&b)
+		_, err := z.Write(text)
+		must.NoError(t, err)
+		must.NoError(t, z.Close())
+		return b.Bytes()
+	}
+	for name, data := range map[string][]byte{"not compressed": []byte("nonsense"), "too large": bomb(make([]byte, 65<<20)), "not items": bomb([]byte{0xff, 0xff})} {
+		t.Run(name, func(t *testing.T) {
+			must.Error(t, exchanger.DecompressItems(&wire.TellReply{Compressed: data}))
+		})
+	}
+}
--- /dev/null
+++ b/internal/exchanger/export_test.go
@@ -0,0 +1,4 @@
+package exchanger
+
+// DecompressItems is decompressItems.
+var DecompressItems = decompressItems
--- a/internal/exchanger/register.go
+++ b/internal/exchanger/register.go
@@ -17,10 +17,25 @@
 	Millicores int    `json:"millicores,omitempty"`
 }
 
+// RecordPrefix returns the key prefix of the instance records of an availability zone.
+func RecordPrefix(zone string) string { return InstancePrefix + zone + "/" }
+
+// SetListed records that the records of other instances were read from the store, after which
+// this instance may write its own.
+func (e *Exchanger) SetListed() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.listed = true
+}
+
 // HandleRecord handles a changed instance record of the store.
 func (e *Exchanger) HandleRecord(p storer.Pair) {
-	name := strings.TrimPrefix(p.Key, InstancePrefix)
+	// Earlier versions wrote records without the zone in the key.
+	name := p.Key[strings.LastIndexByte(p.Key, '/')+1:]
 	if name == e.Discoverer.Self.Name {
+		if p.Key != RecordPrefix(e.Discoverer.Self.Zone)+name {
+			return
+		}
 		e.mutex.Lock()
 		e.ownRecord = p
 		e.mutex.Unlock()
@@ -39,9 +54,10 @@
 
 // register writes the record of this instance unless the store already holds it.
 func (e *Exchanger) register(ctx context.Context) {
-	if e.StoreState() == nil || e.Store == nil {
+	if e.Store == nil {
 		return
 	}
+	known := e.StoreState() != nil
 	self := e.Discoverer.Self
 	value, err := json.Marshal(record{Address: self.Address, Zone: self.Zone, Millicores: self.Millicores})
 	if err != nil {
@@ -49,7 +65,7 @@
 	}
 	e.mutex.Lock()
 	ownRecord := e.ownRecord
-	needsWrite := string(ownRecord.Value) != string(value) && (e.registerTriedAt == 0 || e.Clock()-e.registerTriedAt >= registerRetryDelay)
+	needsWrite := (known || e.listed) && string(ownRecord.Value) != string(value) && (e.registerTriedAt == 0 || e.Clock()-e.registerTriedAt >= registerRetryDelay)
 	if needsWrite {
 		e.registerTriedAt = e.Clock()
 	}
@@ -57,7 +73,7 @@
 	if !needsWrite {
 		return
 	}
-	now, ok, err := e.Store.Swap(ctx, storer.Pair{Key: InstancePrefix + self.Name, Value: value, Revision: ownRecord.Revision}, 0)
+	now, ok, err := e.Store.Swap(ctx, storer.Pair{Key: RecordPrefix(self.Zone) + self.Name, Value: value, Revision: ownRecord.Revision}, 0)
 	if err != nil {
 		e.Log("event", "instance-not-registered", "cause", err)
 		return
--- a/internal/watcher/entries.go
+++ b/internal/watcher/entries.go
@@ -5,43 +5,36 @@
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
-// applyMember applies a changed member entry and reports whether the members changed.
-func (w *Watcher) applyMember(p storer.Pair) bool {
+// applyMember applies a changed member entry.
+func (w *Watcher) applyMember(p storer.Pair) {
 	e := w.entries[p.Key]
 	if p.Revision == 0 {
-		if e == nil || e.missingSince != 0 {
-			return false
-		}
-		w.Log("event", "member-missing", "member", e.ID, "group", e.Group, "said-it-leaves", e.leavingSince != 0)
-		if e.leavingSince != 0 {
-			delete(w.entries, p.Key)
-			return true
-		}
-		e.missingSince = w.changedSince
-		return true
+		w.applyDeletion(p.Key, e)
+		return
 	}
 	if e != nil && e.Revision > p.Revision {
-		return false
+		return
 	}
 	m, err := w.DecodeMember(p.Key, p.Value, p.Revision)
 	if err == nil && e != nil && e.StartTime != 0 && m.StartTime == 0 {
 		err = errNoStartTime
 	}
 	if err != nil {
-		return w.rejectEntry(p, e, err)
+		w.rejectEntry(p, e, err)
+		return
 	}
-	switch {
-	case e == nil:
+	if e == nil {
 		e = &entry{}
-		w.entries[p.Key] = e
-	case m.StartTime < e.StartTime:
+	}
+	if m.StartTime < e.StartTime {
 		w.Log("event", "earlier-life-ignored", "member", m.ID, "born", m.StartTime, "known", e.StartTime, "revision", p.Revision)
-		return false
-	case m.StartTime > e.StartTime && e.StartTime != 0:
+		return
+	}
+	before := *e
+	if m.StartTime > e.StartTime && e.StartTime != 0 {
 		w.Log("event", "member-restarted", "member", m.ID, "group", m.Group, "born", m.StartTime, "before", e.StartTime, "revision", p.Revision)
 		*e = entry{}
 	}
-	before := *e
 	expired := e.Expired && m.Leaving
 	e.Member, e.missingSince = m, 0
 	e.Expired = expired
@@ -50,33 +43,77 @@
 	} else if e.leavingSince == 0 {
 		e.leavingSince = w.changedSince
 	}
+	w.storeEntry(p.Key, before.Group, e)
 	same := before.Member
 	same.Revision = m.Revision
 	if same == e.Member && before.missingSince == 0 {
-		return false
+		return
 	}
+	w.changedGroups[m.Group] = true
 	w.Log("event", "member", "member", m.ID, "group", m.Group, "zone", m.Zone, "primary", m.Primary, "leaving", m.Leaving, "revision", m.Revision, "born", m.StartTime)
-	return true
+}
+
+// applyDeletion applies the deletion of a member's entry, which may be unknown.
+func (w *Watcher) applyDeletion(key string, e *entry) {
+	if e == nil || e.missingSince != 0 {
+		return
+	}
+	w.Log("event", "member-missing", "member", e.ID, "group", e.Group, "said-it-leaves", e.leavingSince != 0)
+	w.changedGroups[e.Group] = true
+	if e.leavingSince != 0 {
+		w.dropEntry(key, e)
+		return
+	}
+	e.missingSince = w.changedSince
+	w.ending[key] = e
+}
+
+// storeEntry stores an entry that belonged to a group before, "" if it is new.
+func (w *Watcher) storeEntry(key, before string, e *entry) {
+	if before != "" && before != e.Group {
+		delete(w.groups[before], key)
+		w.changedGroups[before] = true
+	}
+	if w.groups[e.Group] == nil {
+		w.groups[e.Group] = map[string]*entry{}
+	}
+	w.entries[key], w.groups[e.Group][key] = e, e
+	if e.leavingSince != 0 {
+		w.ending[key] = e
+	} else {
+		delete(w.ending, key)
+	}
+}
+
+// dropEntry removes an entry.
+func (w *Watcher) dropEntry(key string, e *entry) {
+	delete(w.entries, key)
+	delete(w.ending, key)
+	delete(w.groups[e.Group], key)
+	w.changedGroups[e.Group] = true
 }
 
 // rejectEntry handles an invalid entry. A known member is treated as if its entry had been
 // deleted: it receives no new work but still counts in a failover. A live member rewrites
 // its entry with its next heartbeat.
-func (w *Watcher) rejectEntry(p storer.Pair, e *entry, cause error) bool {
+func (w *Watcher) rejectEntry(p storer.Pair, e *entry, cause error) {
 	w.Log("event", "entry-rejected", "key", p.Key, "revision", p.Revision, "known", e != nil, "cause", cause)
 	if e == nil || e.missingSince != 0 {
-		return false
+		return
 	}
 	e.missingSince, e.Revision = w.changedSince, p.Revision
-	return true
+	w.ending[p.Key], w.changedGroups[e.Group] = e, true
 }
 
 // applySnapshotDeletions applies the deletion of keys that a snapshot no longer holds.
-func (w *Watcher) applySnapshotDeletions(seen map[string]bool) bool {
-	changed := false
-	for key := range w.entries {
+func (w *Watcher) applySnapshotDeletions(pairs []storer.Pair) {
+	seen := make(map[string]bool, len(pairs))
+	for _, p := range pairs {
+		seen[p.Key] = true
+	}
+	for key, e := range w.entries {
 		if !seen[key] {
-			changed = w.applyMember(storer.Pair{Key: key}) || changed
+			w.applyDeletion(key, e)
 		}
 	}
 	for key, exists := range w.ownershipExists {
@@ -84,30 +121,29 @@
 			w.applyPair(storer.Pair{Key: key})
 		}
 	}
-	return changed
+	for _, e := range w.ending {
+		w.changedGroups[e.Group] = true
+	}
 }
 
 // expireMembers expires and removes members whose timeouts have passed.
 func (w *Watcher) expireMembers() {
-	now, changed := w.Clock(), false
-	for key, e := range w.entries {
+	now := w.Clock()
+	for key, e := range w.ending {
 		if e.leavingSince != 0 && now-e.leavingSince > leavingTimeout && !e.Expired {
 			w.Log("event", "member-expired", "member", e.ID, "group", e.Group)
 			e.Expired = true
-			changed = true
+			w.changedGroups[e.Group] = true
 		}
 		if e.missingSince != 0 && now-w.missingFrom(e) > missingRetention {
 			w.Log("event", "member-dropped", "member", e.ID, "group", e.Group)
-			delete(w.entries, key)
-			changed = true
+			w.dropEntry(key, e)
 		} else if e.missingSince != 0 && !e.Leaving && w.isMissing(e) {
 			e.Leaving, e.Missing = true, true
-			changed = true
+			w.changedGroups[e.Group] = true
 		}
 	}
-	if changed {
-		w.notifyMembers()
-	}
+	w.notifyMembers()
 }
 
 // missingFrom returns the time from which a deleted entry counts as missing. One that
@@ -130,15 +166,26 @@
 	return !w.storeOutage || w.peerUpdateAt != 0 && w.Clock()-w.peerUpdateAt < peerUpdateLifetime
 }
 
-// notifyMembers calls OnMembers with the current members.
+// notifyMembers calls OnMembers with the groups that have changed.
 func (w *Watcher) notifyMembers() {
-	list := make([]tracker.Member, 0, len(w.entries))
-	for _, e := range w.entries {
-		m := e.Member
-		if e.missingSince != 0 && w.isMissing(e) {
-			m.Leaving, m.Missing = true, true
+	if len(w.changedGroups) == 0 {
+		return
+	}
+	groups := make(map[string][]tracker.Member, len(w.changedGroups))
+	for group := range w.changedGroups {
+		list := make([]tracker.Member, 0, len(w.groups[group]))
+		for _, e := range w.groups[group] {
+			m := e.Member
+			if e.missingSince != 0 && w.isMissing(e) {
+				m.Leaving, m.Missing = true, true
+			}
+			list = append(list, m)
+		}
+		groups[group] = list
+		if len(list) == 0 {
+			delete(w.groups, group)
 		}
-		list = append(list, m)
 	}
-	w.OnMembers(list)
+	clear(w.changedGroups)
+	w.OnMembers(groups)
 }
--- a/internal/watcher/peers.go
+++ b/internal/watcher/peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -22,9 +20,6 @@
 	peerPollInterval        = 500 * time.Millisecond
 	// peerUpdateLifetime is how long an update from a peer counts as an answer of the store.
 	peerUpdateLifetime = 3 * peerPollInterval
-	// maxDeletions bounds the retained deletions. A peer that has missed more receives the
-	// whole state.
-	maxDeletions = 256
 	// followTimeout is how long after the last update from a peer an instance resumes
 	// reading the store itself.
 	followTimeout = 3 * peerPollInterval
@@ -92,69 +87,15 @@
 	if u.revision < w.revision {
 		return
 	}
-	if u.snapshot {
-		w.recordSnapshotDeletions(u)
-	}
+	watched := make([]storer.Pair, 0, len(u.pairs))
 	for _, p := range u.pairs {
-		switch {
-		case p.Revision == 0:
-			w.recordDeletion(p.Key, u.revision)
-		case w.isWatchedKey(p.Key):
-			w.pairs[p.Key] = p
+		if w.isWatchedKey(p.Key) {
+			watched = append(watched, p)
 		}
 	}
+	w.records.Apply(watched, u.revision, u.snapshot)
 	w.revision = u.revision
-	n := &StoreState{Revision: u.revision, ConfirmedAt: w.storeSeenAt, Pairs: slices.Collect(maps.Values(w.pairs)), Deletions: slices.Clone(w.deletions), DeletionsSince: w.deletionsSince}
-	slices.SortFunc(n.Pairs, func(a, b storer.Pair) int { return strings.Compare(a.Key, b.Key) })
-	w.state.Store(n)
-}
-
-// recordSnapshotDeletions records the deletion of keys that a snapshot no longer holds.
-func (w *Watcher) recordSnapshotDeletions(u update) {
-	if w.state.Load() == nil {
-		w.deletionsSince = u.revision
-	}
-	present := make(map[string]bool, len(u.pairs))
-	for _, p := range u.pairs {
-		present[p.Key] = true
-	}
-	for key := range w.pairs {
-		if !present[key] {
-			w.recordDeletion(key, u.revision)
-		}
-	}
-}
-
-// recordDeletion records that a key was deleted at or before a revision.
-func (w *Watcher) recordDeletion(key string, revision int64) {
-	if _, known := w.pairs[key]; !known {
-		return
-	}
-	delete(w.pairs, key)
-	w.deletions = append(w.deletions, Deletion{key, revision})
-	if len(w.deletions) > maxDeletions {
-		w.deletionsSince = w.deletions[0].Revision
-		w.deletions = slices.Clone(w.deletions[1:])
-	}
-}
-
-// ChangesSince returns the changes after a revision, or the whole state if the deletions since then
-// are no longer known.
-func (s *StoreState) ChangesSince(revision int64) (pairs []storer.Pair, partial bool) {
-	if revision < s.DeletionsSince || revision == 0 {
-		return s.Pairs, false
-	}
-	for _, p := range s.Pairs {
-		if p.Revision > revision {
-			pairs = append(pairs, p)
-		}
-	}
-	for _, g := range s.Deletions {
-		if _, recreated := slices.BinarySearchFunc(s.Pairs, g.Key, func(p storer.Pair, key string) int { return strings.Compare(p.Key, key) }); g.Revision > revision && !recreated {
-			pairs = append(pairs, storer.Pair{Key: g.Key})
-		}
-	}
-	return pairs, true
+	w.state.Store(&KnownState{Records: w.records, Revision: u.revision, ConfirmedAt: w.storeSeenAt})
 }
 
 func (w *Watcher) isWatchedKey(key string) bool {
@@ -162,6 +103,10 @@
 		w.OnInstance != nil && strings.HasPrefix(key, w.InstancePrefix)
 }
 
+// FollowsReader reports whether a peer currently watches the store for this instance. It is safe
+// for concurrent use.
+func (w *Watcher) FollowsReader() bool { return w.followsReader() }
+
 // IsReader reports whether this instance watches the store itself and the store is available.
 func (w *Watcher) IsReader() bool { return !w.storeDown.Load() && !w.followsReader() }
 
@@ -178,4 +123,4 @@
 
 // State returns the known state of the store, nil before the first read. It is safe for
 // concurrent use.
-func (w *Watcher) State() *StoreState { return w.state.Load() }
+func (w *Watcher) State() *KnownState { return w.state.Load() }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/recorder"
 	"github.com/oriolegw/oriolegw/internal/sleeper"
 	"github.com/oriolegw/oriolegw/internal/storer"
 	"github.com/oriolegw/oriolegw/internal/tracker"
@@ -74,8 +75,9 @@
 
 		// OnConfiguration is called with each newer version of the configuration.
 		OnConfiguration func(*tracker.Configuration)
-		// OnMembers is called with all members after any of them changed.
-		OnMembers func([]tracker.Member)
+		// OnMembers is called with the members of each group that has changed, in no order. A
+		// group without members has an empty list.
+		OnMembers func(groups map[string][]tracker.Member)
 		// OnOwnership is called with each changed ownership record; Revision 0 means that the group
 		// has no owner.
 		OnOwnership func(storer.Pair)
@@ -90,25 +92,33 @@
 		// peers, as long as RequestState returns updates of one that watches it.
 		FollowsPeers func() bool
 
+		// ListInstances, if set, reads the instance records of this region. It is a cheap call whose
+		// result may be some seconds old. OnListed is called after OnInstance was called with them.
+		ListInstances func(ctx context.Context) ([]storer.Pair, error)
+		OnListed      func()
+		// InstanceKey is the key of this instance's record.
+		InstanceKey string
+
 		// storeDown is set while the store is unavailable.
 		storeDown atomic.Bool
 		// readerSeen is the time of the last update from a peer that watches the store,
 		// peerSeen that of the last update from any peer.
 		readerSeen, peerSeen atomic.Int64
 		// state is the state published by State.
-		state atomic.Pointer[StoreState]
-		// pairs holds the watched keys of the store as of revision.
-		pairs    map[string]storer.Pair
+		state atomic.Pointer[KnownState]
+		// records holds the watched keys of the store as of revision.
+		records  *recorder.Recorder
 		revision int64
-		// deletions holds the recently deleted keys in order of detection. It is complete
-		// for all revisions after deletionsSince.
-		deletions      []Deletion
-		deletionsSince int64
 		// peerUpdateAt is the age-adjusted time of the last update from a peer.
 		peerUpdateAt tracker.Timestamp
 		// configurationVersion is the version of the last applied configuration.
 		configurationVersion int64
 		entries              map[string]*entry
+		// groups holds the entries by group, and changedGroups those to pass to OnMembers. ending
+		// holds the entries that are missing or leaving.
+		groups        map[string]map[string]*entry
+		changedGroups map[string]bool
+		ending        map[string]*entry
 		// ownershipExists reports, by key, whether an ownership record exists.
 		ownershipExists map[string]bool
 		// storeOutage is set while reads of the store fail, outageEndedAt is when the last outage
@@ -138,6 +148,10 @@
 		pairs    []storer.Pair
 		// revision is the store revision that pairs reflects.
 		revision int64
+		// isListing is set if pairs holds instance records only; applied is then closed once
+		// they have been applied.
+		isListing bool
+		applied   chan struct{}
 		// isPeerUpdate is set for an update from another instance, peer, which had read it
 		// from the store age ago.
 		isPeerUpdate bool
@@ -145,34 +159,36 @@
 		age          time.Duration
 	}
 
-	// Deletion is a key that was deleted at or before a revision.
-	Deletion struct {
-		Key      string
-		Revision int64
-	}
-
-	// StoreState is the state of the store as an instance has read it.
+	// StoreState is the state of the store as a peer has sent it.
 	StoreState struct {
 		// Pairs holds all watched keys. If Partial is set, it holds only the changed ones, with
 		// revision 0 for deleted keys.
 		Pairs    []storer.Pair
 		Partial  bool
 		Revision int64
-		// Deletions holds the keys deleted after the revision DeletionsSince.
-		Deletions      []Deletion
-		DeletionsSince int64
 		// ConfirmedAt is when the store last answered, on the local clock.
 		ConfirmedAt tracker.Timestamp
-		// Sender is the name of the peer that sent the state, "" for the store.
+		// Sender is the name of the peer that sent the state.
 		Sender string
-		// SenderIsReader is set if the sender watches the store itself and the store is available.
+		// SenderIsReader is set if the sender watches the store, itself or through other
+		// instances, and the store is available.
 		SenderIsReader bool
 	}
+
+	// KnownState is the state of the store as this instance knows it.
+	KnownState struct {
+		// Records holds the watched keys, at Revision or newer.
+		Records  *recorder.Recorder
+		Revision int64
+		// ConfirmedAt is when the store last answered, on the local clock.
+		ConfirmedAt tracker.Timestamp
+	}
 )
 
 // Run watches the store until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	w.entries, w.ownershipExists, w.pairs = map[string]*entry{}, map[string]bool{}, map[string]storer.Pair{}
+	w.entries, w.ownershipExists, w.records = map[string]*entry{}, map[string]bool{}, &recorder.Recorder{}
+	w.groups, w.changedGroups, w.ending = map[string]map[string]*entry{}, map[string]bool{}, map[string]*entry{}
 	w.storeDown.Store(true)
 	updates := make(chan update)
 	ended := make(chan error, 2)
@@ -199,6 +215,9 @@
 	snapshot := true
 	delay := minRetryDelay
 	startedAt := w.Clock()
+	if err := w.awaitPeerState(ctx, updates); err != nil {
+		return err
+	}
 	for {
 		if w.followsReader() {
 			if err := sleeper.Sleep(ctx, peerPollInterval); err != nil {
@@ -270,6 +289,14 @@
 		}
 		return
 	}
+	if u.isListing {
+		for _, p := range u.pairs {
+			w.applyPair(p)
+		}
+		w.OnListed()
+		close(u.applied)
+		return
+	}
 	// Changes in a snapshot or from a peer may date back to the last answer of the store, so
 	// timeouts must run from then.
 	now := w.Clock()
@@ -290,23 +317,18 @@
 		w.outageEndedAt = now
 		w.Log("event", "dependency-regained", "dependency", "store")
 	}
-	changed := false
-	seen := map[string]bool{}
 	for _, p := range u.pairs {
-		seen[p.Key] = true
-		changed = w.applyPair(p) || changed
+		w.applyPair(p)
 	}
 	if u.snapshot {
-		changed = w.applySnapshotDeletions(seen) || changed
-	}
-	if changed || u.snapshot {
-		w.notifyMembers()
+		w.applySnapshotDeletions(u.pairs)
 	}
+	w.notifyMembers()
 	w.updateState(u)
 }
 
-// applyPair applies the change of one key and reports whether the members changed.
-func (w *Watcher) applyPair(p storer.Pair) bool {
+// applyPair applies the change of one key.
+func (w *Watcher) applyPair(p storer.Pair) {
 	switch {
 	case p.Key == w.ConfigurationKey:
 		w.applyConfiguration(p)
@@ -314,11 +336,10 @@
 		w.ownershipExists[p.Key] = p.Revision > 0
 		w.OnOwnership(p)
 	case strings.HasPrefix(p.Key, w.MemberPrefix):
-		return w.applyMember(p)
+		w.applyMember(p)
 	case w.OnInstance != nil && strings.HasPrefix(p.Key, w.InstancePrefix):
 		w.OnInstance(p)
 	}
-	return false
 }
 
 func (w *Watcher) applyConfiguration(p storer.Pair) {
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -54,11 +54,11 @@
 				defer f.mutex.Unlock()
 				f.versions = append(f.versions, c.Version)
 			},
-			OnMembers: func(list []tracker.Member) {
+			OnMembers: func(groups map[string][]tracker.Member) {
 				f.mutex.Lock()
 				defer f.mutex.Unlock()
 				f.members = map[string]tracker.Member{}
-				for _, m := range list {
+				for _, m := range groups[""] {
 					f.members[m.ID] = m
 				}
 			},
@@ -373,14 +373,16 @@
 					Source: unavailable, MaxPropagationDelay: f.watcher.MaxPropagationDelay, Clock: f.watcher.Clock,
 					ConfigurationKey: "configuration", MemberPrefix: "member/", OwnershipPrefix: "duty/", InstancePrefix: "instance/",
 					DecodeConfiguration: f.watcher.DecodeConfiguration, DecodeMember: decodeMember,
-					OnConfiguration: func(*tracker.Configuration) {}, OnMembers: func([]tracker.Member) {}, OnOwnership: func(storer.Pair) {}, Log: func(...any) {},
+					OnConfiguration: func(*tracker.Configuration) {}, OnMembers: func(map[string][]tracker.Member) {}, OnOwnership: func(storer.Pair) {}, Log: func(...any) {},
 					RequestState: func(_ context.Context, revision int64) (watcher.StoreState, error) {
 						if disconnected.Load() {
 							return watcher.StoreState{}, errors.New("disconnected")
 						}
 						k := f.watcher.State()
 						n := watcher.StoreState{Revision: k.Revision, ConfirmedAt: k.ConfirmedAt, SenderIsReader: true, Sender: "peer"}
-						n.Pairs, n.Partial = k.ChangesSince(revision)
+						if n.Pairs, n.Partial = k.Records.Since(revision); !n.Partial {
+							n.Pairs, _ = k.Records.Whole()
+						}
 						if n.Partial && len(n.Pairs) > 0 {
 							partial++
 						}
@@ -406,7 +408,9 @@
 					t.Helper()
 					disconnected.Store(false)
 					time.Sleep(2 * time.Second)
-					must.Eq(t, f.watcher.State().Pairs, follower.State().Pairs)
+					want, _ := f.watcher.State().Records.Whole()
+					got, _ := follower.State().Records.Whole()
+					must.Eq(t, want, got)
 				}
 				f.put(t, "member/first", "ready")
 				mustConverge()
@@ -425,26 +429,3 @@
 		})
 	}
 }
-
-// ChangesSince returns only changes, or the whole state if deletions are no longer retained.
-func TestChangesSince(t *testing.T) {
-	n := &watcher.StoreState{
-		Revision: 9, Pairs: []storer.Pair{{Key: "a", Revision: 3}, {Key: "b", Revision: 8}},
-		Deletions: []watcher.Deletion{{Key: "b", Revision: 6}, {Key: "c", Revision: 7}}, DeletionsSince: 5,
-	}
-	mustReturn := func(revision int64, partial bool, keys ...string) {
-		t.Helper()
-		pairs, p := n.ChangesSince(revision)
-		var got []string
-		for _, x := range pairs {
-			got = append(got, fmt.Sprint(x.Key, x.Revision))
-		}
-		must.Eq(t, partial, p)
-		must.Eq(t, keys, got)
-	}
-	mustReturn(0, false, "a3", "b8")
-	mustReturn(4, false, "a3", "b8")
-	mustReturn(5, true, "b8", "c0")
-	mustReturn(7, true, "b8")
-	mustReturn(9, true)
-}
