Launcher: groups, connections and proofs follow the callers' use

Cause: each instance kept state, three goroutines, connections and checks for each of the configured groups, and readers renewed the proof of each once a second and sent all of them to all: 1,000 groups x 986 instances.

Change: if more than 32 groups are configured, a group's state is created on first use and dropped 30 s after the last one; connections are opened when a request needs one. Proofs are renewed only for groups with two reads a second or more, by all callers below a reader: requests tell what was read and get the proofs of these groups only. Other reads go to the primary, and each makes a proof. A suspected primary has the replicas asked at once. Up to 32 groups everything is as before.

Restarts of members are remembered for groups whose state is created later, since a proof by replicas must not precede one.

--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -13,6 +13,7 @@
 // read runs a read outside a transaction. What the read requires is resolved again once a
 // connection is available: the tracker's knowledge may have changed during the wait.
 func (x *execution) read(ctx context.Context) messenger.Reply {
+	x.recordRead()
 	for {
 		c, err := x.checkout(ctx, x.readCandidates)
 		if err != nil {
@@ -34,6 +35,13 @@
 	}
 }
 
+// recordRead records a read that a replica may serve.
+func (x *execution) recordRead() {
+	if x.route.Rule != tracker.RulePrimary {
+		x.session.server.recordRead(x.route.Group)
+	}
+}
+
 // resolveMinPosition determines the position that a log must hold to answer the read. It is
 // false when only the primary may answer.
 func (x *execution) resolveMinPosition() bool {
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -43,6 +43,8 @@
 		// ReportSuspect reports a member that did not answer or is no longer primary, so that
 		// it is checked.
 		ReportSuspect func(member string)
+
+		transactions atomic.Int32
 	}
 
 	// Server accepts callers. Set the exported fields, then call Run.
@@ -69,6 +71,8 @@
 		// CountLimited, when set, is called for each operation refused by a customer's limit.
 		CountLimited func(customer string)
 		RecordServed func(r tracker.Route, took time.Duration)
+		// RecordRead, when set, is called for each read that a replica may serve.
+		RecordRead func(group string)
 
 		started  time.Time
 		sessions sync.WaitGroup
@@ -196,6 +200,15 @@
 
 func (s *Server) recordServed(r tracker.Route, took time.Duration) { s.RecordServed(r, took) }
 
+// Transactions returns the number of callers with an open transaction.
+func (b *Backend) Transactions() int { return int(b.transactions.Load()) }
+
+func (s *Server) recordRead(group string) {
+	if s.RecordRead != nil {
+		s.RecordRead(group)
+	}
+}
+
 // handleNotPrimary records that a member replied that it is not the primary.
 func (b *Backend) handleNotPrimary(member string) {
 	b.Group.ClearPrimary(member)
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -191,13 +191,22 @@
 // endTransaction rolls the transaction back in the background.
 func (s *session) endTransaction() {
 	t := s.tx
-	s.tx = nil
-	if t == nil || t.conn == nil {
+	if t == nil {
+		return
+	}
+	s.clearTransaction()
+	if t.conn == nil {
 		return
 	}
 	s.server.rollBack(t.backend, t.conn)
 }
 
+// clearTransaction forgets the open transaction.
+func (s *session) clearTransaction() {
+	s.tx.backend.transactions.Add(-1)
+	s.tx = nil
+}
+
 // failTransaction ends the transaction at the member; the caller can only roll it back.
 func (s *session) failTransaction() {
 	s.endTransaction()
@@ -266,6 +275,7 @@
 	if !ok {
 		return reply
 	}
+	a.backend.transactions.Add(1)
 	s.tx = &transaction{access: a, arrived: s.server.Clock(), readOnly: q.Kind == messenger.KindBeginReadOnly}
 	s.state = messenger.StateOpen
 	return s.reply(messenger.CodeNone, "")
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -44,6 +44,9 @@
 func (x *execution) bindConnection(ctx context.Context) (messenger.Reply, bool) {
 	t := x.session.tx
 	x.arrived = t.arrived
+	if t.readOnly {
+		x.recordRead()
+	}
 	for {
 		candidates := x.primaryCandidates
 		if t.readOnly {
@@ -135,7 +138,7 @@
 	}
 	member, idle := t.conn.Member, r.State == messenger.StateIdle
 	if idle {
-		s.tx = nil
+		s.clearTransaction()
 		x.backend.Pool.Return(t.conn)
 	}
 	return s.finishTransaction(x.complete(member, r))
--- a/internal/launcher/backend.go
+++ b/internal/launcher/backend.go
@@ -56,6 +56,12 @@
 	commitHolders func() (ids []string, synchronous bool)
 	// lastPeerProof is when a peer last sent a proof newer than the known ones.
 	lastPeerProof atomic.Int64
+	// lastUsed is when the group was last used, and supervised is set while this instance
+	// supervises it; both are guarded by Instance.mutex.
+	lastUsed   tracker.Timestamp
+	supervised bool
+	// stop ends the group's tasks.
+	stop context.CancelFunc
 }
 
 // run maintains the pool, the freshness proofs and the known primary until the context is
@@ -71,12 +77,18 @@
 // maintainBackends runs maintenance of all groups until the context is canceled. One loop
 // serves all groups, since a ticker for each task of each group wakes idle instances often.
 func (i *Instance) maintainBackends(ctx context.Context) error {
+	var evictedAt time.Time
 	for {
 		pause := idleMaintenanceInterval
 		now := time.Now()
-		peerProofsExpected := i.expectsPeerProofs()
+		if now.Sub(evictedAt) >= evictionInterval {
+			evictedAt = now
+			i.evictUnusedBackends()
+		}
+		i.reads.decay(now)
+		wanted := i.wantedProofs()
 		for _, b := range i.allBackends() {
-			if b.maintain(now, peerProofsExpected) {
+			if b.maintain(now, wanted(b)) {
 				pause = lender.MaintenanceInterval
 			}
 		}
@@ -94,8 +106,8 @@
 }
 
 // maintain wakes the group's tasks that are due, and reports whether it needs maintenance
-// again within lender.MaintenanceInterval. peerProofExpected suppresses the renewal of the proof.
-func (b *backend) maintain(now time.Time, peerProofExpected bool) bool {
+// again within lender.MaintenanceInterval. The proof is renewed if it is wanted.
+func (b *backend) maintain(now time.Time, proofWanted bool) bool {
 	b.Pool.Maintain(now)
 	noPrimary := b.Group.Primary() == ""
 	if noPrimary && now.Sub(b.primarySearchedAt) >= primarySearchInterval {
@@ -104,7 +116,7 @@
 	}
 	if now.Sub(b.proofCheckedAt) >= proofCheckInterval {
 		b.proofCheckedAt = now
-		if !peerProofExpected && b.proofAge() > b.renewalAge() {
+		if proofWanted && b.proofAge() > b.renewalAge() {
 			notify(b.proofExpired)
 		}
 	}
@@ -244,12 +256,15 @@
 }
 
 // reportSuspect requests a check whether a member is still the primary, unless one is
-// already pending.
+// already pending. It also requests a proof, which may come from the replicas.
 func (b *backend) reportSuspect(member string) {
 	select {
 	case b.suspects <- member:
 	default:
 	}
+	if b.proofAge() > b.renewalAge() {
+		notify(b.proofExpired)
+	}
 }
 
 // detectPrimary queries the members when the known primary is suspect or none is known.
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -44,8 +44,10 @@
 	// Platform holds the store, codecs and functions of the hosting platform.
 	Platform struct {
 		Store interface {
-			storer.Store
+			storer.BatchStore
 			watcher.Source
+			// ListStale is List with a result that may be some seconds old, at a lower price.
+			ListStale(ctx context.Context, prefix string) ([]storer.Pair, error)
 		}
 		Promote            func(ctx context.Context, group, member string, fence int64) error
 		IsPromotionRefused func(error) bool
@@ -82,9 +84,14 @@
 		startedAt       tracker.Timestamp
 		stateLog        *logwriter.Logger
 
-		mutex      sync.Mutex
-		backends   map[string]*backend
-		members    map[string][]tracker.Member
+		mutex    sync.Mutex
+		backends map[string]*backend
+		members  map[string][]tracker.Member
+		// restartedAt is when a restart of a group's member was last detected. Its state is
+		// created on first use and would not know of earlier restarts.
+		restartedAt map[string]tracker.Timestamp
+		// reads are the reads of each group, by this instance's callers and by peers'.
+		reads      readRates
 		background sync.WaitGroup
 		ctx        context.Context
 
@@ -161,7 +168,7 @@
 	i.stateLog = i.LogWriter.Logger("belief")
 	i.metricsRegistry = &reporter.Registry{}
 	i.metrics, i.metricsCloser = i.metricsRegistry.NewScope(map[string]string{reporter.TagInstance: i.Settings.Name})
-	i.backends, i.members = map[string]*backend{}, map[string][]tracker.Member{}
+	i.backends, i.members, i.restartedAt = map[string]*backend{}, map[string][]tracker.Member{}, map[string]tracker.Timestamp{}
 	requests, traces := i.LogWriter.Logger("request"), i.LogWriter.Logger("served")
 	i.server = &dispatcher.Server{
 		Address: i.Settings.Callers, Network: i.Network, Codec: i.Platform.CallerCodec, Clock: i.Clock,
@@ -174,6 +181,7 @@
 		CountLimited: i.limitRefusals.add,
 		CountRetried: func(r dispatcher.Reason) { i.metrics.Counter(metricRetried + string(r)).Inc(1) },
 		RecordServed: func(r tracker.Route, took time.Duration) { i.latencies[r.Rule].RecordDuration(took) },
+		RecordRead:   i.reads.record,
 	}
 	i.elector = &elector.Elector{
 		Store: i.Platform.Store, Clock: i.Clock, Name: i.Settings.Name + runIDSeparator + newRunID(),
@@ -183,8 +191,10 @@
 	i.elector.StoreReachable = i.watcher.StoreAvailable
 	if i.Settings.PeerAddress != "" {
 		i.peers = i.newPeerServices()
-		i.elector.AcquireRank = i.peers.acquisitionRank
+		i.elector.AcquireRank = i.acquisitionRank
 		i.watcher.RequestState, i.watcher.OnInstance, i.watcher.FollowsPeers = i.peers.exchanger.RequestState, i.peers.exchanger.HandleRecord, i.peers.exchanger.FollowsPeers
+		i.watcher.ListInstances, i.watcher.OnListed = i.listInstances, i.peers.exchanger.SetListed
+		i.watcher.InstanceKey = exchanger.RecordPrefix(i.Settings.Zone) + i.Settings.Name
 	}
 	i.declareMetrics()
 }
@@ -204,6 +214,22 @@
 	}
 }
 
+// listInstances reads the records of the instances in this region.
+func (i *Instance) listInstances(ctx context.Context) ([]storer.Pair, error) {
+	var all []storer.Pair
+	for _, zone := range slices.Sorted(maps.Keys(i.Settings.Regions)) {
+		if !i.sameRegion(zone) {
+			continue
+		}
+		list, err := i.Platform.Store.ListStale(ctx, exchanger.RecordPrefix(zone))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, list...)
+	}
+	return all, nil
+}
+
 func (i *Instance) applyConfiguration(c *tracker.Configuration) {
 	c.AppliedAt = i.Clock()
 	if i.peers != nil && c.Customers != nil {
@@ -218,23 +244,46 @@
 	for name, b := range i.backends {
 		b.Pool.Configure(c.Groups[name].Connections, c.Customers)
 	}
+	if !preparesAll(c) {
+		return
+	}
 	for name := range c.Groups {
 		i.backendLocked(name)
 	}
 }
 
-func (i *Instance) applyMembers(list []tracker.Member) {
-	byGroup := map[string][]tracker.Member{}
-	for _, m := range list {
-		byGroup[m.Group] = append(byGroup[m.Group], m)
-	}
+// applyMembers applies the members of groups that have changed.
+func (i *Instance) applyMembers(groups map[string][]tracker.Member) {
+	now := i.Clock()
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	i.members = byGroup
-	for name, b := range i.backends {
-		b.Group.SetMembers(byGroup[name])
-		b.Pool.MembersChanged()
+	for name, list := range groups {
+		if anyRestarted(i.members[name], list) {
+			i.restartedAt[name] = now
+		}
+		if len(list) == 0 {
+			delete(i.members, name)
+			delete(i.restartedAt, name)
+		} else {
+			i.members[name] = list
+		}
+		if b, ok := i.backends[name]; ok {
+			b.Group.SetMembers(list)
+			b.Pool.MembersChanged()
+		}
+	}
+}
+
+// anyRestarted reports whether a member has restarted between two lists.
+func anyRestarted(before, now []tracker.Member) bool {
+	for _, m := range now {
+		for _, old := range before {
+			if old.ID == m.ID && old.StartTime != 0 && m.StartTime > old.StartTime {
+				return true
+			}
+		}
 	}
+	return false
 }
 
 // promotableGroups returns the groups whose failover lease this instance may acquire.
@@ -250,40 +299,6 @@
 	return names
 }
 
-func (i *Instance) backend(group string) *backend {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	return i.backendLocked(group)
-}
-
-func (i *Instance) backendLocked(group string) *backend {
-	if b, ok := i.backends[group]; ok {
-		return b
-	}
-	g := &tracker.Group{Name: group, Zone: i.Settings.Zone, SameRegion: i.sameRegion}
-	b := &backend{clock: i.Clock, codec: i.Platform.MemberCodec, log: i.stateLog.Log, suspects: make(chan string, 1), proofExpired: make(chan struct{}, 1), primaryUnknown: make(chan struct{}, 1)}
-	b.commitHolders = func() ([]string, bool) { return i.commitHolders(group) }
-	b.Backend = dispatcher.Backend{Group: g, ReportSuspect: b.reportSuspect, Pool: &lender.Pool{
-		Group: g, Network: i.Network, Codec: i.Platform.MemberCodec, ClientName: i.Settings.Name, Clock: i.Clock, NoteOpened: i.recordConnect(group), MaintainedExternally: true,
-		NoteBroken: i.recordIdleLoss(group), NoteLent: i.recordCheckout,
-		NotePacing: func(member string, hasCapacity bool) {
-			i.stateLog.Log("event", "room", "group", group, "member", member, "room", hasCapacity)
-		},
-	}}
-	if i.peers != nil {
-		b.Pool.BorrowRemote, b.Pool.BorrowFromHolder = i.peers.forwarder.BorrowRemote, i.peers.forwarder.BorrowFromHolder
-		b.Pool.HeldElsewhere, b.Pool.HolderCount = i.peers.forwarder.HeldElsewhere, i.peers.forwarder.HolderCount
-		b.Pool.Admit, b.Pool.UndoAdmit = i.peers.accountant.Admit, i.peers.accountant.UndoAdmit
-	}
-	g.SetMembers(i.members[group])
-	if c := i.configuration.Load(); c != nil {
-		b.Pool.Configure(c.Groups[group].Connections, c.Customers)
-	}
-	i.backends[group] = b
-	i.background.Go(func() { b.run(i.ctx) })
-	return b
-}
-
 func (i *Instance) allBackends() []*backend {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
@@ -346,6 +361,8 @@
 // superviseGroup runs a group's failover while this instance owns the group.
 func (i *Instance) superviseGroup(ctx context.Context, group string, o *elector.Ownership) error {
 	b := i.backend(group)
+	i.setSupervised(b, true)
+	defer i.setSupervised(b, false)
 	s := &elector.Supervisor{
 		Group: b.Group, Clock: i.Clock, Codec: i.Platform.MemberCodec,
 		Members: func() []tracker.Member {
@@ -368,3 +385,10 @@
 	}
 	return s.Run(ctx)
 }
+
+// setSupervised marks a group that this instance supervises, which is then kept.
+func (i *Instance) setSupervised(b *backend, supervised bool) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	b.supervised, b.lastUsed = supervised, i.Clock()
+}
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -53,6 +53,9 @@
 		version int64
 		// noPromotions keeps new instances from acquiring failover leases.
 		noPromotions bool
+		// extraGroups is the number of further groups in the configuration, which have no members.
+		extraGroups int
+		platform    *platformer.Platform
 		// customers are those in force, nil where clients are not assigned to customers.
 		customers []platformer.Customer
 		// memberAddress, when set, returns the address at which instances reach a member.
@@ -99,8 +102,8 @@
 			Name: "g", Net: n, ReplicationDelay: 2 * time.Millisecond, PromotionDelay: 600 * time.Millisecond, MaxConnections: 12, StatementTime: 5 * time.Millisecond,
 		}}
 		f.group.Start(ctx, "a", "b", "c")
-		p := &platformer.Platform{Address: "10.6.0.1:7000", Network: n.Host("10.6.0.1", "a"), Store: f.store, Promote: func(_, id string) error { return f.group.Promote(id) }}
-		f.running.Go(func() { _ = p.Run(ctx) })
+		f.platform = &platformer.Platform{Address: "10.6.0.1:7000", Network: n.Host("10.6.0.1", "a"), Store: f.store, Promote: func(_, id string) error { return f.group.Promote(id) }}
+		f.running.Go(func() { _ = f.platform.Run(ctx) })
 		f.running.Go(func() { f.registerMembers(ctx) })
 		f.configure()
 		defer func() {
@@ -176,6 +179,7 @@
 	for _, r := range slices.Concat(baseRoutes, more) {
 		c.Routes[r.Database] = r
 	}
+	f.addExtraGroups(&c)
 	old, err := f.store.Get(f.ctx, platform.ConfigurationKey)
 	must.NoError(f.t, err)
 	old.Value = platformer.EncodeConfiguration(c, f.customers...)
@@ -184,6 +188,15 @@
 	must.True(f.t, ok)
 }
 
+// addExtraGroups adds extraGroups to a configuration.
+func (f *fleet) addExtraGroups(c *tracker.Configuration) {
+	for n := range f.extraGroups {
+		name := fmt.Sprint("extra-", n)
+		c.Groups[name] = tracker.GroupSettings{Connections: 12, SyncReplicas: 1}
+		c.Routes[name] = tracker.Route{Database: name, Group: name, Rule: tracker.RulePrimary, Timeout: time.Second}
+	}
+}
+
 func (f *fleet) settings(ip, zone string) *loader.EdgeSettings {
 	return &loader.EdgeSettings{
 		Name: "entry-" + ip, Zone: zone, Regions: map[string]string{"a": "x", "b": "y", "c": "z"},
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -26,6 +26,8 @@
 	metricKeys           = metricPrefix + "keys"
 	metricCustomers      = metricPrefix + "customers"
 	metricWaiting        = metricPrefix + "requests-waiting"
+	metricGroups         = metricPrefix + "groups"
+	metricRankings       = metricPrefix + "holder-rankings"
 	kindHistogram        = "histogram"
 )
 
@@ -60,6 +62,10 @@
 		{Name: metricConnections, Kind: reporter.KindGauge, Description: "Connections to members, over all groups."},
 		{Name: metricWaiting, Kind: reporter.KindGauge, Description: "Requests waiting for a connection. Alert when it stays above 20 for a second."},
 	}
+	list = append(list,
+		reporter.Metric{Name: metricGroups, Kind: reporter.KindGauge, Description: "Groups whose state this instance keeps: those in use or, if few are configured, all."},
+		reporter.Metric{Name: metricRankings, Kind: reporter.KindGauge, Description: "Rankings of instances as holders of connections since the start. It grows with the changes of instances and the groups in use."},
+	)
 	for _, n := range ruleNames {
 		list = append(list, reporter.Metric{Name: metricServed + n, Kind: kindHistogram, Description: "Time from reading a statement to its response, by the route's kind."})
 	}
@@ -97,6 +103,13 @@
 	})
 	gauge(metricCustomers, func() int64 { n, _ := i.countCustomers(); return n })
 	gauge(metricKeys, func() int64 { _, n := i.countCustomers(); return n })
+	gauge(metricGroups, func() int64 { return int64(i.backendCount()) })
+	gauge(metricRankings, func() int64 {
+		if i.peers == nil {
+			return 0
+		}
+		return int64(i.peers.forwarder.RankingCount())
+	})
 	gauge(metricConnections, func() int64 { held, _ := i.connectionLoad(); return held })
 	gauge(metricWaiting, func() int64 { _, waiting := i.connectionLoad(); return waiting })
 }
--- a/internal/launcher/peers.go
+++ b/internal/launcher/peers.go
@@ -1,11 +1,14 @@
 package launcher
 
 import (
+	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/oriolegw/oriolegw/internal/accountant"
+	"github.com/oriolegw/oriolegw/internal/concentrator"
 	"github.com/oriolegw/oriolegw/internal/discoverer"
 	"github.com/oriolegw/oriolegw/internal/elector"
 	"github.com/oriolegw/oriolegw/internal/exchanger"
@@ -25,8 +28,15 @@
 	accountant *accountant.Accountant
 	// holderCache caches the result of holderAddresses.
 	holderCache cached[[]string]
+	// ownerRanks caches the instances of this zone by bucket of groups, in the order in which
+	// they acquire its groups. Only the elector's loop uses the map.
+	ownerRanks cached[map[string][]string]
 }
 
+// ownerRanksTTL is how long ownerRanks is cached. All groups of a bucket are usually acquired at
+// once.
+const ownerRanksTTL = 500 * time.Millisecond
+
 func (i *Instance) newPeerServices() *peerServices {
 	peerLog := i.LogWriter.Logger("peers")
 	logger := log.LoggerFunc(func(fields ...any) error {
@@ -40,15 +50,16 @@
 			Self:  discoverer.Peer{Name: i.Settings.Name, Address: i.Settings.PeerAddress, Zone: i.Settings.Zone, Millicores: int(i.Settings.Cores * 1000)},
 			Seeds: i.Settings.Seeds, SameRegion: i.sameRegion,
 		},
-		Links: s.client, Clock: i.Clock, StoreState: i.watcher.State, IsReader: i.watcher.IsReader, Store: i.Platform.Store, Log: peerLog.Log,
+		Links: s.client, Clock: i.Clock, StoreState: i.watcher.State, IsReader: i.watcher.IsReader, FollowsReader: i.watcher.FollowsReader, Store: i.Platform.Store, Log: peerLog.Log,
 	}
 	s.forwarder = &forwarder.Forwarder{
 		Discoverer: s.exchanger.Discoverer, Links: s.client, Codec: i.Platform.MemberCodec, Clock: i.Clock,
-		Pool: i.configuredPool, Connections: i.memberConnectionLimit, Customers: i.customerCount, Zones: len(i.Settings.Regions), Draining: i.draining.Load, Log: peerLog.Log,
+		Pool: i.configuredPool, MemberZone: i.memberZone, Connections: i.memberConnectionLimit, Customers: i.customerCount, Zones: len(i.Settings.Regions), Draining: i.draining.Load, Log: peerLog.Log,
 	}
 	s.accountant = i.newAccountant(s)
 	s.exchanger.Lend, s.exchanger.Account = s.forwarder.ServeLoans, s.accountant.HandleReport
 	s.exchanger.Proofs, s.exchanger.AddProof = i.recentProofs, i.acceptPeerProof
+	s.exchanger.TakeReads, s.exchanger.RecordPeerReads = i.takeReads, i.recordPeerReads
 	s.server = &linker.Server{
 		Address: i.Settings.PeerAddress, Network: i.Network, Secrets: secrets, Versions: linker.CurrentVersions,
 		Log:      logger,
@@ -61,20 +72,54 @@
 // acquisitionRank returns how many instances precede this one in acquiring a group's failover
 // lease. Rendezvous hashing spreads the leases of the groups over instances. The last owner
 // goes last, since it has probably failed.
-func (s *peerServices) acquisitionRank(group, last string) int {
-	self := s.exchanger.Discoverer.Self
-	list := append(s.exchanger.Discoverer.Peers(s.exchanger.Clock()), self)
-	list = ranker.Rank(elector.OwnershipPrefix+group, list, func(p discoverer.Peer) string { return p.Name })
-	indexOf := func(name string) int {
-		return slices.IndexFunc(list, func(p discoverer.Peer) bool { return p.Name == name })
-	}
-	rank, lastOwner := indexOf(self.Name), -1
+func (i *Instance) acquisitionRank(group, last string) int {
+	c := i.configuration.Load()
+	if preparesAll(c) {
+		d := i.peers.exchanger.Discoverer
+		list := append(d.Peers(i.Clock()), d.Self)
+		list = ranker.Rank(elector.OwnershipPrefix+group, list, func(p discoverer.Peer) string { return p.Name })
+		names := make([]string, len(list))
+		for n, p := range list {
+			names[n] = p.Name
+		}
+		return rankWithoutLast(names, i.Settings.Name, last)
+	}
+	return i.zoneAcquisitionRank(elector.Bucket(group, len(c.Groups)), last)
+}
+
+// zoneAcquisitionRank is acquisitionRank for one of many buckets of groups. Each has a zone whose
+// instances come first, since an instance knows all instances of its own zone only. The first
+// instances of the other zones follow, in case the zone has failed.
+func (i *Instance) zoneAcquisitionRank(bucket, last string) int {
+	key := elector.OwnershipPrefix + bucket
+	zones := ranker.Rank(key, slices.Sorted(maps.Keys(i.Settings.Regions)), func(zone string) string { return zone })
+	order := i.peers.ownerRanks.get(i.Clock(), ownerRanksTTL, func() map[string][]string { return map[string][]string{} })
+	names, ok := order[bucket]
+	if !ok {
+		var list []concentrator.Candidate
+		for _, p := range i.peers.exchanger.Discoverer.OwnZone(i.Clock()) {
+			list = append(list, concentrator.Candidate{Name: p.Name, Millicores: p.Millicores})
+		}
+		names = concentrator.RankHolders(key, list)
+		order[bucket] = names
+	}
+	rank, zone := rankWithoutLast(names, i.Settings.Name, last), slices.Index(zones, i.Settings.Zone)
+	if zone <= 0 {
+		return rank
+	}
+	return (rank+1)*len(zones) + zone
+}
+
+// rankWithoutLast returns the index of an instance in a list without the last owner, which comes
+// last itself.
+func rankWithoutLast(names []string, self, last string) int {
+	rank, lastOwner := slices.Index(names, self), -1
 	if i := strings.LastIndex(last, runIDSeparator); i > 0 {
-		lastOwner = indexOf(last[:i])
+		lastOwner = slices.Index(names, last[:i])
 	}
 	switch {
 	case lastOwner == rank:
-		return len(list) - 1
+		return len(names) - 1
 	case lastOwner >= 0 && lastOwner < rank:
 		return rank - 1
 	default:
@@ -95,13 +140,33 @@
 	return i.backend(group).Pool
 }
 
-// recentProofs returns the groups' recent freshness proofs that this instance got from primaries.
-func (i *Instance) recentProofs() []exchanger.GroupProof {
+// memberZone returns the availability zone of a member, "" if it is unknown.
+func (i *Instance) memberZone(group, member string) string {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for _, m := range i.members[group] {
+		if m.ID == member {
+			return m.Zone
+		}
+	}
+	return ""
+}
+
+// recentProofs returns the recent freshness proofs of groups that this instance got from
+// primaries, of all groups if the list is nil.
+func (i *Instance) recentProofs(groups []string) []exchanger.GroupProof {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	if groups == nil {
+		groups = slices.Collect(maps.Keys(i.backends))
+	}
 	var list []exchanger.GroupProof
 	now := i.Clock()
-	for name, b := range i.backends {
+	for _, name := range groups {
+		b, ok := i.backends[name]
+		if !ok {
+			continue
+		}
 		if p, ok := b.Group.NewestPrimaryProof(); ok && now-p.At < peerProofTimeout {
 			list = append(list, exchanger.GroupProof{Group: name, FreshnessProof: p})
 		}
--- a/internal/launcher/soak_test.go
+++ b/internal/launcher/soak_test.go
@@ -232,6 +232,7 @@
 	if withAddedRoute {
 		c.Routes[addedRoute.Database] = addedRoute
 	}
+	s.addExtraGroups(&c)
 	old, err := s.store.Get(s.ctx, platform.ConfigurationKey)
 	if err != nil {
 		return
@@ -480,6 +481,21 @@
 	}
 }
 
+// TestManyGroupsSoak is TestFollowersSoak with more groups than an instance prepares, so that the
+// group's state, connections and proofs are created on use.
+func TestManyGroupsSoak(t *testing.T) {
+	for i := range *soakSeeds {
+		seed := *soakFirstSeed + uint64(i)
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			runFleet(t, func(f *fleet) {
+				f.extraGroups = 60
+				f.configure()
+				soakFleet(f, seed, sharedZones)
+			})
+		})
+	}
+}
+
 // The availability zones of the soaks' instances by IP.
 var (
 	independentZones = map[string]string{"10.5.0.1": "a", "10.5.0.2": "b", "10.5.0.3": "c"}
@@ -489,21 +505,24 @@
 )
 
 func runSoak(t *testing.T, seed uint64, zones map[string]string) {
-	runFleet(t, func(f *fleet) {
-		s := newSoak(f, seed)
-		s.faults = slices.Concat(groupFaults, networkFaults)
-		s.instances = map[string]*instance{}
-		s.zones = zones
-		s.ips = slices.Sorted(maps.Keys(s.zones))
-		s.dial = func(ctx context.Context, n int, ip string) (net.Conn, error) {
-			return s.net.Host(fmt.Sprintf("10.7.9.%d", n), []string{"a", "b", "c"}[n%3]).Dial(ctx, ip+":5000")
-		}
-		for ip, zone := range s.zones {
-			s.instances[ip] = f.start(ip, zone)
-		}
-		time.Sleep(4 * time.Second)
-		s.run(soakDuration, soakRecoveryTime, s.net.HealAll)
-	})
+	runFleet(t, func(f *fleet) { soakFleet(f, seed, zones) })
+}
+
+// soakFleet runs a soak on instances in the given zones.
+func soakFleet(f *fleet, seed uint64, zones map[string]string) {
+	s := newSoak(f, seed)
+	s.faults = slices.Concat(groupFaults, networkFaults)
+	s.instances = map[string]*instance{}
+	s.zones = zones
+	s.ips = slices.Sorted(maps.Keys(s.zones))
+	s.dial = func(ctx context.Context, n int, ip string) (net.Conn, error) {
+		return s.net.Host(fmt.Sprintf("10.7.9.%d", n), []string{"a", "b", "c"}[n%3]).Dial(ctx, ip+":5000")
+	}
+	for ip, zone := range s.zones {
+		s.instances[ip] = f.start(ip, zone)
+	}
+	time.Sleep(4 * time.Second)
+	s.run(soakDuration, soakRecoveryTime, s.net.HealAll)
 }
 
 func newSoak(f *fleet, seed uint64) *soak {
--- a/internal/lender/idle.go
+++ b/internal/lender/idle.go
@@ -38,7 +38,8 @@
 	fullMemberPeriod = 5 * time.Second
 )
 
-// Maintain closes spare idle connections and opens the first connection to each member.
+// Maintain closes spare idle connections and opens the first connection to each member, unless
+// OpensOnDemand forbids it.
 func (p *Pool) Maintain(now time.Time) {
 	ids := p.Group.IDs()
 	own := slices.DeleteFunc(slices.Clone(ids), p.heldElsewhere)
@@ -53,6 +54,9 @@
 			delete(p.members, id)
 		}
 	}
+	if p.OpensOnDemand != nil && p.OpensOnDemand() {
+		own = nil
+	}
 	for _, id := range own {
 		if m := p.member(id); p.customers == nil && !m.recentlyFull(now) && m.inUse(now) {
 			p.startOpening(id, "", true)
@@ -76,6 +80,21 @@
 	return false
 }
 
+// InUse reports whether requests wait or use connections of the pool.
+func (p *Pool) InUse() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.waiting) > 0 {
+		return true
+	}
+	for _, m := range p.members {
+		if m.opening > 0 || m.open > len(m.idle) {
+			return true
+		}
+	}
+	return false
+}
+
 // recentlyFull reports whether the member refused a connection recently because it had too many.
 func (m *memberPool) recentlyFull(now time.Time) bool { return now.Sub(m.lastFull) < fullMemberPeriod }
 
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -100,6 +100,9 @@
 		// MaintainedExternally is set if the owner calls Maintain instead of Run, for many pools at
 		// once.
 		MaintainedExternally bool
+		// OpensOnDemand, when set and true, makes Maintain open no connection before a request needs
+		// one.
+		OpensOnDemand func() bool
 		// NoteBroken, when set, is called for each idle connection found broken, with its idle time.
 		NoteBroken func(member string, idle time.Duration)
 		// NotePacing, when set, is called with false when new work to a member starts to be paced
--- a/internal/tracker/group.go
+++ b/internal/tracker/group.go
@@ -118,6 +118,13 @@
 	}
 }
 
+// RecordRestart records that a member restarted at a time before the group's state was created.
+func (g *Group) RecordRestart(at Timestamp) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.restartedAt = max(g.restartedAt, at)
+}
+
 // LastRestart returns when a member restart was last detected, 0 if none was. It is never
 // earlier than the restart itself. The member may have lost what it acknowledged before.
 func (g *Group) LastRestart(now Timestamp) Timestamp {
