Instances: an idle one wakes up less, and contacts carry no lists of peers

Cause: beside no traffic an instance woke up 5 times a second each for its elector and its groups, 4 times for entries that might expire and 4 times for contacts; and each of its 6 contacts a second listed up to 32 peers, which both ends sort and look up.

Change: the elector of an instance without groups ticks once a second, or when a record needs it; the watcher wakes up for expiry only while an entry is missing or leaving; maintenance rests while no group is in use; contacts are checked for at their own interval unless a peer fails. Lists of peers are asked for in every twentieth round, since the store's records have them. A contact searches all peers for an address only if the peer is new at it.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -89,14 +89,21 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if s, ok := d.peers[p.Name]; !ok || !s.contacted || s.Address != p.Address {
+		d.removeOthersAt(p)
+	}
+	s := d.peerState(p)
+	*s = peerState{Peer: p, lastSeen: now, contacted: true}
+	d.evict(p.Zone)
+}
+
+// removeOthersAt removes the other peers with a peer's address.
+func (d *Discoverer) removeOthersAt(p Peer) {
 	for name, s := range d.peers {
 		if s.Address == p.Address && name != p.Name {
 			delete(d.peers, name)
 		}
 	}
-	s := d.peerState(p)
-	*s = peerState{Peer: p, lastSeen: now, contacted: true}
-	d.evict(p.Zone)
 }
 
 // RecordListed records a peer listed by another instance. It does not imply that the peer is
--- a/internal/discoverer/discoverer_test.go
+++ b/internal/discoverer/discoverer_test.go
@@ -64,6 +64,9 @@
 	d.RecordContact(0, peer("a1", "a"))
 	d.RecordContact(time.Second, discoverer.Peer{Name: "a9", Address: "a1:1", Zone: "a"})
 	must.Eq(t, []string{"a9"}, names(d.Peers(time.Second)))
+	d.RecordListed(time.Second, discoverer.Peer{Name: "a7", Address: "a1:1", Zone: "a"})
+	d.RecordContact(2*time.Second, discoverer.Peer{Name: "a7", Address: "a1:1", Zone: "a"})
+	must.Eq(t, []string{"a7"}, names(d.Peers(2*time.Second)))
 }
 
 // The number of known peers and the size of replies stay bounded in a large fleet.
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -38,10 +38,11 @@
 	coldStartStagger = 1500 * time.Millisecond
 	// acquireRetryInterval is the minimum time between an instance's attempts to acquire a group.
 	acquireRetryInterval = 500 * time.Millisecond
-	// vacantTickInterval is the period of Run's loop while a group has no owner, idleTickInterval
-	// otherwise.
+	// vacantTickInterval is the period of Run's loop while a group has no owner, ownerTickInterval
+	// while this instance owns groups, and idleTickInterval otherwise.
 	vacantTickInterval = 50 * time.Millisecond
-	idleTickInterval   = 200 * time.Millisecond
+	ownerTickInterval  = 200 * time.Millisecond
+	idleTickInterval   = time.Second
 	// revokeTimeout bounds the revocation of the lease at shutdown.
 	revokeTimeout = 300 * time.Millisecond
 )
@@ -71,7 +72,7 @@
 		ownerships map[string]*groupOwnership
 		// owned counts the ownerships that are held.
 		owned int
-		// vacated receives when a group has lost its owner since the last tick.
+		// vacated receives when a group's record needs a tick at once.
 		vacated   chan struct{}
 		startedAt tracker.Timestamp
 		lease     storer.Lease
@@ -136,7 +137,7 @@
 	e.startedAt = e.Clock()
 	vacated := e.vacatedChannel()
 	for {
-		interval := idleTickInterval
+		interval := e.idleInterval()
 		if e.tick(ctx) {
 			interval = vacantTickInterval
 		}
@@ -150,7 +151,18 @@
 	}
 }
 
-// vacatedChannel returns the channel that HandleRecord notifies when a group has lost its owner.
+// idleInterval returns the period of Run's loop while no group lacks an owner.
+func (e *Elector) idleInterval() time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.ownsAny() {
+		return ownerTickInterval
+	}
+	return idleTickInterval
+}
+
+// vacatedChannel returns the channel that HandleRecord notifies when a group may have lost its
+// owner, or this instance may have become it.
 func (e *Elector) vacatedChannel() chan struct{} {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -172,7 +184,8 @@
 		// The key expires with the lease, so the ownership is lost.
 		e.lose(p.Key, o, "record-gone")
 	}
-	if p.Revision == 0 && e.vacated != nil {
+	// With a lease, the record may be that of an acquisition whose response was lost.
+	if (p.Revision == 0 || e.lease != 0) && e.vacated != nil {
 		select {
 		case e.vacated <- struct{}{}:
 		default:
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -40,6 +40,8 @@
 	// contactInterval the time between two requests to a responsive peer.
 	contactCheckInterval = 250 * time.Millisecond
 	contactInterval      = time.Second
+	// peerListRounds is every how many checks the contacted peers are asked for lists of peers.
+	peerListRounds = 20
 	// unresponsiveAfter is how long a peer must fail to answer before it is contacted only
 	// every unresponsiveInterval.
 	unresponsiveAfter    = 5 * time.Second
@@ -130,17 +132,35 @@
 	e.contacted = map[string]tracker.Timestamp{}
 	var requests sync.WaitGroup
 	defer requests.Wait()
+	interval, rounds := contactCheckInterval, 0
 	for {
-		if err := sleeper.Sleep(ctx, contactCheckInterval/2+rand.N(contactCheckInterval)); err != nil {
+		if err := sleeper.Sleep(ctx, interval/2+rand.N(interval)); err != nil {
 			return err
 		}
 		e.register(ctx)
-		for _, p := range e.duePeers(e.Clock()-started < firstContactPeriod) {
-			requests.Go(func() { _, _ = e.request(ctx, p.Address, &wire.TellRequest{PeersOnly: true}) })
+		starting := e.Clock()-started < firstContactPeriod
+		if interval = contactInterval / 2; starting || !e.registered() || e.anyMonitoredFails() {
+			interval = contactCheckInterval
+		}
+		// The store's records list the instances; lists of peers complete them while it is away.
+		rounds++
+		omitPeers := !starting && e.StoreState() != nil && rounds%peerListRounds != 0
+		for _, p := range e.duePeers(starting) {
+			requests.Go(func() {
+				_, _ = e.request(ctx, p.Address, &wire.TellRequest{PeersOnly: true, OmitPeers: omitPeers})
+			})
 		}
 	}
 }
 
+// anyMonitoredFails reports whether a peer that this instance monitors has failed or isn't connected.
+func (e *Exchanger) anyMonitoredFails() bool {
+	return slices.ContainsFunc(e.Discoverer.Monitored(), func(p discoverer.Peer) bool {
+		failing, _ := e.Discoverer.Failing(p.Name)
+		return failing || !e.Links.Connected(p.Address)
+	})
+}
+
 // duePeers returns the peers to contact now. A peer that has just failed is contacted at
 // every check; responsive and long unresponsive ones less often.
 func (e *Exchanger) duePeers(starting bool) []discoverer.Peer {
@@ -317,7 +337,7 @@
 	now := e.Clock()
 	e.Discoverer.RecordContact(now, fromPeer(r.Sender))
 	reply := &wire.TellReply{Teller: toPeer(e.Discoverer.Self)}
-	if !r.Changes {
+	if !r.Changes && !r.OmitPeers {
 		for _, p := range e.Discoverer.PeersForReply(now) {
 			reply.Peers = append(reply.Peers, toPeer(p))
 		}
--- a/internal/launcher/backend.go
+++ b/internal/launcher/backend.go
@@ -17,9 +17,11 @@
 
 const (
 	// idleMaintenanceInterval is the interval of maintenance while no group has connections
-	// or waiting requests.
-	idleMaintenanceInterval = 200 * time.Millisecond
-	proofCheckInterval      = 200 * time.Millisecond
+	// or waiting requests, unusedMaintenanceInterval the one
+	// while no group is in use, until one is.
+	idleMaintenanceInterval   = 200 * time.Millisecond
+	unusedMaintenanceInterval = time.Second
+	proofCheckInterval        = 200 * time.Millisecond
 	// proofRenewalAge is the age at which a freshness proof is renewed. It leaves most of the
 	// routes' staleness bounds for replication lag.
 	proofRenewalAge = 400 * time.Millisecond
@@ -92,6 +94,15 @@
 				pause = lender.MaintenanceInterval
 			}
 		}
+		if i.backendCount() == 0 {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(unusedMaintenanceInterval):
+				continue
+			case <-i.backendAdded:
+			}
+		}
 		if err := sleeper.Sleep(ctx, pause); err != nil {
 			return err
 		}
--- a/internal/launcher/groups.go
+++ b/internal/launcher/groups.go
@@ -37,6 +37,7 @@
 	if !ok {
 		b = i.newBackend(group)
 		i.backends[group] = b
+		notify(i.backendAdded)
 	}
 	b.lastUsed = i.Clock()
 	return b
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -84,6 +84,9 @@
 		startedAt       tracker.Timestamp
 		stateLog        *logwriter.Logger
 
+		// backendAdded wakes maintainBackends.
+		backendAdded chan struct{}
+
 		mutex    sync.Mutex
 		backends map[string]*backend
 		members  map[string][]tracker.Member
@@ -168,6 +171,7 @@
 	i.stateLog = i.LogWriter.Logger("belief")
 	i.metricsRegistry = &reporter.Registry{}
 	i.metrics, i.metricsCloser = i.metricsRegistry.NewScope(map[string]string{reporter.TagInstance: i.Settings.Name})
+	i.backendAdded = make(chan struct{}, 1)
 	i.backends, i.members, i.restartedAt = map[string]*backend{}, map[string][]tracker.Member{}, map[string]tracker.Timestamp{}
 	requests, traces := i.LogWriter.Logger("request"), i.LogWriter.Logger("served")
 	i.server = &dispatcher.Server{
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -194,13 +194,17 @@
 	ended := make(chan error, 2)
 	go func() { ended <- w.poll(ctx, updates) }()
 	go func() { ended <- w.pollPeers(ctx, updates) }()
-	t := time.NewTicker(expiryCheckInterval)
-	defer t.Stop()
+	var check <-chan time.Time
 	for {
+		// Without an entry that may expire, there is nothing to wake up for.
+		if check == nil && len(w.ending) > 0 {
+			check = time.After(expiryCheckInterval)
+		}
 		select {
 		case u := <-updates:
 			w.apply(u)
-		case <-t.C:
+		case <-check:
+			check = nil
 			w.expireMembers()
 		case err := <-ended:
 			<-ended
