Followers: fewer requests where the time for a change allows it

Cause: each follower asked a parent twice a second and contacted three neighbours each second: 10 calls a second an instance, both ends counted, without any traffic.

Change: neighbours that answer are contacted each two seconds (still each 250 ms while one fails or isn't connected). A follower that uses no proofs of its parent asks each eighth of the time that a change may take, at least 0.5 and at most 1 s; three intervals without an update end the following, as before. With up to 32 groups, or with groups read often, nothing changes.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -39,7 +39,7 @@
 	// contactCheckInterval is the time between two checks for peers due to be contacted, and
 	// contactInterval the time between two requests to a responsive peer.
 	contactCheckInterval = 250 * time.Millisecond
-	contactInterval      = time.Second
+	contactInterval      = 2 * time.Second
 	// peerListRounds is every how many checks the contacted peers are asked for lists of peers.
 	peerListRounds = 20
 	// unresponsiveAfter is how long a peer must fail to answer before it is contacted only
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -198,6 +198,7 @@
 		i.elector.AcquireRank = i.acquisitionRank
 		i.watcher.RequestState, i.watcher.OnInstance, i.watcher.FollowsPeers = i.peers.exchanger.RequestState, i.peers.exchanger.HandleRecord, i.peers.exchanger.FollowsPeers
 		i.watcher.ListInstances, i.watcher.OnListed = i.listInstances, i.peers.exchanger.SetListed
+		i.watcher.NeedsProofs = i.needsProofs
 		i.watcher.InstanceKey = exchanger.RecordPrefix(i.Settings.Zone) + i.Settings.Name
 	}
 	i.declareMetrics()
--- a/internal/launcher/reads.go
+++ b/internal/launcher/reads.go
@@ -87,6 +87,12 @@
 	return i.reads.take(), false
 }
 
+// needsProofs reports whether callers of this instance read a group so often that a peer's proofs
+// serve their reads.
+func (i *Instance) needsProofs() bool {
+	return preparesAll(i.configuration.Load()) || len(i.reads.own.AtLeast(minReadRate/2)) > 0
+}
+
 // wantedProofs returns a function that reports whether a group's freshness proof is to be renewed
 // regularly. If there are more groups than an instance prepares, those with few reads are left out:
 // their reads go to the primary, and each makes a proof. Groups that peers read often are added.
--- a/internal/watcher/entries.go
+++ b/internal/watcher/entries.go
@@ -163,7 +163,7 @@
 // storeReachable reports whether the store answers this instance or a peer that sends it
 // updates.
 func (w *Watcher) storeReachable() bool {
-	return !w.storeOutage || w.peerUpdateAt != 0 && w.Clock()-w.peerUpdateAt < peerUpdateLifetime
+	return !w.storeOutage || w.peerUpdateAt != 0 && w.Clock()-w.peerUpdateAt < missedPolls*w.peerPollInterval()
 }
 
 // notifyMembers calls OnMembers with the groups that have changed.
--- a/internal/watcher/peers.go
+++ b/internal/watcher/peers.go
@@ -15,14 +15,15 @@
 	// peerPollStartDelay gives the store time to answer first after a start.
 	peerPollStartDelay = 150 * time.Millisecond
 	// initialPeerPollInterval is the time between two requests to peers before the first
-	// update, peerPollInterval afterwards.
+	// update. Afterwards it is MaxPropagationDelay times peerPollFraction within the bounds.
+	// A change passes through a few instances, each of which adds up to an interval.
 	initialPeerPollInterval = 100 * time.Millisecond
-	peerPollInterval        = 500 * time.Millisecond
-	// peerUpdateLifetime is how long an update from a peer counts as an answer of the store.
-	peerUpdateLifetime = 3 * peerPollInterval
-	// followTimeout is how long after the last update from a peer an instance resumes
-	// reading the store itself.
-	followTimeout = 3 * peerPollInterval
+	minPeerPollInterval     = 500 * time.Millisecond
+	maxPeerPollInterval     = time.Second
+	peerPollFraction        = 0.125
+	// missedPolls is how many poll intervals after the last update from a peer it no longer
+	// counts as an answer of the store, and an instance resumes reading the store itself.
+	missedPolls = 3
 )
 
 // pollPeers requests updates from peers while the store is unavailable, or while they watch
@@ -39,7 +40,7 @@
 			continue
 		}
 		if w.state.Load() != nil {
-			delay = peerPollInterval
+			delay = w.peerPollInterval()
 		}
 		n, err := w.RequestState(ctx, w.revisionOfState())
 		if err != nil {
@@ -58,9 +59,17 @@
 	}
 }
 
+// peerPollInterval returns the time between two requests to peers.
+func (w *Watcher) peerPollInterval() time.Duration {
+	if w.NeedsProofs == nil || w.NeedsProofs() {
+		return minPeerPollInterval
+	}
+	return min(max(time.Duration(peerPollFraction*float64(w.MaxPropagationDelay)), minPeerPollInterval), maxPeerPollInterval)
+}
+
 // followsReader reports whether a peer currently watches the store for this instance, which
-// saves calls against the store. It no longer does followTimeout after the last update of a
-// peer that reaches the store.
+// saves calls against the store. It no longer does once updates of a peer that reaches the store
+// are missing.
 func (w *Watcher) followsReader() bool { return w.followsSince(&w.readerSeen) }
 
 // followsPeer reports whether a peer can report that the store is available again, so that
@@ -68,10 +77,10 @@
 func (w *Watcher) followsPeer() bool { return w.followsSince(&w.peerSeen) }
 
 // followsSince reports whether this instance follows peers and the last update, at seen, is
-// within followTimeout.
+// recent.
 func (w *Watcher) followsSince(seen *atomic.Int64) bool {
 	at := tracker.Timestamp(seen.Load())
-	return w.FollowsPeers != nil && w.FollowsPeers() && at != 0 && w.Clock()-at < followTimeout
+	return w.FollowsPeers != nil && w.FollowsPeers() && at != 0 && w.Clock()-at < missedPolls*w.peerPollInterval()
 }
 
 // revisionOfState returns the store revision of the known state.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -92,6 +92,9 @@
 		// peers, as long as RequestState returns updates of one that watches it.
 		FollowsPeers func() bool
 
+		// NeedsProofs, if set, reports whether updates of peers bring freshness proofs that this
+		// instance uses; it then requests them more often.
+		NeedsProofs func() bool
 		// ListInstances, if set, reads the instance records of this region. It is a cheap call whose
 		// result may be some seconds old. OnListed is called after OnInstance was called with them.
 		ListInstances func(ctx context.Context) ([]storer.Pair, error)
@@ -224,7 +227,7 @@
 	}
 	for {
 		if w.followsReader() {
-			if err := sleeper.Sleep(ctx, peerPollInterval); err != nil {
+			if err := sleeper.Sleep(ctx, minPeerPollInterval); err != nil {
 				return err
 			}
 			revision, snapshot = w.revisionOfState(), false
