Start: instances that start together for the first time find each other

And an instance that had the state from a neighbour before it knew its parents read it again.

Change: the last of three listings is not stale (its own zone, one call), none is left out for peers known by chance, and a starting instance waits until a parent answers for the store.

--- a/internal/exchanger/scale_test.go
+++ b/internal/exchanger/scale_test.go
@@ -174,7 +174,7 @@
 	}
 	w.RequestState, w.OnInstance, w.FollowsPeers, w.OnListed = x.RequestState, x.HandleRecord, x.FollowsPeers, x.SetListed
 	w.InstanceKey = exchanger.RecordPrefix(n.zone) + n.name
-	w.ListInstances = func(ctx context.Context) (all []storer.Pair, err error) {
+	w.ListInstances = func(ctx context.Context, _ bool) (all []storer.Pair, err error) {
 		for z := range scaleZones {
 			zone := string(rune('a' + z))
 			if !sameRegion(zone) {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -219,8 +219,12 @@
 	}
 }
 
-// listInstances reads the records of the instances in this region.
-func (i *Instance) listInstances(ctx context.Context) ([]storer.Pair, error) {
+// listInstances reads the records of the instances in this region or, if the result must not be
+// stale, in this zone, which is enough to find the others.
+func (i *Instance) listInstances(ctx context.Context, stale bool) ([]storer.Pair, error) {
+	if !stale {
+		return i.Platform.Store.List(ctx, exchanger.RecordPrefix(i.Settings.Zone))
+	}
 	var all []storer.Pair
 	for _, zone := range slices.Sorted(maps.Keys(i.Settings.Regions)) {
 		if !i.sameRegion(zone) {
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -53,6 +53,8 @@
 		version int64
 		// noPromotions keeps new instances from acquiring failover leases.
 		noPromotions bool
+		// coldStart tells new instances that the whole fleet starts for the first time.
+		coldStart bool
 		// extraGroups is the number of further groups in the configuration, which have no members.
 		extraGroups int
 		platform    *platformer.Platform
@@ -201,7 +203,7 @@
 	return &loader.EdgeSettings{
 		Name: "entry-" + ip, Zone: zone, Regions: map[string]string{"a": "x", "b": "y", "c": "z"},
 		Callers: ip + ":5000", ReadinessAddress: ip + ":5001", MetricsAddress: ip + ":5002", PeerAddress: ip + ":5003", StoreAddress: "10.6.0.1:7000", PromotionAddress: "10.6.0.1:7000", ShutdownTimeout: 6 * time.Second, MaxApplyDelay: 3 * time.Second,
-		LimitTolerance: loader.DefaultLimitTolerance,
+		LimitTolerance: loader.DefaultLimitTolerance, ColdStart: f.coldStart,
 	}
 }
 
--- a/internal/launcher/scale_test.go
+++ b/internal/launcher/scale_test.go
@@ -126,3 +126,25 @@
 		})
 	}
 }
+
+// When a fleet starts for the first time and stale reads of the store show nothing yet, instances
+// must still find each other instead of each reading and watching the whole store.
+func TestFirstStartWithStaleReads(t *testing.T) {
+	for _, instances := range []int{12, 24} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			runFleet(t, func(f *fleet) {
+				f.coldStart = true
+				f.platform.StaleUntil = time.Now().Add(10 * time.Second)
+				var all []*instance
+				for n := range instances {
+					all = append(all, f.start(fmt.Sprintf("10.5.0.%d", n+1), "a"))
+				}
+				time.Sleep(6 * time.Second)
+				must.LessEq(t, 3, f.platform.WholeReads.Load())
+				for _, i := range all {
+					must.Eq(t, http.StatusOK, f.readyStatus(i))
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/platformer/platformer.go
+++ b/internal/standin/platformer/platformer.go
@@ -29,6 +29,9 @@
 
 		// PageSize is the number of items in a page of a range, 0 for a small default.
 		PageSize int
+		// StaleUntil is until when reads that may be stale return nothing, as if nothing had been
+		// written yet.
+		StaleUntil time.Time
 		// WholeReads counts the reads of the whole store, ListedPages the pages of other reads.
 		WholeReads, ListedPages atomic.Int64
 
@@ -126,6 +129,9 @@
 		writeError(w, err)
 		return
 	}
+	if r.URL.Query().Get("allow_stale") != "" && time.Now().Before(p.StaleUntil) {
+		list = nil
+	}
 	after := r.URL.Query().Get("after")
 	for len(list) > 0 && list[0].Key <= after {
 		list = list[1:]
--- a/internal/watcher/start.go
+++ b/internal/watcher/start.go
@@ -13,7 +13,7 @@
 const (
 	// firstListingDelay lets all instances register when the whole fleet starts for the first
 	// time, before they select those that read the store. listingInterval is the time between
-	// two listings, and maxFirstListings bounds them.
+	// two listings, and maxFirstListings bounds them; the last one is not stale.
 	firstListingDelay = 1500 * time.Millisecond
 	listingInterval   = time.Second
 	maxFirstListings  = 3
@@ -38,11 +38,11 @@
 		}
 	}
 	for n := 0; ; n++ {
-		done, err := w.listInstances(ctx, updates)
+		done, err := w.listInstances(ctx, updates, n+1 < maxFirstListings)
 		if err != nil {
 			return err
 		}
-		if done || !w.ColdStart || w.followsPeersNow() || n+1 >= maxFirstListings {
+		if done || !w.ColdStart || n+1 >= maxFirstListings {
 			break
 		}
 		if err := sleeper.Sleep(ctx, listingInterval/2+rand.N(listingInterval/2)); err != nil {
@@ -50,7 +50,7 @@
 		}
 	}
 	until := w.Clock() + peerStatePatience + rand.N(peerStatePatience/2)
-	for w.followsPeersNow() && w.state.Load() == nil && w.Clock() < until {
+	for w.followsPeersNow() && !w.followsReader() && w.Clock() < until {
 		if err := sleeper.Sleep(ctx, peerStateCheckInterval); err != nil {
 			return err
 		}
@@ -61,8 +61,8 @@
 // listInstances reads the instance records and passes them on. It reports whether there is no
 // need to read them again: they include this instance's own, so they are not too old, or the store
 // doesn't answer. The error is that of the context.
-func (w *Watcher) listInstances(ctx context.Context, updates chan<- update) (bool, error) {
-	pairs, err := w.ListInstances(ctx)
+func (w *Watcher) listInstances(ctx context.Context, updates chan<- update, stale bool) (bool, error) {
+	pairs, err := w.ListInstances(ctx, stale)
 	if ctx.Err() != nil {
 		return false, ctx.Err()
 	}
@@ -82,7 +82,7 @@
 		return false, ctx.Err()
 	}
 	includesOwn := slices.ContainsFunc(pairs, func(p storer.Pair) bool { return p.Key == w.InstanceKey })
-	w.Log("event", "instances-listed", "instances", len(pairs), "own", includesOwn)
+	w.Log("event", "instances-listed", "instances", len(pairs), "own", includesOwn, "stale", stale)
 	return includesOwn, nil
 }
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -95,9 +95,10 @@
 		// NeedsProofs, if set, reports whether updates of peers bring freshness proofs that this
 		// instance uses; it then requests them more often.
 		NeedsProofs func() bool
-		// ListInstances, if set, reads the instance records of this region. It is a cheap call whose
-		// result may be some seconds old. OnListed is called after OnInstance was called with them.
-		ListInstances func(ctx context.Context) ([]storer.Pair, error)
+		// ListInstances, if set, reads the instance records of this region. With stale set, it is
+		// a cheap call whose result may be some seconds old; otherwise it may be limited to this
+		// instance's zone. OnListed is called after OnInstance was called with them.
+		ListInstances func(ctx context.Context, stale bool) ([]storer.Pair, error)
 		OnListed      func()
 		// InstanceKey is the key of this instance's record.
 		InstanceKey string
