Fleet-scale test: the stand-in's own entries and documents

Cause: the test wrote entries and documents of its own in the platform's words. Change: those of platformer, decoded by platform.

--- a/internal/exchanger/scale_test.go
+++ b/internal/exchanger/scale_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -88,7 +87,7 @@
 	f.put(ctx, platform.ConfigurationKey, f.document(1))
 	for g := range groups {
 		for m := range 3 {
-			f.put(ctx, memberKey(g, m), f.entry())
+			f.put(ctx, memberKey(g, m), f.entry(g, m))
 		}
 	}
 	for n := range instances {
@@ -104,23 +103,27 @@
 	return fmt.Sprintf("%sgroup-%d-%d", platform.MemberPrefix, group, member)
 }
 
-// entry returns the entry of a member, which compresses about as well as a real one.
-func (f *scaleFleet) entry() []byte {
-	return fmt.Appendf(nil, `{"service":"ledger-%d","address":"10.%d.%d.%d:8784","zone":"zone-%d","version":"1.4.2","capacity":4,"phase":"ready","db_role":"replica","cold_ms":0,"seq":%d,"born":%d}`,
-		f.random.IntN(5000), f.random.IntN(250), f.random.IntN(250), f.random.IntN(250), f.random.IntN(6), f.random.IntN(9), 1796000000000+f.random.Int64N(1e8))
+// entry returns the entry of a member.
+func (f *scaleFleet) entry(group, member int) []byte {
+	return platformer.EncodeMember(tracker.Member{
+		ID: memberKey(group, member), Group: fmt.Sprint("ledger-", group), Zone: fmt.Sprint("zone-", f.random.IntN(6)), Slots: 4, Primary: member == 0,
+		Address:   fmt.Sprintf("10.%d.%d.%d:8784", f.random.IntN(250), f.random.IntN(250), f.random.IntN(250)),
+		StartTime: 1796000000000 + f.random.Int64N(1e8),
+	})
 }
 
-// document returns a configuration with a route and a service for each group.
+// document returns a configuration with a route for each group.
 func (f *scaleFleet) document(version int64) []byte {
-	b := fmt.Appendf(nil, `{"version":%d,"routes":[`, version)
-	for g := range f.groups {
-		b = fmt.Appendf(b, `{"database":"locker%x","type":"read_your_writes","timeout_ms":1000,"target_latency_ms":800,"priority":2,"service":"ledger-%d","max_staleness_ms":2500},`, uint32(g)*2654435761, g)
-	}
-	b = append(b, `{}],"services":[`...)
+	c := tracker.Configuration{Version: version, Routes: map[string]tracker.Route{}, Groups: map[string]tracker.GroupSettings{}}
 	for g := range f.groups {
-		b = fmt.Appendf(b, `{"name":"ledger-%d","max_conns":296,"sync_replicas":1},`, g)
+		group, database := fmt.Sprint("ledger-", g), fmt.Sprintf("locker%x", uint32(g)*2654435761)
+		c.Groups[group] = tracker.GroupSettings{Connections: 296, SyncReplicas: 1}
+		c.Routes[database] = tracker.Route{
+			Database: database, Group: group, Rule: tracker.RuleReadYourWrites, Priority: 2,
+			Timeout: time.Second, LatencyObjective: 800 * time.Millisecond, Staleness: 2500 * time.Millisecond,
+		}
 	}
-	return append(b, `{}]}`...)
+	return platformer.EncodeConfiguration(c)
 }
 
 func (f *scaleFleet) put(ctx context.Context, key string, value []byte) {
@@ -158,11 +161,7 @@
 	w := &watcher.Watcher{
 		Source: store, Clock: clock, MaxPropagationDelay: 8 * time.Second,
 		ConfigurationKey: platform.ConfigurationKey, MemberPrefix: platform.MemberPrefix, OwnershipPrefix: "duty/", InstancePrefix: exchanger.InstancePrefix,
-		DecodeConfiguration: func(value []byte) (*tracker.Configuration, error) {
-			var c struct{ Version int64 }
-			err := json.Unmarshal(value, &c)
-			return &tracker.Configuration{Version: c.Version}, err
-		},
+		DecodeConfiguration: platform.DecodeConfiguration,
 		DecodeMember: func(key string, _ []byte, revision int64) (tracker.Member, error) {
 			return tracker.Member{ID: key, Group: key[:len(key)-2], Revision: revision}, nil
 		},
