Peer protocol: fields for admission, pressure and load

Cause: the parts for hard load need an instance to tell how long a request may wait and stay useful, how long its queue is, and how busy members are. Agreeing on the fields first lets the parts be built side by side.

Change: new fields in peer.proto, generated code, and the latest start of a request (lender.Request.LatestStart), which the dispatcher derives from the route's latency objective and loans carry. No decision uses it yet. Fields are only added, so both versions of an instance work together.

--- a/internal/dispatcher/execution.go
+++ b/internal/dispatcher/execution.go
@@ -17,6 +17,10 @@
 	// queueTimeFraction is the fraction of a statement's timeout for which it may wait to
 	// be sent. The rest is left for the member's work.
 	queueTimeFraction = 0.6
+	// startFraction is the fraction of a route's latency objective within which a single statement
+	// must be sent, transactionStartFraction that for the first statement of a transaction. The
+	// rest is left for the member's work and the network.
+	startFraction, transactionStartFraction = 0.8, 0.5
 	// readAttemptFraction is the fraction of a read's timeout after which another member
 	// is tried.
 	readAttemptFraction = 0.35
@@ -68,6 +72,19 @@
 	return x.start.Add(time.Duration(queueTimeFraction * float64(x.route.Timeout)))
 }
 
+// latestStart returns until when the statement can be sent and still meet the route's latency
+// objective, zero without one. The objective of a transaction covers several statements.
+func (x *execution) latestStart() time.Time {
+	if x.route.LatencyObjective <= 0 {
+		return time.Time{}
+	}
+	fraction := startFraction
+	if x.session.tx != nil {
+		fraction = transactionStartFraction
+	}
+	return x.start.Add(time.Duration(fraction * float64(x.route.LatencyObjective)))
+}
+
 // primaryCandidates returns the primary, if one is known.
 func (x *execution) primaryCandidates() []string {
 	if id := x.backend.Group.Primary(); id != "" {
@@ -95,6 +112,7 @@
 	defer func() { x.checkoutWait += time.Since(begin) }()
 	c, err := x.backend.Pool.Borrow(ctx, lender.Request{
 		EligibleMembers: candidates, Customer: x.customer, RateLimited: !x.limitCounted, Transaction: x.session.tx != nil, Priority: x.route.Priority, Deadline: x.queueDeadline(),
+		LatestStart: x.latestStart(),
 	})
 	x.limitCounted = x.limitCounted || err == nil
 	return c, err
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -59,10 +59,28 @@
 	conn, err := p.Borrow(ctx, lender.Request{
 		EligibleMembers: func() []string { return a.Members },
 		Priority:        int(a.Priority), Deadline: time.Now().Add(wait), StatusQuery: a.Question, Customer: a.Customer, RateLimited: a.Counts, Transaction: a.Long, LocalOnly: true,
+		LatestStart: decodeLatestStart(time.Now(), a.LatestStartMs),
 	})
 	return conn, p, err
 }
 
+// encodeLatestStart returns the time left until a request's latest start in milliseconds plus 1,
+// or 0 without one.
+func encodeLatestStart(now, latest time.Time) uint32 {
+	if latest.IsZero() {
+		return 0
+	}
+	return uint32(min(max(0, latest.Sub(now)), maxPeerWait).Milliseconds()) + 1
+}
+
+// decodeLatestStart reverses encodeLatestStart. The clocks of both instances don't matter.
+func decodeLatestStart(now time.Time, encoded uint32) time.Time {
+	if encoded == 0 {
+		return time.Time{}
+	}
+	return now.Add(min(time.Duration(encoded-1)*time.Millisecond, maxPeerWait))
+}
+
 // forward copies data between a peer and a connection until the peer returns it.
 func (fw *Forwarder) forward(stream wire.DRPCNeighbours_LendStream, p *lender.Pool, conn *lender.Conn) error {
 	fw.lent.Add(1)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -134,6 +134,7 @@
 	}
 	a, err := s.request(ctx, &wire.LendAsk{
 		Group: group, Members: members, Priority: int32(r.Priority), WaitMs: uint32(max(0, time.Until(r.Deadline)).Milliseconds()), Question: r.StatusQuery, Customer: r.Customer, Counts: r.RateLimited, Long: r.Transaction,
+		LatestStartMs: encodeLatestStart(time.Now(), r.LatestStart),
 	}, r.Deadline.Add(replyGrace))
 	if err != nil && ctx.Err() != nil {
 		go fw.releaseAbandoned(s, r.Deadline.Add(replyGrace))
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -58,6 +58,9 @@
 		Priority int
 		// Deadline is the deadline of the wait.
 		Deadline time.Time
+		// LatestStart is until when the request can start and still meet the caller's latency
+		// objective; zero without an objective.
+		LatestStart time.Time
 		// StatusQuery is set for a status query of the instance itself. It costs the member little
 		// and is sent to overloaded members, too.
 		StatusQuery bool
