Test: instances that follow each other in a circle read the store

Cause: distributor.MaxDepth had no test. With it taken out, all tests of distributor, exchanger, watcher and launcher passed.

Change: TestCircleReadsStore gives each of 2, 3 and 5 instances the next one as its only parent, changes the configuration three times, and requires each version on each instance within 8 s.

Measured: passes; without the depth in Exchanger.request it fails at version 2.

--- a/internal/exchanger/scale_test.go
+++ b/internal/exchanger/scale_test.go
@@ -55,8 +55,10 @@
 		versions map[int64]time.Time
 		members  map[string]bool
 		removed  map[string]time.Time
-		stop     context.CancelFunc
-		ended    chan error
+		// parent is the address of the instance's only parent, "" to have it choose its parents.
+		parent string
+		stop   context.CancelFunc
+		ended  chan error
 	}
 
 	// scaleResult is what one event cost: the time until the median, almost all and all
@@ -171,6 +173,12 @@
 		Discoverer: &discoverer.Discoverer{Self: discoverer.Peer{Name: n.name, Address: n.ip + ":7100", Zone: n.zone, Millicores: 192}, SameRegion: sameRegion},
 		Links:      links, Clock: clock, StoreState: w.State, IsReader: w.IsReader, FollowsReader: w.FollowsReader, Store: store, Log: func(...any) {},
 	}
+	if n.parent != "" {
+		for _, p := range f.nodes {
+			x.Discoverer.RecordListed(clock(), discoverer.Peer{Name: p.name, Address: p.ip + ":7100", Zone: p.zone})
+		}
+		x.FixParents(n.parent)
+	}
 	w.RequestState, w.OnInstance, w.FollowsPeers, w.OnListed = x.RequestState, x.HandleRecord, x.FollowsPeers, x.SetListed
 	w.InstanceKey = exchanger.RecordPrefix(n.zone) + n.name
 	w.ListInstances = func(ctx context.Context, _ bool) (all []storer.Pair, err error) {
