--- a/internal/standin/platformer/platformer.go
+++ b/internal/standin/platformer/platformer.go
@@ -274,6 +274,7 @@
 	}
 	fields := map[string]any{
 		"service": m.Group, "address": m.Address, "zone": m.Zone, "capacity": m.Slots, "phase": phase, "db_role": role,
+		"version": "v1", "cold_ms": 0, "seq": 1,
 	}
 	if m.StartTime != 0 {
 		fields["born"] = m.StartTime
