Balancer: reads are placed by the load of all instances

Cause: instances ranked members by their own latency samples and their own statements in flight.

Change: the supervisor's status replies give the load of each member, averaged over 1 s. Instances that read the store ask supervisors for it and pass it on with the freshness proofs (TellReply.loads). internal/balancer picks two members at random, one in the region if there is any, and decides by expected completion; the primary's cost includes the delay of its other statements. If a load is unknown or older than 2 s, or all members are idle, the order is as before.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -226,6 +226,17 @@
 	return slices.Sorted(maps.Keys(decodeOrEmpty(e.ownership(group).record.Value).Members))
 }
 
+// Owner returns the name of the process that owns a group, "" if the group is vacant.
+func (e *Elector) Owner(group string) string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	o, ok := e.ownerships[group]
+	if !ok || o.vacant() {
+		return ""
+	}
+	return decodeOrEmpty(o.record.Value).Owner
+}
+
 func (e *Elector) ownership(group string) *groupOwnership {
 	if e.ownerships == nil {
 		e.ownerships = map[string]*groupOwnership{}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -22,7 +22,6 @@
 	"github.com/oriolegw/oriolegw/internal/storer"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 	"github.com/oriolegw/oriolegw/internal/watcher"
-	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
 const (
@@ -71,6 +70,12 @@
 	tracker.FreshnessProof
 }
 
+// GroupLoad is the load of a group's member.
+type GroupLoad struct {
+	Group string
+	tracker.MemberLoad
+}
+
 // GroupReads counts the reads of a group that a replica may serve.
 type GroupReads struct {
 	Group string
@@ -92,6 +97,10 @@
 	// peer.
 	Proofs   func(groups []string) []GroupProof
 	AddProof func(GroupProof)
+	// Loads, if set, returns the recent loads of the members of groups, as Proofs does. AddLoad is
+	// called with the loads received from a peer.
+	Loads   func(groups []string) []GroupLoad
+	AddLoad func(GroupLoad)
 	// TakeReads, if set, returns the groups whose proofs this instance wants from a peer, with
 	// the reads since the last call, or all for every group. RecordPeerReads is called with those
 	// that a peer has sent.
@@ -314,13 +323,7 @@
 	for _, p := range reply.Peers {
 		e.Discoverer.RecordListed(now, fromPeer(p))
 	}
-	// Ages are relative to the time before the request, so that delays can only make the
-	// received state appear older.
-	for _, p := range reply.Proofs {
-		e.AddProof(GroupProof{Group: p.Group, FreshnessProof: tracker.FreshnessProof{
-			At: requestedAt - time.Duration(p.AgeUs)*time.Microsecond, Position: orderer.Position{Term: p.Term, Offset: p.Offset},
-		}})
-	}
+	e.receiveProofs(requestedAt, reply)
 	if r.Changes {
 		e.parentDepth.Store(max(1, reply.Depth))
 	}
@@ -346,7 +349,10 @@
 	}
 	e.recordPeerReads(r)
 	if r.Proofs && e.Proofs != nil {
-		reply.Proofs = e.encodeProofs(r)
+		reply.Proofs = e.encodeProofs(wantedGroups(r))
+	}
+	if r.Proofs && e.Loads != nil {
+		reply.Loads = e.encodeLoads(wantedGroups(r))
 	}
 	state := e.StoreState()
 	if state == nil || r.PeersOnly {
@@ -392,16 +398,21 @@
 	e.RecordPeerReads(list)
 }
 
-// encodeProofs returns the recent proofs that a request asks for. Ages are rounded up: a proof that
-// appears newer than it is would let a read miss acknowledged commits.
-func (e *Exchanger) encodeProofs(r *wire.TellRequest) []*wire.GroupProof {
-	var groups []string
-	if r.Selective {
-		groups = make([]string, 0, len(r.Reads))
-		for _, g := range r.Reads {
-			groups = append(groups, g.Group)
-		}
+// wantedGroups returns the groups whose proofs and loads a request asks for, nil for all.
+func wantedGroups(r *wire.TellRequest) []string {
+	if !r.Selective {
+		return nil
+	}
+	groups := make([]string, 0, len(r.Reads))
+	for _, g := range r.Reads {
+		groups = append(groups, g.Group)
 	}
+	return groups
+}
+
+// encodeProofs returns the recent proofs of groups. Ages are rounded up: a proof that
+// appears newer than it is would let a read miss acknowledged commits.
+func (e *Exchanger) encodeProofs(groups []string) []*wire.GroupProof {
 	known := e.Proofs(groups)
 	now := e.Clock()
 	list := make([]*wire.GroupProof, 0, len(known))
--- a/internal/launcher/groups.go
+++ b/internal/launcher/groups.go
@@ -47,6 +47,7 @@
 func (i *Instance) newBackend(group string) *backend {
 	g := &tracker.Group{Name: group, Zone: i.Settings.Zone, SameRegion: i.sameRegion}
 	b := &backend{clock: i.Clock, codec: i.Platform.MemberCodec, log: i.stateLog.Log, suspects: make(chan string, 1), proofExpired: make(chan struct{}, 1), primaryUnknown: make(chan struct{}, 1)}
+	g.NotePlacement = i.recordPlacement(group)
 	b.commitHolders = func() ([]string, bool) { return i.commitHolders(group) }
 	b.Backend = dispatcher.Backend{Group: g, ReportSuspect: b.reportSuspect, Pool: &lender.Pool{
 		Group: g, Network: i.Network, Codec: i.Platform.MemberCodec, ClientName: i.Settings.Name, Clock: i.Clock, NoteOpened: i.recordConnect(group), MaintainedExternally: true,
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -77,7 +77,9 @@
 		metricsCloser io.Closer
 		latencies     map[tracker.Rule]tally.Histogram
 		// limitRefusals counts the operations refused because a customer was over its limit.
-		limitRefusals   customerCounter
+		limitRefusals customerCounter
+		// placements counts the decisions where reads go, by balancer.Outcome.
+		placements      []tally.Counter
 		metricsRegistry *reporter.Registry
 		configuration   atomic.Pointer[tracker.Configuration]
 		draining        atomic.Bool
@@ -93,6 +95,8 @@
 		// restartedAt is when a restart of a group's member was last detected. Its state is
 		// created on first use and would not know of earlier restarts.
 		restartedAt map[string]tracker.Timestamp
+		// loadRejections and loadFailures limit the log lines about loads of members.
+		loadRejections, loadFailures logLimit
 		// reads are the reads of each group, by this instance's callers and by peers'.
 		reads      readRates
 		background sync.WaitGroup
@@ -113,7 +117,7 @@
 	i.prepare(ctx)
 	i.stateLog.Log("event", "start", "name", i.Settings.Name, "zone", i.Settings.Zone, "callers", i.Settings.Callers, "cores", i.Settings.Cores)
 
-	exits, running := make(chan error, 8), 0
+	exits, running := make(chan error, 9), 0
 	run := func(component func(context.Context) error) {
 		running++
 		go func() { exits <- component(ctx) }()
@@ -132,6 +136,7 @@
 		run(i.peers.exchanger.Run)
 		run(i.peers.server.Run)
 		run(i.peers.accountant.Run)
+		run(i.requestLoads)
 	}
 	electorContext, stopElector := context.WithCancel(ctx)
 	defer stopElector()
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oriolegw/oriolegw/internal/balancer"
 	"github.com/oriolegw/oriolegw/internal/dispatcher"
 	"github.com/oriolegw/oriolegw/internal/reporter"
 	"github.com/oriolegw/oriolegw/internal/tracker"
@@ -28,6 +29,8 @@
 	metricWaiting        = metricPrefix + "requests-waiting"
 	metricGroups         = metricPrefix + "groups"
 	metricRankings       = metricPrefix + "holder-rankings"
+	metricPlaced         = metricPrefix + "reads-placed."
+	metricLoadsRejected  = metricPrefix + "loads-rejected"
 	kindHistogram        = "histogram"
 )
 
@@ -66,6 +69,10 @@
 		reporter.Metric{Name: metricGroups, Kind: reporter.KindGauge, Description: "Groups whose state this instance keeps: those in use or, if few are configured, all."},
 		reporter.Metric{Name: metricRankings, Kind: reporter.KindGauge, Description: "Rankings of instances as holders of connections since the start. It grows with the changes of instances and the groups in use."},
 	)
+	for _, o := range balancer.Outcomes {
+		list = append(list, reporter.Metric{Name: metricPlaced + o.Outcome.String(), Kind: reporter.KindCounter, Description: "Orders of the members for a read; a waiting read has several. " + o.Text})
+	}
+	list = append(list, reporter.Metric{Name: metricLoadsRejected, Kind: reporter.KindCounter, Description: "Loads of members received from instances that were invalid or of unknown members. Alert when it grows for a minute; event=load-rejected names the cause."})
 	for _, n := range ruleNames {
 		list = append(list, reporter.Metric{Name: metricServed + n, Kind: kindHistogram, Description: "Time from reading a statement to its response, by the route's kind."})
 	}
@@ -80,6 +87,10 @@
 
 // declareMetrics creates all metrics, so that they are exported from the start.
 func (i *Instance) declareMetrics() {
+	i.placements = make([]tally.Counter, len(balancer.Outcomes))
+	for _, o := range balancer.Outcomes {
+		i.placements[o.Outcome] = i.metrics.Counter(metricPlaced + o.Outcome.String())
+	}
 	i.latencies = map[tracker.Rule]tally.Histogram{}
 	for r, n := range ruleNames {
 		i.latencies[r] = i.metrics.Histogram(metricServed+n, latencyBuckets)
--- a/internal/launcher/peers.go
+++ b/internal/launcher/peers.go
@@ -59,6 +59,7 @@
 	s.accountant = i.newAccountant(s)
 	s.exchanger.Lend, s.exchanger.Account = s.forwarder.ServeLoans, s.accountant.HandleReport
 	s.exchanger.Proofs, s.exchanger.AddProof = i.recentProofs, i.acceptPeerProof
+	s.exchanger.Loads, s.exchanger.AddLoad = i.recentLoads, i.acceptPeerLoad
 	s.exchanger.TakeReads, s.exchanger.RecordPeerReads = i.takeReads, i.recordPeerReads
 	s.server = &linker.Server{
 		Address: i.Settings.PeerAddress, Network: i.Network, Secrets: secrets, Versions: linker.CurrentVersions,
@@ -113,10 +114,7 @@
 // rankWithoutLast returns the index of an instance in a list without the last owner, which comes
 // last itself.
 func rankWithoutLast(names []string, self, last string) int {
-	rank, lastOwner := slices.Index(names, self), -1
-	if i := strings.LastIndex(last, runIDSeparator); i > 0 {
-		lastOwner = slices.Index(names, last[:i])
-	}
+	rank, lastOwner := slices.Index(names, self), slices.Index(names, instanceOfOwner(last))
 	switch {
 	case lastOwner == rank:
 		return len(names) - 1
@@ -127,6 +125,14 @@
 	}
 }
 
+// instanceOfOwner returns the name of the instance in the name of an owner's process.
+func instanceOfOwner(owner string) string {
+	if i := strings.LastIndex(owner, runIDSeparator); i > 0 {
+		return owner[:i]
+	}
+	return ""
+}
+
 // configuredPool returns the pool of a configured group, nil for any other name, so that peers
 // can't make this instance allocate state for arbitrary names.
 func (i *Instance) configuredPool(group string) *lender.Pool {
--- a/internal/tracker/group.go
+++ b/internal/tracker/group.go
@@ -44,6 +44,9 @@
 		// the same region.
 		Zone       string
 		SameRegion func(zone string) bool
+		// NotePlacement, when set, is called for each order of several candidates for a read. It
+		// must not call methods of the group.
+		NotePlacement func(Placement)
 
 		mutex   sync.Mutex
 		members map[string]*member
@@ -76,6 +79,7 @@
 		baselineLatency time.Duration
 		sampledAt       Timestamp
 		inFlight        int
+		load            memberLoad
 	}
 )
 
@@ -181,6 +185,7 @@
 		return false
 	}
 	m.lastPosition, m.failed = s.Received, false
+	m.load.observe(requested, s.Busy, m.Slots)
 	if !s.Primary {
 		if g.primary == id && s.Term >= g.term {
 			g.term = s.Term
@@ -302,8 +307,9 @@
 	return orderer.Max(need.Position, lastCommit.Position), true
 }
 
-// ReadCandidates returns the members that may have reached a position, by expected latency. It
-// omits members that are draining or known to lag behind the position.
+// ReadCandidates returns the members that may have reached a position, best first: by the load of
+// all instances if it is known, otherwise by the latency expected from own samples. It omits members
+// that are draining or known to lag behind the position.
 func (g *Group) ReadCandidates(now Timestamp, need orderer.Position) []string {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -326,7 +332,7 @@
 	for i, c := range candidates {
 		ids[i] = c.id
 	}
-	return ids
+	return g.orderByLoad(now, ids)
 }
 
 // lacksPosition reports whether a member lacked the position recently and is not yet due
@@ -366,17 +372,24 @@
 		}
 	}
 	c := latency + latency*time.Duration(m.inFlight)/time.Duration(max(1, m.Slots))
-	if m.failed && now-m.failedAt < failurePenaltyDuration {
+	if m.failedRecently(now) {
 		c += failurePenalty
 	}
 	return c
 }
 
+// failedRecently reports whether the member's last statement or connection attempt failed a short
+// time ago.
+func (m *member) failedRecently(now Timestamp) bool {
+	return m.failed && now-m.failedAt < failurePenaltyDuration
+}
+
 // RecordSend records that a statement was sent to a member.
 func (g *Group) RecordSend(id string) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if m, ok := g.members[id]; ok {
+		m.load.ownAverage += ownLoadWeight * (float64(m.inFlight) - m.load.ownAverage)
 		m.inFlight++
 	}
 }
@@ -403,6 +416,7 @@
 	m.latency += time.Duration(latencyWeight * float64(elapsed-m.latency))
 	m.sampledAt = now
 	m.updateBaselineLatency(elapsed)
+	m.load.recordService(now, elapsed-g.networkTime(m))
 }
 
 func (m *member) updateBaselineLatency(elapsed time.Duration) {
