Forwarder: a borrower doesn't ask a holder whose queue is too long

Cause: an instance that borrows connections learned of the holder's queue only by asking. Each request crossed to the holder, was refused there after up to 200 ms and was sent again 20 ms later, until its own wait had ended.

Change: each reply to a loan request carries the expected wait for the first requested member by priority, and the number of waiting requests (LendReply.drain_ms and queued). A holder whose queue is longer than the request may wait is asked by one request at a time only; the others go to another member or are refused at once, with the expected wait as the retry time. The wait also counts in the choice of a member for a read. Invalid reports are dropped.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -87,6 +87,8 @@
 	// Network is the round-trip time to the member, Service the time that a statement occupies a
 	// slot.
 	Network, Service time.Duration
+	// Wait is the expected wait for a connection at the instance that holds them, 0 if unknown.
+	Wait time.Duration
 	// Age is how long ago Busy was observed.
 	Age time.Duration
 	// Near is set if the member is in the region of this instance.
@@ -102,7 +104,7 @@
 // Completion returns the expected time from sending a read to its reply.
 func (m Member) Completion() time.Duration {
 	perSlot := m.statementsPerSlot() + 1/float64(max(1, m.Slots))
-	return m.Network + time.Duration(perSlot*float64(m.Service))
+	return m.Network + m.Wait + time.Duration(perSlot*float64(m.Service))
 }
 
 // Cost returns the expected completion time of a read and, at the primary, the time by which it
@@ -116,9 +118,9 @@
 	return cost
 }
 
-// Idle reports whether all members are idle.
+// Idle reports whether all members are idle, and no request waits for a connection to one.
 func Idle(list []Member) bool {
-	return !slices.ContainsFunc(list, func(m Member) bool { return m.statementsPerSlot() >= IdleLoad })
+	return !slices.ContainsFunc(list, func(m Member) bool { return m.Wait > 0 || m.statementsPerSlot() >= IdleLoad })
 }
 
 // Order sorts candidates for a read in place, best first, and returns the reason for the first one.
--- a/internal/dispatcher/execution.go
+++ b/internal/dispatcher/execution.go
@@ -127,6 +127,10 @@
 		}
 		return x.refuseWithRetryAfter(ReasonOverLimit, limit.RetryAfter)
 	}
+	var overload *lender.OverloadError
+	if errors.As(err, &overload) {
+		return x.refuseWithRetryAfter(ReasonNoConnection, max(minRetryAfter, overload.RetryAfter))
+	}
 	return x.refuse(checkoutReason(err))
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -63,6 +63,8 @@
 	Draining func() bool
 	// Log writes a line of alternating keys and values.
 	Log func(fields ...any)
+	// Count, when set, counts an event by one of the Count names.
+	Count func(name string)
 
 	mutex       sync.Mutex
 	idleStreams map[string][]*peerStream
@@ -77,7 +79,12 @@
 	// holderFailures is when a holder last failed, by address and member; an empty member
 	// means all members.
 	holderFailures map[[2]string]tracker.Timestamp
-	closed         bool
+	// pressures are the queues that holders have reported.
+	pressures map[pressureKey]*holderPressure
+	// pressureLoggedAt and pressureRejectedAt are when a decision by them and an invalid report were
+	// last logged.
+	pressureLoggedAt, pressureRejectedAt tracker.Timestamp
+	closed                               bool
 
 	lent     atomic.Int64
 	borrowed atomic.Int64
--- a/internal/forwarder/holders.go
+++ b/internal/forwarder/holders.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -208,8 +209,11 @@
 		}
 		if len(members) > 0 {
 			r.Deadline = time.Now().Add(min(attemptTimeout, time.Until(until)))
-			conn, err := fw.borrowFromHolders(ctx, group, members, r)
-			if !errors.Is(err, lender.ErrNoConnection) {
+			conn, err := fw.borrowFromHolders(ctx, group, members, r, until)
+			if isOverload(err) {
+				fw.count(CountLoanRefused)
+			}
+			if isOverload(err) || !errors.Is(err, lender.ErrNoConnection) {
 				return conn, err
 			}
 		}
@@ -224,23 +228,46 @@
 }
 
 // borrowFromHolders tries the holders in the order of the members. Members with the same
-// holders are requested together.
-func (fw *Forwarder) borrowFromHolders(ctx context.Context, group string, members []string, r lender.Request) (*lender.Conn, error) {
+// holders are requested together. If a holder's queue is longer than the request may wait to meet its
+// objective, the others come first. If those of all are longer than it may wait until its deadline, no
+// holder is asked and the error is a lender.OverloadError.
+func (fw *Forwarder) borrowFromHolders(ctx context.Context, group string, members []string, r lender.Request, deadline time.Time) (*lender.Conn, error) {
+	if !r.LatestStart.IsZero() && r.LatestStart.Before(deadline) && len(members) > 1 {
+		conn, err := fw.borrowWithin(ctx, group, members, r, r.LatestStart)
+		if !isOverload(err) {
+			return conn, err
+		}
+	}
+	return fw.borrowWithin(ctx, group, members, r, deadline)
+}
+
+// borrowWithin is borrowFromHolders with one limit for the holders' queues.
+func (fw *Forwarder) borrowWithin(ctx context.Context, group string, members []string, r lender.Request, limit time.Time) (*lender.Conn, error) {
 	result := lender.ErrUseLocal
+	var overload error
 	for len(members) > 0 {
 		var list holders
 		list, members = fw.nextHolders(group, members, &r)
-		conn, err := fw.borrowFromFirst(ctx, group, list, r)
+		conn, err := fw.borrowFromFirst(ctx, group, list, r, limit)
+		if err == nil && overload != nil {
+			fw.count(CountLoanElsewhere)
+		}
 		if err == nil || isLimitError(err) {
 			return conn, err
 		}
-		if errors.Is(err, lender.ErrNoConnection) {
+		switch {
+		case isOverload(err):
+			overload = cmp.Or(overload, err)
+		case errors.Is(err, lender.ErrNoConnection):
 			result = err
 		}
 		if ctx.Err() != nil {
 			return nil, lender.ErrNoConnection
 		}
 	}
+	if overload != nil && errors.Is(result, lender.ErrUseLocal) {
+		return nil, overload
+	}
 	return nil, result
 }
 
@@ -263,8 +290,9 @@
 }
 
 // borrowFromFirst borrows from the first reachable holder. It returns lender.ErrUseLocal if none
-// is reachable or this instance comes first.
-func (fw *Forwarder) borrowFromFirst(ctx context.Context, group string, list holders, r lender.Request) (*lender.Conn, error) {
+// is reachable or this instance comes first, and a lender.OverloadError if the holder's queue is
+// longer than the time to the limit.
+func (fw *Forwarder) borrowFromFirst(ctx context.Context, group string, list holders, r lender.Request, limit time.Time) (*lender.Conn, error) {
 	for _, address := range list {
 		if address == "" {
 			return fw.borrowOwn(ctx, group, r)
@@ -272,7 +300,11 @@
 		if !fw.mayTry(address, r.EligibleMembers()) {
 			continue
 		}
+		if err := fw.beginRequest(address, group, r.EligibleMembers(), r, time.Until(limit)); err != nil {
+			return nil, err
+		}
 		conn, err := fw.borrow(ctx, address, group, r.EligibleMembers(), r)
+		fw.endRequest(address, group, r.EligibleMembers())
 		if err == nil {
 			fw.borrowed.Add(1)
 			fw.recordSuccess(address, r.EligibleMembers())
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -34,12 +34,14 @@
 		}
 		conn, p, err := fw.borrowForPeer(stream.Context(), r.Ask)
 		if err != nil {
-			if err := stream.Send(refusalReply(err)); err != nil {
+			refusal := refusalReply(err)
+			fw.encodePressure(r.Ask, refusal)
+			if err := stream.Send(refusal); err != nil {
 				return err
 			}
 			continue
 		}
-		if err := fw.forward(stream, p, conn); err != nil {
+		if err := fw.forward(stream, r.Ask, p, conn); err != nil {
 			return err
 		}
 	}
@@ -82,10 +84,12 @@
 }
 
 // forward copies data between a peer and a connection until the peer returns it.
-func (fw *Forwarder) forward(stream wire.DRPCNeighbours_LendStream, p *lender.Pool, conn *lender.Conn) error {
+func (fw *Forwarder) forward(stream wire.DRPCNeighbours_LendStream, a *wire.LendAsk, p *lender.Pool, conn *lender.Conn) error {
 	fw.lent.Add(1)
 	defer fw.lent.Add(-1)
-	if err := stream.Send(&wire.LendReply{Member: conn.Member, Born: conn.MemberStartTime, State: encodeState(conn.State())}); err != nil {
+	reply := &wire.LendReply{Member: conn.Member, Born: conn.MemberStartTime, State: encodeState(conn.State())}
+	fw.encodePressure(a, reply)
+	if err := stream.Send(reply); err != nil {
 		conn.Close()
 		p.Return(conn)
 		return err
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -144,6 +144,7 @@
 		s.close()
 		return nil, err
 	}
+	fw.recordPressure(to, group, members[0], r.Priority, a)
 	switch a.Refusal {
 	case wire.LendRefusal_NOT_REFUSED:
 	case wire.LendRefusal_FULL:
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/oriolegw/oriolegw/internal/balancer"
 	"github.com/oriolegw/oriolegw/internal/dispatcher"
+	"github.com/oriolegw/oriolegw/internal/forwarder"
 	"github.com/oriolegw/oriolegw/internal/reporter"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 	"github.com/uber-go/tally/v4"
@@ -73,6 +74,11 @@
 		list = append(list, reporter.Metric{Name: metricPlaced + o.Outcome.String(), Kind: reporter.KindCounter, Description: "Orders of the members for a read; a waiting read has several. " + o.Text})
 	}
 	list = append(list, reporter.Metric{Name: metricLoadsRejected, Kind: reporter.KindCounter, Description: "Loads of members received from instances that were invalid or of unknown members. Alert when it grows for a minute; event=load-rejected names the cause."})
+	list = append(list,
+		reporter.Metric{Name: metricPrefix + forwarder.CountLoanRefused, Kind: reporter.KindCounter, Description: "Requests refused without asking the instance that holds the connections, since its queue was longer than they may wait. event=holder-not-asked shows the inputs."},
+		reporter.Metric{Name: metricPrefix + forwarder.CountLoanElsewhere, Kind: reporter.KindCounter, Description: "Loans for a member other than the best one, since the queue for that one was too long."},
+		reporter.Metric{Name: metricPrefix + forwarder.CountPressureRejected, Kind: reporter.KindCounter, Description: "Invalid queue lengths in replies of instances that hold connections. Alert when it grows for a minute; event=holder-queue-rejected names the instance."},
+	)
 	for _, n := range ruleNames {
 		list = append(list, reporter.Metric{Name: metricServed + n, Kind: kindHistogram, Description: "Time from reading a statement to its response, by the route's kind."})
 	}
--- a/internal/launcher/peers.go
+++ b/internal/launcher/peers.go
@@ -55,6 +55,7 @@
 	s.forwarder = &forwarder.Forwarder{
 		Discoverer: s.exchanger.Discoverer, Links: s.client, Codec: i.Platform.MemberCodec, Clock: i.Clock,
 		Pool: i.configuredPool, MemberZone: i.memberZone, Connections: i.memberConnectionLimit, Customers: i.customerCount, Zones: len(i.Settings.Regions), Draining: i.draining.Load, Log: peerLog.Log,
+		Count: func(name string) { i.metrics.Counter(metricPrefix + name).Inc(1) },
 	}
 	s.accountant = i.newAccountant(s)
 	s.exchanger.Lend, s.exchanger.Account = s.forwarder.ServeLoans, s.accountant.HandleReport
--- a/internal/tracker/load.go
+++ b/internal/tracker/load.go
@@ -74,6 +74,9 @@
 		service        time.Duration
 		serviceSamples int
 		serviceAt      Timestamp
+		// wait is how long requests wait for a connection to the member, reported at waitAt.
+		wait   time.Duration
+		waitAt Timestamp
 	}
 )
 
@@ -147,6 +150,24 @@
 	return nil
 }
 
+// RecordWait records how long requests wait for a connection to a member at the instance that holds
+// them.
+func (g *Group) RecordWait(now Timestamp, id string, wait time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if m, ok := g.members[id]; ok {
+		m.load.wait, m.load.waitAt = wait, now
+	}
+}
+
+// expectedWait returns the last recorded wait for a connection, 0 if it is outdated.
+func (l *memberLoad) expectedWait(now Timestamp) time.Duration {
+	if now-l.waitAt > balancer.MaxPressureAge {
+		return 0
+	}
+	return l.wait
+}
+
 // Loads returns the recent loads of the members, none if all are idle.
 func (g *Group) Loads(now Timestamp) []MemberLoad {
 	g.mutex.Lock()
@@ -200,7 +221,7 @@
 		}
 		list = append(list, balancer.Member{
 			ID: id, Slots: max(1, m.Slots), Busy: m.load.Busy, OwnExcess: float64(m.inFlight) - m.load.ownAverage,
-			Network: g.networkTime(m), Service: m.load.serviceTime(now), Age: now - m.load.At,
+			Network: g.networkTime(m), Wait: m.load.expectedWait(now), Service: m.load.serviceTime(now), Age: now - m.load.At,
 			Near: m.Zone == g.Zone || g.SameRegion(m.Zone), Primary: id == g.primary,
 		})
 	}
