Limiter: refill accounts at a pace that leaves no gap after a burst

Cause: an account was refilled at rate + burst / window and cut off once its window was full, so a burst caused a gap one window later. The window counted 12 slots of 0.5 s, up to 6 s for a window of 5 s.

Change: an account's history has slots of a hundredth of the window, so it counts at most 1.01 windows. The account is refilled at the largest constant rate that keeps every window up to one window ahead within what may be leased.

--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -52,7 +52,7 @@
 	account struct {
 		limit identifier.Limit
 		// used counts the reported operations of the window.
-		used window
+		used *history
 		// tokens is the balance of the token bucket before outstanding leases, as of updatedAt;
 		// negative after an overrun.
 		tokens    float64
@@ -198,7 +198,7 @@
 func (l *Ledger) account(now Timestamp, customer string, limit identifier.Limit, fleet fleetStatus) *account {
 	a, ok := l.accounts[customer]
 	if !ok {
-		a = &account{tokens: initialBurstFraction * l.Tolerance.burst(limit), updatedAt: now, shares: map[string]*instanceShare{}, predecessorRates: map[*reporter]float64{}}
+		a = &account{used: newHistory(l.Tolerance.Window), tokens: initialBurstFraction * l.Tolerance.burst(limit), updatedAt: now, shares: map[string]*instanceShare{}, predecessorRates: map[*reporter]float64{}}
 		l.accounts[customer] = a
 	}
 	a.limit = limit
@@ -219,11 +219,16 @@
 			delete(a.shares, name)
 		}
 	}
-	unreserved := 1 - a.reservedFraction(now, fleet)
-	a.tokens = min(unreserved*t.burst(a.limit), a.tokens+unreserved*t.rate(a.limit)*(now-a.updatedAt).Seconds())
+	a.tokens = min((1-a.reservedFraction(now, fleet))*t.burst(a.limit), a.tokens+a.pace(now, t, fleet)*(now-a.updatedAt).Seconds())
 	a.updatedAt = now
 }
 
+// pace returns the refill rate of the account per second.
+func (a *account) pace(now Timestamp, t Tolerance, fleet fleetStatus) float64 {
+	allowed := t.leaseLimit(a.limit) * (1 - a.reservedFraction(now, fleet))
+	return max(0, a.used.pace(now, allowed-a.totalLeased()))
+}
+
 // consume records operations as run now.
 func (a *account) consume(now Timestamp, n int) {
 	a.used.add(now, n)
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -531,3 +531,40 @@
 		f.nodes[n].isolated = false
 	}
 }
+
+// Guards against a gap one window after a burst, and against a customer above its limit getting
+// noticeably less than it.
+func TestNoGapAfterBurst(t *testing.T) {
+	for _, l := range limits[:2] {
+		for _, nodes := range []int{8, 24, 71} {
+			t.Run(fmt.Sprint(l.PerSecond, " per second, ", nodes, " instances"), func(t *testing.T) {
+				f := newFleet(*from, nodes, l)
+				f.run(10*time.Second, func(int) float64 { return 0 })
+				first, allowed := len(f.ran), l.PerSecond+l.Burst/window.Seconds()
+				f.run(40*time.Second, func(int) float64 { return 8 * allowed / float64(nodes) })
+				f.checkWindows(t)
+				checkEven(t, f.ran[first:], l)
+			})
+		}
+	}
+}
+
+// checkEven fails the test if a window has less than 0.95 of the limit, or a second less than 0.7
+// of the mean second. In the window after the first burst, the limit allows only the rate.
+func checkEven(t *testing.T, ran []int, l identifier.Limit) {
+	t.Helper()
+	width, second := int(window/step), int(time.Second/step)
+	must.GreaterEq(t, 0.95*(l.PerSecond*window.Seconds()+l.Burst), float64(sum(ran[:width])))
+	for i := 1; i+width <= len(ran); i++ {
+		allowed := l.PerSecond * window.Seconds()
+		if i >= width {
+			allowed += l.Burst
+		}
+		must.GreaterEq(t, 0.95*allowed, float64(sum(ran[i:i+width])), must.Sprint("window at step ", i))
+	}
+	late := ran[width:]
+	mean := float64(sum(late)*second) / float64(len(late))
+	for i := 0; i+second <= len(late); i++ {
+		must.GreaterEq(t, 0.7*mean, float64(sum(late[i:i+second])), must.Sprint("second at step ", width+i))
+	}
+}
--- a/internal/limiter/window.go
+++ b/internal/limiter/window.go
@@ -1,14 +1,89 @@
 package limiter
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// slotTime is the width of a slot, Slots the number of slots in a window. They cover the
-	// window of the default limits and the delay until an operation is reported.
+	// slotTime is the width of a slot, WindowSlots the number of slots that reports contain. They
+	// cover the window of the default limits and the delay until an operation is reported.
 	slotTime    = 500 * time.Millisecond
 	WindowSlots = 12
+	// historySlots is the number of slots into which an account divides the window. One more
+	// overlaps the window, so that the account counts at most 1.01 windows.
+	historySlots = 100
+	// minWindow is the window of an account if none is configured.
+	minWindow = time.Second
 )
 
+// history counts an account's operations by time slot, over one window.
+type history struct {
+	window, width time.Duration
+	counts        [historySlots + 1]int
+	// newest is the number of the newest slot since the epoch of Timestamp, total the sum of counts.
+	newest int64
+	total  int
+}
+
+func newHistory(window time.Duration) *history {
+	window = max(window, minWindow)
+	return &history{window: window, width: window / historySlots}
+}
+
+// add counts n operations that ran at a time.
+func (h *history) add(at Timestamp, n int) {
+	slot := int64(at / h.width)
+	h.roll(slot)
+	if slot >= h.newest-historySlots {
+		h.counts[slot%int64(len(h.counts))] += n
+		h.total += n
+	}
+}
+
+// roll advances the history to a newest slot and drops the counts that fall out of the window.
+func (h *history) roll(slot int64) {
+	if slot-h.newest > historySlots {
+		h.counts, h.total, h.newest = [historySlots + 1]int{}, 0, slot
+	}
+	for h.newest < slot {
+		h.newest++
+		oldest := &h.counts[h.newest%int64(len(h.counts))]
+		h.total -= *oldest
+		*oldest = 0
+	}
+}
+
+// addList adds counts as window.list returns them.
+func (h *history) addList(now Timestamp, list []int) {
+	for i, n := range list {
+		h.add(now-slotAge(list, i), n)
+	}
+}
+
+// sum returns the operations of the window that ends at now.
+func (h *history) sum(now Timestamp) int {
+	h.roll(int64(now / h.width))
+	return h.total
+}
+
+// pace returns the largest constant rate per second that can be run from now on so that every
+// window, up to the one that ends one window ahead, has at most the allowed operations. It is
+// negative if the current window has more. Handles sustained demand above the limit after a burst:
+// refilling at a fixed rate until the window is full would cause a gap one window after the burst.
+func (h *history) pace(now Timestamp, allowed float64) float64 {
+	remaining := allowed - float64(h.sum(now))
+	lowest := math.Inf(1)
+	for k := range int64(len(h.counts)) {
+		// Until ahead, the k oldest slots have left the window. Within this time, its end has the
+		// lowest rate.
+		ahead := min(h.window, time.Duration(k+1)*h.width-now%h.width)
+		lowest = min(lowest, remaining/ahead.Seconds())
+		remaining += float64(h.counts[(h.newest+1+k)%int64(len(h.counts))])
+	}
+	return lowest
+}
+
 // window counts operations by time slot. The zero value is an empty window.
 type window struct {
 	counts [WindowSlots]int
