Waiting by objective: refuse at once what can't be served in time

Cause: a request waited for 0.6 of its timeout although the first failure had shown that its members could not be reached, or the queue could not drain in time. LatencyObjective was not used.

Change: package forecaster decides by the drain rate of the queue, by the outage of a path and by the time since the primary became unknown. Waits that a failover may end are kept; then one request at a time probes. Requests that miss their objective queue behind the others of their class, where a pool has several classes or customers. Refusals name the expected time of service, also from the holder of connections (again_ms with FULL). Log keys wait and left-ms, counters entry.wait-refused.CAUSE. Without an objective nothing changes.

--- a/internal/dispatcher/execution.go
+++ b/internal/dispatcher/execution.go
@@ -127,19 +127,47 @@
 		}
 		return x.refuseWithRetryAfter(ReasonOverLimit, limit.RetryAfter)
 	}
-	return x.refuse(checkoutReason(err))
+	var wait *lender.WaitError
+	if !errors.As(err, &wait) {
+		return x.refuse(checkoutReason(err))
+	}
+	if count := x.session.server.CountWaitRefused; count != nil {
+		count(wait.Cause)
+	}
+	retryAfter := min(max(wait.RetryAfter, minBusyBackoff), maxRetryAfter)
+	if wait.RetryAfter <= 0 {
+		retryAfter = x.retryAfter()
+	}
+	return x.refuseWithRetryAfter(checkoutReason(err), retryAfter, "wait", wait.Cause, "left-ms", time.Until(x.queueDeadline()).Milliseconds())
+}
+
+// retryAfter returns the retry hint for a refused statement: when the pool expects to serve it or,
+// without an objective or an estimate, by the number of waiting requests.
+func (x *execution) retryAfter() time.Duration {
+	if x.route.LatencyObjective > 0 {
+		candidates := x.readCandidates
+		if t := x.session.tx; x.writes || t != nil && !t.readOnly {
+			candidates = x.primaryCandidates
+		}
+		if d, ok := x.backend.Pool.RetryAfter(lender.Request{EligibleMembers: candidates, Customer: x.customer, Priority: x.route.Priority, LatestStart: x.latestStart()}); ok {
+			return min(max(d, minBusyBackoff), maxRetryAfter)
+		}
+	}
+	return x.backend.retryAfter()
 }
 
 // refuse answers that the statement has not run, with a retry hint.
 func (x *execution) refuse(reason Reason) messenger.Reply {
-	return x.refuseWithRetryAfter(reason, x.backend.retryAfter())
+	return x.refuseWithRetryAfter(reason, x.retryAfter())
 }
 
-func (x *execution) refuseWithRetryAfter(reason Reason, retryAfter time.Duration) messenger.Reply {
+func (x *execution) refuseWithRetryAfter(reason Reason, retryAfter time.Duration, fields ...any) messenger.Reply {
 	s := x.session
 	s.server.countRefused(reason)
-	s.server.logDecision("statement", "id", x.statement.ID, "outcome", "refused", "reason", reason, "again-ms", retryAfter.Milliseconds(),
-		"customer", x.customer, "group", x.route.Group, "primary", x.backend.Group.Primary(), "tries", x.attempts, "waited-ms", x.checkoutWait.Milliseconds(), "ms", x.elapsedMillis())
+	s.server.logDecision("statement", append([]any{
+		"id", x.statement.ID, "outcome", "refused", "reason", reason, "again-ms", retryAfter.Milliseconds(),
+		"customer", x.customer, "group", x.route.Group, "primary", x.backend.Group.Primary(), "tries", x.attempts, "waited-ms", x.checkoutWait.Milliseconds(), "ms", x.elapsedMillis(),
+	}, fields...)...)
 	if s.tx != nil {
 		s.failTransaction()
 	}
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/forecaster"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/networker"
@@ -70,7 +71,10 @@
 		CountRefused, CountRetried func(reason Reason)
 		// CountLimited, when set, is called for each operation refused by a customer's limit.
 		CountLimited func(customer string)
-		RecordServed func(r tracker.Route, took time.Duration)
+		// CountWaitRefused, when set, is called for each request with a latency objective that got no
+		// connection, with the cause.
+		CountWaitRefused func(cause forecaster.Cause)
+		RecordServed     func(r tracker.Route, took time.Duration)
 		// RecordRead, when set, is called for each read that a replica may serve.
 		RecordRead func(group string)
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -274,3 +274,30 @@
 	must.Eq(t, 40, rankings(60, 40))
 	must.Eq(t, 20, rankings(120, 20))
 }
+
+// Guards against a borrower that waits for its whole time at a holder whose queue is too long, or
+// that is told no retry time: the refusal names the expected wait.
+func TestRefusalNamesExpectedWait(t *testing.T) {
+	withLender(t, func(t *testing.T, f *fixture) {
+		for range 8 {
+			_, err := f.pool.Borrow(t.Context(), lender.Request{EligibleMembers: func() []string { return []string{"g-1"} }, Deadline: time.Now().Add(2 * time.Second)})
+			if err != nil {
+				break // all connections are lent
+			}
+		}
+		x, end := f.openStream(t)
+		defer end()
+		ask := loanRequest("g-1")
+		must.NoError(t, x.Send(ask))
+		r, err := x.Recv()
+		must.NoError(t, err)
+		must.Eq(t, wire.LendRefusal_FULL, r.Refusal)
+		must.Eq(t, 0, r.AgainMs) // no objective
+		ask.Ask.LatestStartMs = 300
+		must.NoError(t, x.Send(ask))
+		r, err = x.Recv()
+		must.NoError(t, err)
+		must.Eq(t, wire.LendRefusal_FULL, r.Refusal)
+		must.Positive(t, r.AgainMs)
+	})
+}
--- a/internal/forwarder/holders.go
+++ b/internal/forwarder/holders.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/concentrator"
 	"github.com/oriolegw/oriolegw/internal/discoverer"
+	"github.com/oriolegw/oriolegw/internal/forecaster"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
@@ -198,25 +199,67 @@
 		return nil, lender.ErrUseLocal
 	}
 	until := r.Deadline
+	last := lender.ErrNoConnection
 	for {
 		members := r.EligibleMembers()
 		if time.Now().After(until) || ctx.Err() != nil {
-			if len(members) == 0 {
-				return nil, lender.ErrNoMember
-			}
-			return nil, lender.ErrNoConnection
+			return nil, fw.timeoutError(group, r, len(members) == 0, last)
 		}
-		if len(members) > 0 {
+		if len(members) == 0 {
+			if p := fw.Pool(group); p != nil {
+				if err := p.DecideNoMember(r); err != nil {
+					return nil, err
+				}
+			}
+		} else {
 			r.Deadline = time.Now().Add(min(attemptTimeout, time.Until(until)))
 			conn, err := fw.borrowFromHolders(ctx, group, members, r)
 			if !errors.Is(err, lender.ErrNoConnection) {
 				return conn, err
 			}
+			last = err
+			if wait := waitError(err); wait != nil && time.Now().Add(wait.RetryAfter).After(until) {
+				return nil, err
+			}
 		}
 		time.Sleep(retryDelay)
 	}
 }
 
+// soonest returns the error of a and b with the shorter expected wait; an unknown wait may be the
+// shortest.
+func soonest(a, b error) error {
+	if wa, wb := waitError(a), waitError(b); errors.Is(a, lender.ErrNoConnection) && (wa == nil || wb != nil && wa.RetryAfter < wb.RetryAfter) {
+		return a
+	}
+	return b
+}
+
+// waitError returns the lender.WaitError that err wraps, nil if there is none.
+func waitError(err error) *lender.WaitError {
+	var wait *lender.WaitError
+	errors.As(err, &wait)
+	return wait
+}
+
+// timeoutError returns the error of a request that waited until its deadline; last is the error of
+// the last attempt.
+func (fw *Forwarder) timeoutError(group string, r lender.Request, noMember bool, last error) error {
+	e := &lender.WaitError{Err: lender.ErrNoConnection, Cause: forecaster.CauseTimeout}
+	if noMember {
+		e.Err = lender.ErrNoMember
+	}
+	if r.LatestStart.IsZero() {
+		return e.Err
+	}
+	if wait := waitError(last); !noMember && wait != nil {
+		e.RetryAfter = wait.RetryAfter
+	} else if p := fw.Pool(group); p != nil {
+		e.RetryAfter, _ = p.RetryAfter(r)
+	}
+	return e
+}
+
 func (fw *Forwarder) placement(group string) concentrator.Placement {
 	fw.mutex.Lock()
 	defer fw.mutex.Unlock()
@@ -235,7 +278,7 @@
 			return conn, err
 		}
 		if errors.Is(err, lender.ErrNoConnection) {
-			result = err
+			result = soonest(result, err)
 		}
 		if ctx.Err() != nil {
 			return nil, lender.ErrNoConnection
@@ -284,7 +327,10 @@
 		if isLimitError(err) {
 			return nil, err
 		}
-		if errors.Is(err, lender.ErrNoConnection) || ctx.Err() != nil {
+		if errors.Is(err, lender.ErrNoConnection) {
+			return nil, err
+		}
+		if ctx.Err() != nil {
 			return nil, lender.ErrNoConnection
 		}
 		fw.recordFailure(address, r.EligibleMembers(), err)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/forecaster"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/linker"
 	"github.com/oriolegw/oriolegw/internal/linker/wire"
@@ -148,7 +149,7 @@
 	case wire.LendRefusal_NOT_REFUSED:
 	case wire.LendRefusal_FULL:
 		fw.putStream(s)
-		return nil, lender.ErrNoConnection
+		return nil, decodeFull(a.AgainMs, r)
 	case wire.LendRefusal_LIMITED:
 		fw.putStream(s)
 		return nil, &lender.LimitError{Customer: r.Customer, RetryAfter: time.Duration(a.AgainMs) * time.Millisecond}
@@ -161,6 +162,16 @@
 	return lender.NewRemoteConn(c, fw.Codec, a.Member, a.Born, state, func(e lender.LoanEnd) { fw.release(c, e) }), nil
 }
 
+// decodeFull returns the error of a loan that was refused for lack of a free connection. A wait of 0
+// or above maxPeerWait counts as unknown.
+func decodeFull(againMillis uint32, r lender.Request) error {
+	wait := time.Duration(againMillis) * time.Millisecond
+	if r.LatestStart.IsZero() || wait == 0 || wait > maxPeerWait {
+		return lender.ErrNoConnection
+	}
+	return &lender.WaitError{Err: lender.ErrNoConnection, Cause: forecaster.CauseQueue, RetryAfter: wait}
+}
+
 // releaseAbandoned waits for the reply to a canceled request and returns what was lent. Closing
 // the stream instead would make the peer close its target connection.
 func (fw *Forwarder) releaseAbandoned(s *peerStream, until time.Time) {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -15,6 +15,7 @@
 	"github.com/oriolegw/oriolegw/internal/dispatcher"
 	"github.com/oriolegw/oriolegw/internal/elector"
 	"github.com/oriolegw/oriolegw/internal/exchanger"
+	"github.com/oriolegw/oriolegw/internal/forecaster"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/loader"
 	"github.com/oriolegw/oriolegw/internal/logwriter"
@@ -177,15 +178,16 @@
 	i.server = &dispatcher.Server{
 		Address: i.Settings.Callers, Network: i.Network, Codec: i.Platform.CallerCodec, Clock: i.Clock,
 		Configuration: i.configuration.Load, ConfigurationCurrent: func() bool { return i.watcher.Current() }, MaxConfigurationDelay: i.Settings.MaxApplyDelay,
-		Backend:      func(group string) *dispatcher.Backend { return &i.backend(group).Backend },
-		LogDecision:  func(component string, f ...any) { requests.Log(append([]any{"of", component}, f...)...) },
-		LogServed:    traces.Log,
-		Count:        func(name string) { i.metrics.Counter(metricPrefix + name).Inc(1) },
-		CountRefused: func(r dispatcher.Reason) { i.metrics.Counter(metricRefused + string(r)).Inc(1) },
-		CountLimited: i.limitRefusals.add,
-		CountRetried: func(r dispatcher.Reason) { i.metrics.Counter(metricRetried + string(r)).Inc(1) },
-		RecordServed: func(r tracker.Route, took time.Duration) { i.latencies[r.Rule].RecordDuration(took) },
-		RecordRead:   i.reads.record,
+		Backend:          func(group string) *dispatcher.Backend { return &i.backend(group).Backend },
+		LogDecision:      func(component string, f ...any) { requests.Log(append([]any{"of", component}, f...)...) },
+		LogServed:        traces.Log,
+		Count:            func(name string) { i.metrics.Counter(metricPrefix + name).Inc(1) },
+		CountRefused:     func(r dispatcher.Reason) { i.metrics.Counter(metricRefused + string(r)).Inc(1) },
+		CountLimited:     i.limitRefusals.add,
+		CountWaitRefused: func(cause forecaster.Cause) { i.metrics.Counter(metricWaitRefused + string(cause)).Inc(1) },
+		CountRetried:     func(r dispatcher.Reason) { i.metrics.Counter(metricRetried + string(r)).Inc(1) },
+		RecordServed:     func(r tracker.Route, took time.Duration) { i.latencies[r.Rule].RecordDuration(took) },
+		RecordRead:       i.reads.record,
 	}
 	i.elector = &elector.Elector{
 		Store: i.Platform.Store, Clock: i.Clock, Name: i.Settings.Name + runIDSeparator + newRunID(),
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/dispatcher"
+	"github.com/oriolegw/oriolegw/internal/forecaster"
 	"github.com/oriolegw/oriolegw/internal/reporter"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 	"github.com/uber-go/tally/v4"
@@ -15,6 +16,7 @@
 	metricConnectFailed  = metricPrefix + "connections-failed"
 	metricIdleLost       = metricPrefix + "connections-lost"
 	metricRefused        = metricPrefix + "refused."
+	metricWaitRefused    = metricPrefix + "wait-refused."
 	metricRetried        = metricPrefix + "tried-again."
 	metricServed         = metricPrefix + "served-seconds."
 	metricCallers        = metricPrefix + "callers"
@@ -35,6 +37,14 @@
 	// ruleNames holds the names of the route kinds in metrics.
 	ruleNames = map[tracker.Rule]string{tracker.RulePrimary: "primary", tracker.RuleBounded: "bounded", tracker.RuleReadYourWrites: "own-writes"}
 
+	// waitCauseTexts describe the causes of refused waits.
+	waitCauseTexts = map[forecaster.Cause]string{
+		forecaster.CauseQueue:          "Requests with a latency objective refused at once because the queue for a connection does not drain before their deadline. Alert when it grows by a hundredth of the statements for 10 s.",
+		forecaster.CausePathDown:       "Requests with a latency objective refused at once because no eligible member is reachable, directly or through other instances.",
+		forecaster.CausePrimaryUnknown: "Requests with a latency objective refused at once because the primary has been unknown for longer than a failover takes.",
+		forecaster.CauseTimeout:        "Requests with a latency objective that waited for a connection until their deadline.",
+	}
+
 	// latencyBuckets span from a read in the same zone to the longest statement timeout.
 	latencyBuckets = tally.DurationBuckets{
 		10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
@@ -69,6 +79,9 @@
 	for _, n := range ruleNames {
 		list = append(list, reporter.Metric{Name: metricServed + n, Kind: kindHistogram, Description: "Time from reading a statement to its response, by the route's kind."})
 	}
+	for _, c := range forecaster.Causes {
+		list = append(list, reporter.Metric{Name: metricWaitRefused + string(c), Kind: reporter.KindCounter, Description: waitCauseTexts[c]})
+	}
 	for _, r := range dispatcher.Reasons {
 		list = append(list,
 			reporter.Metric{Name: metricRefused + string(r.Reason), Kind: reporter.KindCounter, Description: "Statements refused or aborted. " + r.Text},
--- a/internal/lender/idle.go
+++ b/internal/lender/idle.go
@@ -45,6 +45,7 @@
 	own := slices.DeleteFunc(slices.Clone(ids), p.heldElsewhere)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.observePrimary(now)
 	if p.ctx == nil || p.closed || len(own) == 0 && len(p.members) == 0 && len(p.waiting) == 0 {
 		return
 	}
@@ -118,6 +119,7 @@
 	m.startTime, m.throttler, m.lastFull = startTime, throttler.Throttler{}, time.Time{}
 	m.backoff, m.retryAt, m.lastUsed, m.capacityCheckedAt = 0, time.Time{}, time.Time{}, time.Time{}
 	m.noResponse, m.timeouts = false, 0
+	m.noteReachable()
 }
 
 // ConnectionsScarce reports whether a member refused a connection recently because it had too many,
--- a/internal/lender/lend.go
+++ b/internal/lender/lend.go
@@ -79,8 +79,8 @@
 	capacity := m.throttler.Delay(time.Now()) == 0
 	for i, w := range p.waiting {
 		if (capacity || w.StatusQuery) && c.usableFor(&w.Request) && slices.Contains(p.choose(&w.Request), c.Member) {
-			p.waiting = slices.Delete(p.waiting, i, i+1)
 			m.markLent(c, &w.Request, p.NoteLent)
+			p.removeAt(i)
 			w.local <- c
 			return
 		}
@@ -102,6 +102,7 @@
 		m.shortLoans++
 	}
 	if !r.StatusQuery {
+		m.drain.RecordStart(c.lentAt)
 		if noteLent != nil {
 			noteLent(c.neverLent)
 		}
@@ -129,8 +130,9 @@
 	for i := 0; i < len(p.waiting); {
 		w := p.waiting[i]
 		ids := p.choose(&w.Request)
+		p.setMembers(w, ids)
 		if c := p.takeIdle(ids, &w.Request); c != nil {
-			p.waiting = slices.Delete(p.waiting, i, i+1)
+			p.removeAt(i)
 			p.fairQueue.AdvanceTo(w.virtualStart)
 			w.local <- c
 			continue
--- a/internal/lender/open.go
+++ b/internal/lender/open.go
@@ -77,6 +77,7 @@
 func (p *Pool) open(ctx context.Context, member tracker.Member, customer string) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
+	began := time.Now()
 	c, err := Connect(ctx, p.Network, p.Codec, member, cmp.Or(customer, p.ClientName))
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -88,6 +89,7 @@
 	}
 	if err == nil {
 		m.backoff, m.noResponse, m.timeouts = 0, false, 0
+		m.noteReachable()
 		m.open++
 		c.Customer, c.lastUsed, c.neverLent = customer, time.Now(), true
 		p.addIdle(c)
@@ -100,6 +102,7 @@
 		p.evictIdle(m)
 	} else {
 		p.Group.RecordFailure(p.Clock(), member.ID, false)
+		m.outage.RecordFailure(began, time.Now())
 		m.noResponse = !errors.Is(err, syscall.ECONNREFUSED) && refused == nil
 	}
 	m.backoff = min(max(2*m.backoff, minBackoff), maxDelay)
--- a/internal/lender/overload.go
+++ b/internal/lender/overload.go
@@ -10,6 +10,7 @@
 	now := time.Now()
 	m := p.member(member)
 	m.timeouts = 0
+	m.noteReachable()
 	if m.throttler.Unlimited() && p.NotePacing != nil {
 		p.NotePacing(member, false)
 	}
@@ -42,6 +43,7 @@
 	defer p.mutex.Unlock()
 	m := p.member(member)
 	m.timeouts = 0
+	m.noteReachable()
 	paced := !m.throttler.Unlimited()
 	m.throttler.RecordSuccess()
 	if paced && m.throttler.Unlimited() && p.NotePacing != nil {
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/forecaster"
 	"github.com/oriolegw/oriolegw/internal/identifier"
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/networker"
@@ -128,6 +128,14 @@
 		flows     map[string]*scheduler.Flow
 		// backgroundTasks counts running openings and status queries.
 		backgroundTasks sync.WaitGroup
+		// primaryUnknownSince is since when no primary is known, zero while one is.
+		primaryUnknownSince time.Time
+		// remoteOutage is the outage of the paths through other instances, remoteLoans the number of
+		// loans requested from them.
+		remoteOutage forecaster.Outage
+		remoteLoans  int
+		// classes are the priorities of the requests so far, by bit.
+		classes uint64
 		// openedTotal counts openings, for metrics.
 		openedTotal int
 	}
@@ -168,6 +176,12 @@
 		noResponse   bool
 		// timeouts counts consecutive exchanges without a reply.
 		timeouts int
+		// outage is the outage of the path to the member.
+		outage forecaster.Outage
+		// drain is the rate at which waiting requests get connections to the member, queued the
+		// number of requests that wait for one.
+		drain  forecaster.DrainRate
+		queued int
 	}
 
 	// waiter is a request that waits for a connection.
@@ -176,6 +190,11 @@
 		// local receives one of this instance's connections.
 		local   chan *Conn
 		arrived time.Time
+		// members are the eligible members when they were last determined.
+		members []string
+		// late is set if the request can't meet its objective, probe if it probes a path that is
+		// down.
+		late, probe bool
 		// customerPriority is the customer's priority, virtualStart its start in the fair queue.
 		customerPriority int
 		virtualStart     float64
@@ -289,15 +308,13 @@
 		return c, nil
 	}
 	w := &waiter{Request: r, local: make(chan *Conn, 1), remote: make(chan *Conn, 1), arrived: time.Now()}
-	i := p.enqueuePosition(w)
-	if p.wouldTimeOut(w, i) {
+	if err := p.enqueue(w, ids); err != nil {
 		p.mutex.Unlock()
-		return nil, ErrNoConnection
+		return nil, err
 	}
-	if !p.mayReturnSoon(ids, r.Customer) {
+	if w.probe || !p.mayReturnSoon(ids, r.Customer) {
 		p.openFor(ids, &r)
 	}
-	p.waiting = slices.Insert(p.waiting, i, w)
 	for _, id := range ids {
 		p.scheduleResume(p.member(id), w.arrived)
 	}
@@ -318,14 +335,14 @@
 		case c := <-w.remote:
 			return c, nil
 		case <-retry.C:
+			if err := p.reconsider(w); err != nil {
+				return nil, err
+			}
 			p.openForWaiter(w)
 			p.borrowRemote(ctx, w)
 			retry.Reset(remoteRetryInterval)
 		case <-t.C:
-			if len(ids) == 0 {
-				return nil, ErrNoMember
-			}
-			return nil, ErrNoConnection
+			return nil, p.timeoutError(w, len(ids) == 0)
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
--- a/internal/lender/queue.go
+++ b/internal/lender/queue.go
@@ -2,26 +2,121 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 
+	"github.com/oriolegw/oriolegw/internal/forecaster"
 	"github.com/oriolegw/oriolegw/internal/scheduler"
 )
 
-// enqueuePosition returns a request's position among the waiting ones: by the priority of the
-// route, the priority of the customer, fair queuing of the customers, and arrival.
-func (p *Pool) enqueuePosition(w *waiter) int {
+// enqueue adds a request to the waiting ones, or returns why it is refused.
+func (p *Pool) enqueue(w *waiter, ids []string) error {
+	if !w.StatusQuery {
+		p.classes |= 1 << min(max(w.Priority, 0), 63)
+	}
 	if p.customers != nil {
 		w.customerPriority, w.virtualStart = p.schedule(w.Customer)
 	}
+	i := p.position(w)
+	d := p.forecast(w, ids, p.waiting[:i])
+	switch d.Verdict {
+	case forecaster.Refuse:
+		return p.refusal(w, len(ids) == 0, d)
+	case forecaster.Probe:
+		w.probe = true
+	case forecaster.KeepLate:
+		if p.queuesLateLast() {
+			w.late = true
+			i = p.position(w)
+		}
+	}
+	p.waiting = slices.Insert(p.waiting, i, w)
+	p.setMembers(w, ids)
+	return nil
+}
+
+// position returns a request's position among the waiting ones: by the priority of the route,
+// those that can meet their objective first, the priority of the customer, fair queuing of the
+// customers, and arrival.
+func (p *Pool) position(w *waiter) int {
 	i, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.customerPriority, b.customerPriority), cmp.Compare(a.virtualStart, b.virtualStart), a.arrived.Compare(b.arrived), -1)
+		return cmp.Or(
+			cmp.Compare(a.Priority, b.Priority), compareBool(a.late, b.late), cmp.Compare(a.customerPriority, b.customerPriority),
+			cmp.Compare(a.virtualStart, b.virtualStart), a.arrived.Compare(b.arrived), -1,
+		)
 	})
 	return i
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// dequeue removes a request from the waiting ones and reports whether it was among them.
+func (p *Pool) dequeue(w *waiter) bool {
+	i := slices.Index(p.waiting, w)
+	if i < 0 {
+		return false
+	}
+	p.removeAt(i)
+	return true
+}
+
+// removeAt removes the waiting request at a position.
+func (p *Pool) removeAt(i int) {
+	w := p.waiting[i]
+	p.waiting = slices.Delete(p.waiting, i, i+1)
+	p.setMembers(w, nil)
+}
+
+// setMembers records the members that a waiting request waits for.
+func (p *Pool) setMembers(w *waiter, ids []string) {
+	if slices.Equal(w.members, ids) {
+		return
+	}
+	now := time.Now()
+	for _, id := range w.members {
+		m := p.member(id)
+		m.queued--
+		m.drain.SetWaiting(now, m.queued)
+	}
+	w.members = slices.Clone(ids)
+	for _, id := range ids {
+		m := p.member(id)
+		m.queued++
+		m.drain.SetWaiting(now, m.queued)
+	}
+}
+
+// queuesLateLast reports whether requests that can't meet their objective queue behind the others.
+// Where all requests have the same class and no customer, the order is that of arrival.
+func (p *Pool) queuesLateLast() bool { return p.customers != nil || bits.OnesCount64(p.classes) > 1 }
+
 // schedule returns a customer's priority and the virtual start of a new request in the fair queue.
 func (p *Pool) schedule(customer string) (priority int, start float64) {
+	priority, _ = p.nextStart(customer)
+	return priority, p.fairQueue.Enqueue(p.flow(customer), 1, 1)
+}
+
+// nextStart is schedule without a new request.
+func (p *Pool) nextStart(customer string) (priority int, start float64) {
+	if c := p.customers.ByName(customer); c != nil {
+		priority = c.Priority
+	}
+	return priority, p.fairQueue.NextStart(p.flow(customer))
+}
+
+// flow returns a customer's position in the fair queue.
+func (p *Pool) flow(customer string) *scheduler.Flow {
 	if p.flows == nil {
 		p.flows = map[string]*scheduler.Flow{}
 	}
@@ -30,24 +125,27 @@
 		f = &scheduler.Flow{}
 		p.flows[customer] = f
 	}
-	if c := p.customers.ByName(customer); c != nil {
-		priority = c.Priority
-	}
-	return priority, p.fairQueue.Enqueue(f, 1, 1)
+	return f
 }
 
 // wouldTimeOut reports whether a request's wait is expected to exceed its deadline, given the
 // average loan. It is then rejected immediately, so that the caller can try another instance.
 func (p *Pool) wouldTimeOut(w *waiter, ahead int) bool {
+	wait := p.loansWait(ahead)
+	return wait > 0 && wait > w.Deadline.Sub(w.arrived)
+}
+
+// loansWait returns the time until as many connections are returned, given the average loan, 0 if
+// it is unknown.
+func (p *Pool) loansWait(loans int) time.Duration {
 	open := 0
 	for _, m := range p.members {
 		open += m.open
 	}
 	if open == 0 || p.averageLoan == 0 {
-		return false
+		return 0
 	}
-	wait := p.averageLoan * time.Duration(ahead) / time.Duration(open)
-	return wait > w.Deadline.Sub(w.arrived)
+	return p.averageLoan * time.Duration(loans) / time.Duration(open)
 }
 
 // hasCapacityFor reports whether this instance's quota at a member allows a request. Excess work
--- a/internal/lender/remote.go
+++ b/internal/lender/remote.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/messenger"
@@ -76,6 +75,8 @@
 	defer p.mutex.Unlock()
 	m := p.member(c.Member)
 	m.timeouts++
+	now := time.Now()
+	m.outage.RecordFailure(now, now)
 	if m.timeouts < unreachableTimeouts {
 		return
 	}
@@ -143,6 +144,7 @@
 	due := p.BorrowRemote != nil && !w.LocalOnly && !w.remotePending && p.allUnreachable(ids)
 	if due {
 		w.remotePending = true
+		p.remoteLoans++
 		p.backgroundTasks.Add(1)
 	}
 	p.mutex.Unlock()
@@ -151,8 +153,11 @@
 	}
 	go func() {
 		defer p.backgroundTasks.Done()
+		began := time.Now()
 		c, err := p.BorrowRemote(ctx, p.Group.Name, ids, w.Request)
 		p.mutex.Lock()
+		p.remoteLoans--
+		p.noteRemoteLoan(ctx, began, err)
 		abandoned := w.abandoned
 		switch {
 		case err != nil:
@@ -171,7 +176,7 @@
 func (p *Pool) abandon(w *waiter) {
 	p.mutex.Lock()
 	w.abandoned = true
-	p.waiting = slices.DeleteFunc(p.waiting, func(x *waiter) bool { return x == w })
+	p.dequeue(w)
 	p.mutex.Unlock()
 	select {
 	case c := <-w.local:
