Fair queuing by measured slot time, and shares of classes

Cause: fair queuing charged each statement 1, whatever its time in the slot, and requests of the lowest class could wait without bound.

Change: requests with an objective are charged the moving average of their customer and class when queued, and the measured slot time when the connection is returned. scheduler.SlotMeter leaves out the time that a statement waits at the member for those sent before it. scheduler.ClassShares gives a waiting class 0.1 of a member's slot time, and all below the most urgent one 0.2 at most. Requests without an objective are ordered as before. The group simulator can run statements of different lengths. InFlightCounter.AllAnswered may now be called concurrently with Sent, since the holder measures lent connections.

--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -96,8 +96,18 @@
 	_ = conn.NetConn().SetDeadline(time.Time{})
 	balance := fw.Codec.NewInFlightCounter()
 	copied := make(chan error, 1)
-	go func() { copied <- copyToPeer(stream, conn, &ending, balance.Received) }()
-	end, err := copyToTarget(stream, conn, balance.Sent)
+	received := func(b []byte) {
+		balance.Received(b)
+		if balance.AllAnswered() {
+			conn.EndWork()
+		}
+	}
+	sent := func(b []byte) {
+		balance.Sent(b)
+		conn.BeginWork()
+	}
+	go func() { copied <- copyToPeer(stream, conn, &ending, received) }()
+	end, err := copyToTarget(stream, conn, sent)
 	ending.Store(true)
 	_ = conn.NetConn().SetReadDeadline(time.Now())
 	// A connection with an outstanding reply must not be reused: its next borrower would read
--- a/internal/lender/conn.go
+++ b/internal/lender/conn.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/networker"
+	"github.com/oriolegw/oriolegw/internal/scheduler"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
@@ -64,6 +65,12 @@
 		// query.
 		forTransaction, forStatement bool
 		broken                       bool
+		// charge is what the loan was charged. worked is the slot time of its statements so far, by
+		// the member's meter, and work the unanswered ones; meter guards both.
+		charge charge
+		worked time.Duration
+		work   *scheduler.Work
+		meter  *slotMeter
 
 		// onReturn is set if another instance has lent the connection, and receives refusedBusy and
 		// ran: whether the member refused a statement because of overload, and whether it ran one.
@@ -114,6 +121,7 @@
 func (c *Conn) Close() {
 	c.broken = true
 	_ = c.net.Close()
+	c.EndWork()
 }
 
 // End sends the end command and closes the connection.
@@ -184,6 +192,7 @@
 	for _, x := range commands {
 		c.buffer = c.codec.AppendCommand(c.buffer, x)
 	}
+	c.BeginWork()
 	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if n, err := c.net.Write(c.buffer); err != nil {
 		c.Close()
@@ -214,6 +223,7 @@
 		c.unreadReplies--
 		replies = append(replies, r)
 	}
+	c.EndWork()
 	if c.replies.Buffered() {
 		c.Close()
 		return replies, errors.Wrap(ErrBroken, "unexpected reply")
--- a/internal/lender/evict.go
+++ b/internal/lender/evict.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/identifier"
-	"github.com/oriolegw/oriolegw/internal/scheduler"
 )
 
 // Idle connections of groups with customers, where each connection serves one customer: a member
@@ -145,7 +144,7 @@
 	if p.customers == nil {
 		return
 	}
-	maps.DeleteFunc(p.flows, func(customer string, _ *scheduler.Flow) bool { return !p.known(customer) })
+	maps.DeleteFunc(p.flows, func(k flowKey, _ *flow) bool { return !p.known(k.customer) })
 	for _, m := range p.members {
 		for i := len(m.idle) - 1; i >= 0; i-- {
 			if !p.known(m.idle[i].Customer) {
--- a/internal/lender/forecast.go
+++ b/internal/lender/forecast.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/forecaster"
+	"github.com/oriolegw/oriolegw/internal/scheduler"
 )
 
 // WaitError rejects a request with a latency objective that gets no connection. It wraps
@@ -154,14 +155,34 @@
 	for _, x := range ahead {
 		if slices.ContainsFunc(x.members, func(id string) bool { return slices.Contains(ids, id) }) {
 			q.Ahead++
-			if x.Priority == w.Priority {
+			if x.class() == w.class() {
 				q.ClassAhead++
 			}
 		}
 	}
+	if q.ClassAhead < q.Ahead {
+		q.Share = p.classShare(w, ids)
+	}
 	return q
 }
 
+// classShare returns the part of the drain rate that a class gets while more urgent ones wait. The
+// share is one of slot time, so classes with long statements drain more slowly.
+func (p *Pool) classShare(w *waiter, ids []string) float64 {
+	classes := []int{w.class()}
+	for _, id := range ids {
+		classes = append(classes, p.member(id).waitingClasses()...)
+	}
+	slices.Sort(classes)
+	classes = slices.Compact(classes)
+	share := scheduler.LowerShare(len(classes) - 1)
+	urgent, own := p.fairQueue(classes[0]).cost.Estimate(0), p.fairQueue(w.class()).cost.Estimate(0)
+	if urgent > 0 && own > 0 {
+		share *= float64(urgent) / float64(own)
+	}
+	return share
+}
+
 // reconsider decides again on a waiting request: a path that has failed since, or a primary that
 // stays unknown, ends its wait.
 func (p *Pool) reconsider(w *waiter) error {
@@ -221,7 +242,7 @@
 	defer p.mutex.Unlock()
 	w := &waiter{Request: r, arrived: time.Now()}
 	if p.customers != nil {
-		w.customerPriority, w.virtualStart = p.nextStart(r.Customer)
+		w.customerPriority, w.virtualStart = p.nextStart(&r)
 	}
 	return p.retryAfter(w, p.choose(&r), p.waiting[:p.position(w)])
 }
--- a/internal/lender/idle.go
+++ b/internal/lender/idle.go
@@ -51,7 +51,7 @@
 	}
 	for id, m := range p.members {
 		p.closeSpare(m, now, slices.Contains(own, id))
-		if m.open+m.opening == 0 && !slices.Contains(ids, id) {
+		if m.open+m.opening+m.queued == 0 && !slices.Contains(ids, id) {
 			delete(p.members, id)
 		}
 	}
@@ -116,6 +116,7 @@
 		c.Close()
 	}
 	m.idle = nil
+	m.meter = &slotMeter{}
 	m.startTime, m.throttler, m.lastFull = startTime, throttler.Throttler{}, time.Time{}
 	m.backoff, m.retryAt, m.lastUsed, m.capacityCheckedAt = 0, time.Time{}, time.Time{}, time.Time{}
 	m.noResponse, m.timeouts = false, 0
--- a/internal/lender/lend.go
+++ b/internal/lender/lend.go
@@ -55,6 +55,7 @@
 			p.averageLoan = loanTime
 		}
 		p.averageLoan += time.Duration(loanTimeWeight * float64(loanTime-p.averageLoan))
+		p.settle(c)
 		p.member(c.Member).markReturned(c)
 	}
 	p.addIdle(c)
@@ -76,17 +77,27 @@
 		p.serveWaiting()
 		return
 	}
+	if class, ok := m.shares.Preferred(m.waitingClasses()); ok && p.lendReturned(m, c, func(w *waiter) bool { return w.class() == class }) {
+		return
+	}
+	if p.lendReturned(m, c, func(*waiter) bool { return true }) {
+		return
+	}
+	c.idleSince = time.Now()
+	m.idle = append(m.idle, c)
+}
+
+// lendReturned lends a connection to the first of the waiting requests for which filter is true.
+func (p *Pool) lendReturned(m *memberPool, c *Conn, filter func(*waiter) bool) bool {
 	capacity := m.throttler.Delay(time.Now()) == 0
 	for i, w := range p.waiting {
-		if (capacity || w.StatusQuery) && c.usableFor(&w.Request) && slices.Contains(p.choose(&w.Request), c.Member) {
+		if filter(w) && (capacity || w.StatusQuery) && c.usableFor(&w.Request) && slices.Contains(p.choose(&w.Request), c.Member) {
 			m.markLent(c, &w.Request, p.NoteLent)
-			p.removeAt(i)
-			w.local <- c
-			return
+			p.lendTo(i, c)
+			return true
 		}
 	}
-	c.idleSince = time.Now()
-	m.idle = append(m.idle, c)
+	return false
 }
 
 // markLent records that a connection is lent.
@@ -127,14 +138,13 @@
 
 // serveWaiting lends idle connections to waiting requests and opens more for the rest.
 func (p *Pool) serveWaiting() {
+	p.servePreferred()
 	for i := 0; i < len(p.waiting); {
 		w := p.waiting[i]
 		ids := p.choose(&w.Request)
 		p.setMembers(w, ids)
 		if c := p.takeIdle(ids, &w.Request); c != nil {
-			p.removeAt(i)
-			p.fairQueue.AdvanceTo(w.virtualStart)
-			w.local <- c
+			p.lendTo(i, c)
 			continue
 		}
 		if time.Since(w.arrived) >= openAfterWait || !p.mayReturnSoon(ids, w.Customer) {
--- a/internal/lender/open.go
+++ b/internal/lender/open.go
@@ -92,6 +92,8 @@
 		m.noteReachable()
 		m.open++
 		c.Customer, c.lastUsed, c.neverLent = customer, time.Now(), true
+		m.meter.setSlots(member.Slots)
+		c.meter = m.meter
 		p.addIdle(c)
 		return
 	}
@@ -99,6 +101,7 @@
 	maxDelay := maxBackoff
 	if errors.As(err, &refused) && refused.Code == messenger.CodeTooManyConnections {
 		m.lastFull, maxDelay = time.Now(), maxFullBackoff
+		m.noteReachable()
 		p.evictIdle(m)
 	} else {
 		p.Group.RecordFailure(p.Clock(), member.ID, false)
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -123,9 +123,9 @@
 		averageLoan time.Duration
 		ctx         context.Context
 		closed      bool
-		// fairQueue orders waiting work of customers, flows are their positions in it.
-		fairQueue scheduler.VirtualClock
-		flows     map[string]*scheduler.Flow
+		// fairQueues order waiting work of customers by class, flows are their positions in them.
+		fairQueues map[int]*fairQueue
+		flows      map[flowKey]*flow
 		// backgroundTasks counts running openings and status queries.
 		backgroundTasks sync.WaitGroup
 		// primaryUnknownSince is since when no primary is known, zero while one is.
@@ -182,6 +182,11 @@
 		// number of requests that wait for one.
 		drain  forecaster.DrainRate
 		queued int
+		// queuedByClass counts the waiting requests with an objective by class, shares divides the
+		// slot time among classes, and meter measures it.
+		queuedByClass map[int]int
+		shares        scheduler.ClassShares
+		meter         *slotMeter
 	}
 
 	// waiter is a request that waits for a connection.
@@ -195,9 +200,11 @@
 		// late is set if the request can't meet its objective, probe if it probes a path that is
 		// down.
 		late, probe bool
-		// customerPriority is the customer's priority, virtualStart its start in the fair queue.
+		// customerPriority is the customer's priority, virtualStart its start in the fair queue, and
+		// charge its charge there.
 		customerPriority int
 		virtualStart     float64
+		charge           charge
 		// remote receives a connection that another instance lends; remotePending is set while one
 		// is requested.
 		remote        chan *Conn
@@ -304,6 +311,7 @@
 	p.mutex.Lock()
 	ids := p.choose(&r)
 	if c := p.takeIdle(ids, &r); c != nil {
+		p.chargeDirect(c, &r)
 		p.mutex.Unlock()
 		return c, nil
 	}
@@ -369,7 +377,7 @@
 		if p.members == nil {
 			p.members = map[string]*memberPool{}
 		}
-		m = &memberPool{id: id}
+		m = &memberPool{id: id, meter: &slotMeter{}}
 		if x, ok := p.Group.Member(id); ok {
 			m.startTime = x.StartTime
 		}
--- a/internal/lender/queue.go
+++ b/internal/lender/queue.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/forecaster"
-	"github.com/oriolegw/oriolegw/internal/scheduler"
 )
 
 // enqueue adds a request to the waiting ones, or returns why it is refused.
@@ -15,13 +14,12 @@
 	if !w.StatusQuery {
 		p.classes |= 1 << min(max(w.Priority, 0), 63)
 	}
-	if p.customers != nil {
-		w.customerPriority, w.virtualStart = p.schedule(w.Customer)
-	}
+	p.schedule(w)
 	i := p.position(w)
 	d := p.forecast(w, ids, p.waiting[:i])
 	switch d.Verdict {
 	case forecaster.Refuse:
+		p.correct(w.charge, 0)
 		return p.refusal(w, len(ids) == 0, d)
 	case forecaster.Probe:
 		w.probe = true
@@ -83,49 +81,56 @@
 	if slices.Equal(w.members, ids) {
 		return
 	}
-	now := time.Now()
 	for _, id := range w.members {
-		m := p.member(id)
-		m.queued--
-		m.drain.SetWaiting(now, m.queued)
+		p.member(id).addQueued(w, -1)
 	}
 	w.members = slices.Clone(ids)
 	for _, id := range ids {
-		m := p.member(id)
-		m.queued++
-		m.drain.SetWaiting(now, m.queued)
+		p.member(id).addQueued(w, 1)
+	}
+}
+
+// addQueued changes the number of requests that wait for the member.
+func (m *memberPool) addQueued(w *waiter, by int) {
+	m.queued += by
+	m.drain.SetWaiting(time.Now(), m.queued)
+	class := w.class()
+	if class == unmeasuredClass {
+		return
+	}
+	if m.queuedByClass == nil {
+		m.queuedByClass = map[int]int{}
+	}
+	m.queuedByClass[class] += by
+	if m.queuedByClass[class] <= 0 {
+		delete(m.queuedByClass, class)
 	}
 }
 
 // queuesLateLast reports whether requests that can't meet their objective queue behind the others.
 // Where all requests have the same class and no customer, the order is that of arrival.
-func (p *Pool) queuesLateLast() bool { return p.customers != nil || bits.OnesCount64(p.classes) > 1 }
+func (p *Pool) queuesLateLast() bool { return p.customers != nil || p.severalClasses() }
 
-// schedule returns a customer's priority and the virtual start of a new request in the fair queue.
-func (p *Pool) schedule(customer string) (priority int, start float64) {
-	priority, _ = p.nextStart(customer)
-	return priority, p.fairQueue.Enqueue(p.flow(customer), 1, 1)
-}
+// severalClasses reports whether requests of several classes have waited.
+func (p *Pool) severalClasses() bool { return bits.OnesCount64(p.classes) > 1 }
 
-// nextStart is schedule without a new request.
-func (p *Pool) nextStart(customer string) (priority int, start float64) {
-	if c := p.customers.ByName(customer); c != nil {
-		priority = c.Priority
+// schedule charges a new request to the fair queue of its class, and sets its customer's priority and
+// its virtual start there.
+func (p *Pool) schedule(w *waiter) {
+	w.charge = p.newCharge(&w.Request)
+	if w.charge.flow == nil {
+		return
 	}
-	return priority, p.fairQueue.NextStart(p.flow(customer))
+	w.customerPriority, w.virtualStart = p.nextStart(&w.Request)
+	p.fairQueue(w.charge.class).Enqueue(&w.charge.flow.Flow, w.charge.estimate.Seconds(), 1)
 }
 
-// flow returns a customer's position in the fair queue.
-func (p *Pool) flow(customer string) *scheduler.Flow {
-	if p.flows == nil {
-		p.flows = map[string]*scheduler.Flow{}
-	}
-	f, ok := p.flows[customer]
-	if !ok {
-		f = &scheduler.Flow{}
-		p.flows[customer] = f
+// nextStart returns the priority of a request's customer and the virtual start of its next request.
+func (p *Pool) nextStart(r *Request) (priority int, start float64) {
+	if c := p.customers.ByName(r.Customer); c != nil {
+		priority = c.Priority
 	}
-	return f
+	return priority, p.fairQueue(r.class()).NextStart(&p.flow(r.class(), r.Customer).Flow)
 }
 
 // wouldTimeOut reports whether a request's wait is expected to exceed its deadline, given the
--- a/internal/lender/remote.go
+++ b/internal/lender/remote.go
@@ -176,7 +176,9 @@
 func (p *Pool) abandon(w *waiter) {
 	p.mutex.Lock()
 	w.abandoned = true
-	p.dequeue(w)
+	if p.dequeue(w) {
+		p.correct(w.charge, 0)
+	}
 	p.mutex.Unlock()
 	select {
 	case c := <-w.local:
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -209,8 +209,8 @@
 		NewInFlightCounter() InFlightCounter
 	}
 
-	// InFlightCounter counts commands and replies. Sent and Received may be called concurrently
-	// with each other, but not with AllAnswered.
+	// InFlightCounter counts commands and replies. Sent may be called concurrently with Received and
+	// AllAnswered.
 	InFlightCounter interface {
 		Sent(text []byte)
 		Received(text []byte)
--- a/internal/standin/groupsimulator/group.go
+++ b/internal/standin/groupsimulator/group.go
@@ -35,6 +35,8 @@
 		// statement.
 		MaxConnections int
 		StatementTime  time.Duration
+		// ExtraTime, when set, returns what a statement with the given arguments takes in addition.
+		ExtraTime func(arguments string) time.Duration
 		// Slots limits the statements that a member runs at a time (0: no limit) and
 		// MaxQueued those that wait. HandshakeTime is how long a new connection occupies a slot.
 		Slots, MaxQueued int
--- a/internal/standin/groupsimulator/member.go
+++ b/internal/standin/groupsimulator/member.go
@@ -196,7 +196,11 @@
 	if s.transactionState == "T" && !s.readOnly && !isPrimary && (word != "COMMIT" || len(s.pendingWrites) > 0) {
 		return s.failStatement("READONLY")
 	}
-	if !m.slots.occupy(g.StatementTime) {
+	duration := g.StatementTime
+	if g.ExtraTime != nil {
+		duration += g.ExtraTime(rest)
+	}
+	if !m.slots.occupy(duration) {
 		return s.rejectStatement("BUSY")
 	}
 	tag := fmt.Sprintf("%s.%d.%s", m.ID, term, id)
