--- a/internal/dispatcher/execution.go
+++ b/internal/dispatcher/execution.go
@@ -138,7 +138,8 @@
 	if wait.RetryAfter <= 0 {
 		retryAfter = x.retryAfter()
 	}
-	return x.refuseWithRetryAfter(checkoutReason(err), retryAfter, "wait", wait.Cause, "left-ms", time.Until(x.queueDeadline()).Milliseconds())
+	return x.refuseWithRetryAfter(checkoutReason(err), retryAfter, "wait", wait.Cause, "left-ms", time.Until(x.queueDeadline()).Milliseconds(),
+		"ahead", wait.Ahead, "per-second", int(wait.Rate), "outage-ms", wait.Outage.Milliseconds())
 }
 
 // retryAfter returns the retry hint for a refused statement: when the pool expects to serve it or,
--- a/internal/forecaster/forecaster.go
+++ b/internal/forecaster/forecaster.go
@@ -59,11 +59,16 @@
 	// Cause is the stable name of the cause of a refusal.
 	Cause string
 
-	// Decision is the decision on a request. RetryAfter and Cause are set if it is refused.
+	// Decision is the decision on a request. The other fields are set if it is refused.
 	Decision struct {
 		Verdict    Verdict
 		Cause      Cause
 		RetryAfter time.Duration
+		// Ahead and Rate are the requests ahead and the drain rate that a refusal for the queue
+		// was based on, Outage is how long the path or the primary has been missing.
+		Ahead  int
+		Rate   float64
+		Outage time.Duration
 	}
 
 	// Request holds the times of a request. LatestStart is until when it can start and still meet
@@ -104,7 +109,7 @@
 	case !known:
 		return Decision{Verdict: Keep}
 	case start.After(r.Deadline):
-		return Decision{Verdict: Refuse, Cause: CauseQueue, RetryAfter: wait}
+		return Decision{Verdict: Refuse, Cause: CauseQueue, RetryAfter: wait, Ahead: q.Ahead, Rate: q.Rate}
 	case !r.LatestStart.IsZero() && start.After(r.LatestStart):
 		return Decision{Verdict: KeepLate}
 	default:
@@ -118,7 +123,7 @@
 	if now.Sub(since) < FailoverTime {
 		return Decision{Verdict: Keep}
 	}
-	return Decision{Verdict: Refuse, Cause: CausePrimaryUnknown, RetryAfter: OutageRetry(now, since)}
+	return Decision{Verdict: Refuse, Cause: CausePrimaryUnknown, RetryAfter: OutageRetry(now, since), Outage: now.Sub(since)}
 }
 
 // OutageRetry returns when a request may be served after an outage that began at since: at the
--- a/internal/forecaster/forecaster_test.go
+++ b/internal/forecaster/forecaster_test.go
@@ -117,7 +117,7 @@
 		must.Eq(t, forecaster.Keep, forecaster.DecidePrimaryUnknown(start.Add(age), start).Verdict)
 	}
 	d := forecaster.DecidePrimaryUnknown(start.Add(2*time.Second), start)
-	must.Eq(t, forecaster.Decision{Verdict: forecaster.Refuse, Cause: forecaster.CausePrimaryUnknown, RetryAfter: time.Second}, d)
+	must.Eq(t, forecaster.Decision{Verdict: forecaster.Refuse, Cause: forecaster.CausePrimaryUnknown, RetryAfter: time.Second, Outage: 2 * time.Second}, d)
 }
 
 // Guards against an outage after a lost packet, and against waiting or probing together in one.
@@ -139,7 +139,7 @@
 		want  forecaster.Decision
 	}{
 		{forecaster.Paths{Since: at(300), Failover: true, NextProbe: at(1200)}, forecaster.Decision{}},
-		{forecaster.Paths{Since: at(-900), Failover: true, NextProbe: at(1200)}, forecaster.Decision{Verdict: forecaster.Refuse, Cause: forecaster.CausePathDown, RetryAfter: 300 * time.Millisecond}},
+		{forecaster.Paths{Since: at(-900), Failover: true, NextProbe: at(1200)}, forecaster.Decision{Verdict: forecaster.Refuse, Cause: forecaster.CausePathDown, RetryAfter: 300 * time.Millisecond, Outage: 1800 * time.Millisecond}},
 		{forecaster.Paths{Since: at(300), MayProbe: true}, forecaster.Decision{Verdict: forecaster.Probe}},
 		{forecaster.Paths{Since: at(300), Probing: true}, forecaster.Decision{}},
 	} {
--- a/internal/forecaster/outage.go
+++ b/internal/forecaster/outage.go
@@ -73,6 +73,6 @@
 	case p.MayProbe:
 		return Decision{Verdict: Probe}
 	default:
-		return Decision{Verdict: Refuse, Cause: CausePathDown, RetryAfter: max(p.NextProbe.Sub(now), minRetryAfter)}
+		return Decision{Verdict: Refuse, Cause: CausePathDown, RetryAfter: max(p.NextProbe.Sub(now), minRetryAfter), Outage: now.Sub(p.Since)}
 	}
 }
--- a/internal/forwarder/holders.go
+++ b/internal/forwarder/holders.go
@@ -245,7 +245,7 @@
 // timeoutError returns the error of a request that waited until its deadline; last is the error of
 // the last attempt.
 func (fw *Forwarder) timeoutError(group string, r lender.Request, noMember bool, last error) error {
-	e := &lender.WaitError{Err: lender.ErrNoConnection, Cause: forecaster.CauseTimeout}
+	e := &lender.WaitError{Err: lender.ErrNoConnection, Decision: forecaster.Decision{Cause: forecaster.CauseTimeout}}
 	if noMember {
 		e.Err = lender.ErrNoMember
 	}
--- a/internal/launcher/groups.go
+++ b/internal/launcher/groups.go
@@ -54,6 +54,9 @@
 		NotePacing: func(member string, hasCapacity bool) {
 			i.stateLog.Log("event", "room", "group", group, "member", member, "room", hasCapacity)
 		},
+		NoteDown: func(member string, outage time.Duration) {
+			i.stateLog.Log("event", "path-down", "group", group, "member", member, "since-ms", outage.Milliseconds())
+		},
 		OpensOnDemand: func() bool { return !preparesAll(i.configuration.Load()) },
 	}}
 	if i.peers != nil {
--- a/internal/lender/forecast.go
+++ b/internal/lender/forecast.go
@@ -13,10 +13,9 @@
 // WaitError rejects a request with a latency objective that gets no connection. It wraps
 // ErrNoConnection or ErrNoMember.
 type WaitError struct {
-	Err   error
-	Cause forecaster.Cause
-	// RetryAfter is the time until the request is expected to be served, 0 if unknown.
-	RetryAfter time.Duration
+	Err error
+	// Decision holds the cause of the refusal and its inputs. RetryAfter is 0 if unknown.
+	forecaster.Decision
 }
 
 // Error implements error.
@@ -41,7 +40,7 @@
 	q := p.queue(w, ids, ahead, now)
 	if q.Rate == 0 && p.wouldTimeOut(w, len(ahead)) {
 		wait := p.loansWait(len(ahead))
-		return forecaster.Decision{Verdict: forecaster.Refuse, Cause: forecaster.CauseQueue, RetryAfter: wait}
+		return forecaster.Decision{Verdict: forecaster.Refuse, Cause: forecaster.CauseQueue, RetryAfter: wait, Ahead: len(ahead)}
 	}
 	return forecaster.Decide(forecaster.Request{Now: now, LatestStart: w.LatestStart, Deadline: w.Deadline}, q)
 }
@@ -104,6 +103,18 @@
 		m.drain.SetWaiting(time.Now(), m.queued)
 	}
 	m.outage.RecordSuccess()
+	m.notedDown = false
+}
+
+// recordFailure records the failure of an attempt at the member that began at a time.
+func (p *Pool) recordFailure(m *memberPool, began, now time.Time) {
+	m.outage.RecordFailure(began, now)
+	if m.down(now) && !m.notedDown {
+		m.notedDown = true
+		if p.NoteDown != nil {
+			p.NoteDown(m.id, now.Sub(m.outage.Since()))
+		}
+	}
 }
 
 // allDown reports whether the paths to all members are down.
@@ -220,7 +231,7 @@
 	if w.LatestStart.IsZero() {
 		return err
 	}
-	return &WaitError{Err: err, Cause: d.Cause, RetryAfter: d.RetryAfter}
+	return &WaitError{Err: err, Decision: d}
 }
 
 // timeoutError returns the error of a request that waited until its deadline.
--- a/internal/lender/open.go
+++ b/internal/lender/open.go
@@ -105,7 +105,7 @@
 		p.evictIdle(m)
 	} else {
 		p.Group.RecordFailure(p.Clock(), member.ID, false)
-		m.outage.RecordFailure(began, time.Now())
+		p.recordFailure(m, began, time.Now())
 		m.noResponse = !errors.Is(err, syscall.ECONNREFUSED) && refused == nil
 	}
 	m.backoff = min(max(2*m.backoff, minBackoff), maxDelay)
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -112,6 +112,10 @@
 		// because the member is overloaded, and with true when pacing ends.
 		NotePacing func(member string, hasCapacity bool)
 
+		// NoteDown, when set, is called once for each outage of the path to a member, with the time
+		// since its first failure.
+		NoteDown func(member string, outage time.Duration)
+
 		mutex sync.Mutex
 		// memberConnections is how many connections a member accepts from all instances,
 		// instanceLimit how many of them this instance may hold.
@@ -178,6 +182,8 @@
 		timeouts int
 		// outage is the outage of the path to the member.
 		outage forecaster.Outage
+		// notedDown is set once the outage was reported to Pool.NoteDown.
+		notedDown bool
 		// drain is the rate at which waiting requests get connections to the member, queued the
 		// number of requests that wait for one.
 		drain  forecaster.DrainRate
--- a/internal/lender/remote.go
+++ b/internal/lender/remote.go
@@ -76,7 +76,7 @@
 	m := p.member(c.Member)
 	m.timeouts++
 	now := time.Now()
-	m.outage.RecordFailure(now, now)
+	p.recordFailure(m, now, now)
 	if m.timeouts < unreachableTimeouts {
 		return
 	}
