--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/forecaster"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/linker/wire"
 )
@@ -99,8 +100,18 @@
 	_ = conn.NetConn().SetDeadline(time.Time{})
 	balance := fw.Codec.NewInFlightCounter()
 	copied := make(chan error, 1)
-	go func() { copied <- copyToPeer(stream, conn, &ending, balance.Received) }()
-	end, err := copyToTarget(stream, conn, balance.Sent)
+	received := func(b []byte) {
+		balance.Received(b)
+		if balance.AllAnswered() {
+			conn.EndWork()
+		}
+	}
+	sent := func(b []byte) {
+		balance.Sent(b)
+		conn.BeginWork()
+	}
+	go func() { copied <- copyToPeer(stream, conn, &ending, received) }()
+	end, err := copyToTarget(stream, conn, sent)
 	ending.Store(true)
 	_ = conn.NetConn().SetReadDeadline(time.Now())
 	// A connection with an outstanding reply must not be reused: its next borrower would read
@@ -168,9 +179,14 @@
 
 func refusalReply(err error) *wire.LendReply {
 	var limit *lender.LimitError
+	var wait *lender.WaitError
 	switch {
 	case errors.As(err, &limit):
 		return &wire.LendReply{Refusal: wire.LendRefusal_LIMITED, AgainMs: uint32(limit.RetryAfter.Milliseconds())}
+	case errors.As(err, &wait) && wait.Cause == forecaster.CausePathDown:
+		return &wire.LendReply{Refusal: wire.LendRefusal_UNREACHED}
+	case errors.As(err, &wait) && errors.Is(err, lender.ErrNoConnection):
+		return &wire.LendReply{Refusal: wire.LendRefusal_FULL, AgainMs: uint32(wait.RetryAfter.Milliseconds())}
 	case errors.Is(err, lender.ErrNoConnection):
 		return &wire.LendReply{Refusal: wire.LendRefusal_FULL}
 	default:
--- a/internal/lender/idle.go
+++ b/internal/lender/idle.go
@@ -45,12 +45,13 @@
 	own := slices.DeleteFunc(slices.Clone(ids), p.heldElsewhere)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.observePrimary(now)
 	if p.ctx == nil || p.closed || len(own) == 0 && len(p.members) == 0 && len(p.waiting) == 0 {
 		return
 	}
 	for id, m := range p.members {
 		p.closeSpare(m, now, slices.Contains(own, id))
-		if m.open+m.opening == 0 && !slices.Contains(ids, id) {
+		if m.open+m.opening+m.queued == 0 && !slices.Contains(ids, id) {
 			delete(p.members, id)
 		}
 	}
@@ -115,9 +116,11 @@
 		c.Close()
 	}
 	m.idle = nil
+	m.meter = &slotMeter{}
 	m.startTime, m.throttler, m.lastFull = startTime, throttler.Throttler{}, time.Time{}
 	m.backoff, m.retryAt, m.lastUsed, m.capacityCheckedAt = 0, time.Time{}, time.Time{}, time.Time{}
 	m.noResponse, m.timeouts = false, 0
+	m.noteReachable()
 }
 
 // ConnectionsScarce reports whether a member refused a connection recently because it had too many,
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/forecaster"
 	"github.com/oriolegw/oriolegw/internal/identifier"
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/networker"
@@ -112,6 +112,10 @@
 		// because the member is overloaded, and with true when pacing ends.
 		NotePacing func(member string, hasCapacity bool)
 
+		// NoteDown, when set, is called once for each outage of the path to a member, with the time
+		// since its first failure.
+		NoteDown func(member string, outage time.Duration)
+
 		mutex sync.Mutex
 		// memberConnections is how many connections a member accepts from all instances,
 		// instanceLimit how many of them this instance may hold.
@@ -123,11 +127,19 @@
 		averageLoan time.Duration
 		ctx         context.Context
 		closed      bool
-		// fairQueue orders waiting work of customers, flows are their positions in it.
-		fairQueue scheduler.VirtualClock
-		flows     map[string]*scheduler.Flow
+		// fairQueues order waiting work of customers by class, flows are their positions in them.
+		fairQueues map[int]*fairQueue
+		flows      map[flowKey]*flow
 		// backgroundTasks counts running openings and status queries.
 		backgroundTasks sync.WaitGroup
+		// primaryUnknownSince is since when no primary is known, zero while one is.
+		primaryUnknownSince time.Time
+		// remoteOutage is the outage of the paths through other instances, remoteLoans the number of
+		// loans requested from them.
+		remoteOutage forecaster.Outage
+		remoteLoans  int
+		// classes are the priorities of the requests so far, by bit.
+		classes uint64
 		// openedTotal counts openings, for metrics.
 		openedTotal int
 	}
@@ -168,6 +180,19 @@
 		noResponse   bool
 		// timeouts counts consecutive exchanges without a reply.
 		timeouts int
+		// outage is the outage of the path to the member.
+		outage forecaster.Outage
+		// notedDown is set once the outage was reported to Pool.NoteDown.
+		notedDown bool
+		// drain is the rate at which waiting requests get connections to the member, queued the
+		// number of requests that wait for one.
+		drain  forecaster.DrainRate
+		queued int
+		// queuedByClass counts the waiting requests with an objective by class, shares divides the
+		// slot time among classes, and meter measures it.
+		queuedByClass map[int]int
+		shares        scheduler.ClassShares
+		meter         *slotMeter
 	}
 
 	// waiter is a request that waits for a connection.
@@ -176,9 +201,16 @@
 		// local receives one of this instance's connections.
 		local   chan *Conn
 		arrived time.Time
-		// customerPriority is the customer's priority, virtualStart its start in the fair queue.
+		// members are the eligible members when they were last determined.
+		members []string
+		// late is set if the request can't meet its objective, probe if it probes a path that is
+		// down.
+		late, probe bool
+		// customerPriority is the customer's priority, virtualStart its start in the fair queue, and
+		// charge its charge there.
 		customerPriority int
 		virtualStart     float64
+		charge           charge
 		// remote receives a connection that another instance lends; remotePending is set while one
 		// is requested.
 		remote        chan *Conn
@@ -285,19 +317,18 @@
 	p.mutex.Lock()
 	ids := p.choose(&r)
 	if c := p.takeIdle(ids, &r); c != nil {
+		p.chargeDirect(c, &r)
 		p.mutex.Unlock()
 		return c, nil
 	}
 	w := &waiter{Request: r, local: make(chan *Conn, 1), remote: make(chan *Conn, 1), arrived: time.Now()}
-	i := p.enqueuePosition(w)
-	if p.wouldTimeOut(w, i) {
+	if err := p.enqueue(w, ids); err != nil {
 		p.mutex.Unlock()
-		return nil, ErrNoConnection
+		return nil, err
 	}
-	if !p.mayReturnSoon(ids, r.Customer) {
+	if w.probe || !p.mayReturnSoon(ids, r.Customer) {
 		p.openFor(ids, &r)
 	}
-	p.waiting = slices.Insert(p.waiting, i, w)
 	for _, id := range ids {
 		p.scheduleResume(p.member(id), w.arrived)
 	}
@@ -318,14 +349,14 @@
 		case c := <-w.remote:
 			return c, nil
 		case <-retry.C:
+			if err := p.reconsider(w); err != nil {
+				return nil, err
+			}
 			p.openForWaiter(w)
 			p.borrowRemote(ctx, w)
 			retry.Reset(remoteRetryInterval)
 		case <-t.C:
-			if len(ids) == 0 {
-				return nil, ErrNoMember
-			}
-			return nil, ErrNoConnection
+			return nil, p.timeoutError(w, len(ids) == 0)
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -352,7 +383,7 @@
 		if p.members == nil {
 			p.members = map[string]*memberPool{}
 		}
-		m = &memberPool{id: id}
+		m = &memberPool{id: id, meter: &slotMeter{}}
 		if x, ok := p.Group.Member(id); ok {
 			m.startTime = x.StartTime
 		}
