Restart of all instances: sessions wait for the configuration

Followers asked their peers first after 150 ms; a holder without a configuration answered loans with "unreachable", and a holder that did not listen yet was skipped for 1 s; each holder opened two connections to a member at a time, whatever the member's slots.

Change: a session start waits up to 1 s for the first configuration, a loan up to 150 ms. The configuration and the members of a state are applied before other records, and sessions start once all of it is applied. Peers are asked from 60 ms on, and the records of the region's zones are listed at once. With customers, idle connections go to waiting requests that can use them first; requests that waited for 40 ms are not overtaken. Connections are opened by class, customers without one first, then by waiting requests, and all holders together take at most the member's slots if they are no more than the slots.

--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -55,6 +55,9 @@
 		Clock   func() tracker.Timestamp
 		// Configuration returns the version in force, nil before the first.
 		Configuration func() *tracker.Configuration
+		// ConfigurationKnown, when set, is closed once Configuration returns the first version and
+		// the members are known; a session that starts earlier waits for it.
+		ConfigurationKnown <-chan struct{}
 		// ConfigurationCurrent, when set, reports whether the version in force is known to be no
 		// older than MaxConfigurationDelay.
 		ConfigurationCurrent func() bool
@@ -80,6 +83,10 @@
 		active   map[*session]struct{}
 		// shutdownPhase is 0 while serving, then phaseCloseIdle, then phaseCloseAll.
 		shutdownPhase atomic.Int32
+		// awaiting counts the sessions that wait for the first configuration; startLoggedAt is when
+		// one was last logged.
+		awaiting      atomic.Int32
+		startLoggedAt time.Time
 	}
 )
 
@@ -92,6 +99,7 @@
 	CountDisconnected = "callers-cut"
 	CountMalformed    = "callers-malformed"
 	CountStatements   = "statements"
+	CountAwaited      = "callers-awaited-configuration"
 )
 
 // Run accepts callers until the context ends, and returns when all sessions have ended.
@@ -118,7 +126,7 @@
 func (s *Server) startSession(ctx context.Context, c net.Conn) {
 	s.count(CountAccepted)
 	x := &session{
-		server: s, net: c, statements: s.Codec.Statements(c),
+		server: s, net: c, accepted: time.Now(), statements: s.Codec.Statements(c),
 		values: lender.Values{}, prepared: map[string]lender.Prepared{},
 	}
 	s.mutex.Lock()
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -17,8 +17,10 @@
 type (
 	// session is one caller's connection.
 	session struct {
-		server     *Server
-		net        net.Conn
+		server *Server
+		net    net.Conn
+		// accepted is when the caller connected.
+		accepted   time.Time
 		statements messenger.StatementReader
 		database   string
 		// key is the digest of the key that the caller presented, if hasKey is set.
@@ -50,7 +52,7 @@
 // run serves the caller until it disconnects or the server shuts down.
 func (s *session) run(ctx context.Context) {
 	defer s.close()
-	if !s.handshake() {
+	if !s.handshake(ctx) {
 		return
 	}
 	for {
@@ -70,7 +72,7 @@
 }
 
 // handshake answers the caller's first message.
-func (s *session) handshake() bool {
+func (s *session) handshake(ctx context.Context) bool {
 	_ = s.net.SetDeadline(time.Now().Add(startTimeout))
 	start, err := s.statements.Start()
 	if err != nil {
@@ -79,6 +81,7 @@
 		return false
 	}
 	s.database, s.key, s.hasKey = start.Database, start.Key, start.HasKey
+	s.awaitConfiguration(ctx)
 	c := s.server.Configuration()
 	if c == nil {
 		// The time without a configuration so far is the estimate of how long it will last.
--- a/internal/forwarder/failures.go
+++ b/internal/forwarder/failures.go
@@ -1,24 +1,44 @@
 package forwarder
 
 import (
+	"time"
+
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
+const (
+	// startHolderBackoff replaces holderBackoff for startPeriod after this instance's first loan:
+	// after a restart of all instances, holders that do not listen yet do so within a fraction of a
+	// second, and members have no room for connections of other instances.
+	startHolderBackoff = 100 * time.Millisecond
+	startPeriod        = 2 * time.Second
+)
+
+// failedHolderPause returns how long a failed holder is skipped, given the time since this
+// instance's first loan.
+func failedHolderPause(sinceFirstLoan time.Duration) time.Duration {
+	if sinceFirstLoan < startPeriod {
+		return startHolderBackoff
+	}
+	return holderBackoff
+}
+
 // mayTry reports whether a holder may be tried for members. After a failure, one request per
-// holderBackoff is let through as a probe.
+// failedHolderPause is let through as a probe.
 func (fw *Forwarder) mayTry(address string, members []string) bool {
 	now := fw.Clock()
 	fw.mutex.Lock()
 	defer fw.mutex.Unlock()
 	if fw.holderFailures == nil {
-		fw.holderFailures = map[[2]string]tracker.Timestamp{}
+		fw.holderFailures, fw.firstLoanAt = map[[2]string]tracker.Timestamp{}, now
 	}
+	pause := failedHolderPause(now - fw.firstLoanAt)
 	for _, member := range []string{"", members[0]} {
 		key := [2]string{address, member}
 		at, ok := fw.holderFailures[key]
 		switch {
-		case ok && now-at < holderBackoff:
+		case ok && now-at < pause:
 			return false
 		case ok:
 			fw.holderFailures[key] = now
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -77,7 +77,9 @@
 	// holderFailures is when a holder last failed, by address and member; an empty member
 	// means all members.
 	holderFailures map[[2]string]tracker.Timestamp
-	closed         bool
+	// firstLoanAt is when this instance first tried a holder.
+	firstLoanAt tracker.Timestamp
+	closed      bool
 
 	lent     atomic.Int64
 	borrowed atomic.Int64
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/dispatcher"
 	"github.com/oriolegw/oriolegw/internal/elector"
 	"github.com/oriolegw/oriolegw/internal/exchanger"
@@ -38,6 +39,9 @@
 	// even if connections are open.
 	drainFraction     = 0.85
 	drainPollInterval = 20 * time.Millisecond
+	// maxLoanConfigurationWait bounds the wait of a peer's loan for the first configuration. It is
+	// less than the 200 ms that a borrower gives one attempt.
+	maxLoanConfigurationWait = 150 * time.Millisecond
 )
 
 type (
@@ -80,9 +84,12 @@
 		limitRefusals   customerCounter
 		metricsRegistry *reporter.Registry
 		configuration   atomic.Pointer[tracker.Configuration]
-		draining        atomic.Bool
-		startedAt       tracker.Timestamp
-		stateLog        *logwriter.Logger
+		// configured is closed once the first configuration and the members read with it have been
+		// applied; only markConfigured closes it.
+		configured chan struct{}
+		draining   atomic.Bool
+		startedAt  tracker.Timestamp
+		stateLog   *logwriter.Logger
 
 		// backendAdded wakes maintainBackends.
 		backendAdded chan struct{}
@@ -171,12 +178,12 @@
 	i.stateLog = i.LogWriter.Logger("belief")
 	i.metricsRegistry = &reporter.Registry{}
 	i.metrics, i.metricsCloser = i.metricsRegistry.NewScope(map[string]string{reporter.TagInstance: i.Settings.Name})
-	i.backendAdded = make(chan struct{}, 1)
+	i.backendAdded, i.configured = make(chan struct{}, 1), make(chan struct{})
 	i.backends, i.members, i.restartedAt = map[string]*backend{}, map[string][]tracker.Member{}, map[string]tracker.Timestamp{}
 	requests, traces := i.LogWriter.Logger("request"), i.LogWriter.Logger("served")
 	i.server = &dispatcher.Server{
 		Address: i.Settings.Callers, Network: i.Network, Codec: i.Platform.CallerCodec, Clock: i.Clock,
-		Configuration: i.configuration.Load, ConfigurationCurrent: func() bool { return i.watcher.Current() }, MaxConfigurationDelay: i.Settings.MaxApplyDelay,
+		Configuration: i.configuration.Load, ConfigurationKnown: i.configured, ConfigurationCurrent: func() bool { return i.watcher.Current() }, MaxConfigurationDelay: i.Settings.MaxApplyDelay,
 		Backend:      func(group string) *dispatcher.Backend { return &i.backend(group).Backend },
 		LogDecision:  func(component string, f ...any) { requests.Log(append([]any{"of", component}, f...)...) },
 		LogServed:    traces.Log,
@@ -215,7 +222,37 @@
 		Source: i.Platform.Store, Clock: i.Clock, MaxPropagationDelay: i.Settings.MaxApplyDelay, ColdStart: i.Settings.ColdStart,
 		ConfigurationKey: i.Platform.ConfigurationKey, MemberPrefix: i.Platform.MemberPrefix, OwnershipPrefix: elector.OwnershipPrefix, InstancePrefix: exchanger.InstancePrefix,
 		DecodeConfiguration: i.Platform.DecodeConfiguration, DecodeMember: i.Platform.DecodeMember,
-		OnConfiguration: i.applyConfiguration, OnMembers: i.applyMembers, OnOwnership: i.elector.HandleRecord, Log: i.stateLog.Log,
+		OnConfiguration: i.applyConfiguration, OnMembers: i.applyMembers, OnOwnership: i.elector.HandleRecord, OnApplied: i.markConfigured, Log: i.stateLog.Log,
+	}
+}
+
+// markConfigured lets the waiting sessions start once a configuration is in force. The watcher does
+// not call it concurrently.
+func (i *Instance) markConfigured() {
+	if i.configuration.Load() == nil {
+		return
+	}
+	select {
+	case <-i.configured:
+	default:
+		close(i.configured)
+		i.stateLog.Log("event", "configured", "after-ms", (i.Clock() - i.startedAt).Milliseconds())
+	}
+}
+
+// awaitConfigured waits until the first configuration is in force, for at most maxLoanConfigurationWait.
+func (i *Instance) awaitConfigured() {
+	select {
+	case <-i.configured:
+		return
+	default:
+	}
+	t := time.NewTimer(maxLoanConfigurationWait)
+	defer t.Stop()
+	select {
+	case <-i.configured:
+	case <-t.C:
+	case <-i.ctx.Done():
 	}
 }
 
@@ -225,18 +262,17 @@
 	if !stale {
 		return i.Platform.Store.List(ctx, exchanger.RecordPrefix(i.Settings.Zone))
 	}
-	var all []storer.Pair
-	for _, zone := range slices.Sorted(maps.Keys(i.Settings.Regions)) {
-		if !i.sameRegion(zone) {
-			continue
-		}
-		list, err := i.Platform.Store.ListStale(ctx, exchanger.RecordPrefix(zone))
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, list...)
+	zones := slices.DeleteFunc(slices.Sorted(maps.Keys(i.Settings.Regions)), func(zone string) bool { return !i.sameRegion(zone) })
+	lists, errs := make([][]storer.Pair, len(zones)), make([]error, len(zones))
+	var calls sync.WaitGroup
+	for n, zone := range zones {
+		calls.Go(func() { lists[n], errs[n] = i.Platform.Store.ListStale(ctx, exchanger.RecordPrefix(zone)) })
+	}
+	calls.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
 	}
-	return all, nil
+	return slices.Concat(lists...), nil
 }
 
 func (i *Instance) applyConfiguration(c *tracker.Configuration) {
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -47,6 +47,7 @@
 	list := []reporter.Metric{
 		{Name: metricPrefix + dispatcher.CountAccepted, Kind: reporter.KindCounter, Description: "Callers that connected."},
 		{Name: metricPrefix + dispatcher.CountMalformed, Kind: reporter.KindCounter, Description: "Callers whose first message was malformed."},
+		{Name: metricPrefix + dispatcher.CountAwaited, Kind: reporter.KindCounter, Description: "Callers whose session start waited for the first configuration, for at most 1 s. It grows only within the first seconds of an instance."},
 		{Name: metricPrefix + dispatcher.CountDisconnected, Kind: reporter.KindCounter, Description: "Callers whose connection broke. Log lines with part=request of=session outcome=caller-cut show their last request. Alert when it grows by a tenth of the callers within a second."},
 		{Name: metricIdleLost, Kind: reporter.KindCounter, Description: "Connections to members that broke while idle or between two statements. Alert when it grows by a tenth of the callers within a second."},
 		{Name: metricPrefix + dispatcher.CountStatements, Kind: reporter.KindCounter, Description: "Statements that callers sent."},
--- a/internal/launcher/peers.go
+++ b/internal/launcher/peers.go
@@ -128,8 +128,11 @@
 }
 
 // configuredPool returns the pool of a configured group, nil for any other name, so that peers
-// can't make this instance allocate state for arbitrary names.
+// can't make this instance allocate state for arbitrary names. While no configuration is known, it
+// waits for one: a borrower that is told that this holder can't lend uses the next holder or its own
+// connections for a second, and after a restart of all instances members have no room for these.
 func (i *Instance) configuredPool(group string) *lender.Pool {
+	i.awaitConfigured()
 	c := i.configuration.Load()
 	if c == nil {
 		return nil
--- a/internal/lender/lend.go
+++ b/internal/lender/lend.go
@@ -126,6 +126,10 @@
 
 // serveWaiting lends idle connections to waiting requests and opens more for the rest.
 func (p *Pool) serveWaiting() {
+	if p.customers != nil {
+		p.serveByCustomer()
+		return
+	}
 	for i := 0; i < len(p.waiting); {
 		w := p.waiting[i]
 		ids := p.choose(&w.Request)
--- a/internal/lender/open.go
+++ b/internal/lender/open.go
@@ -48,7 +48,10 @@
 // the first one, also to a member that was full.
 func (p *Pool) startOpening(id, customer string, first bool) bool {
 	m := p.member(id)
-	if p.ctx == nil || p.closed || m.opening >= min(maxConcurrentOpenings, m.open+1) || time.Now().Before(m.retryAt) {
+	member, ok := p.Group.Member(id)
+	now := time.Now()
+	limit := concurrentOpenings(member.Slots, p.holders(id), p.customers != nil, now.Sub(p.startedAt) < startPeriod)
+	if p.ctx == nil || p.closed || m.opening >= min(limit, m.open+1) || now.Before(m.retryAt) {
 		return false
 	}
 	// While statements queue at the member, another connection serves none sooner, and its opening
@@ -59,7 +62,6 @@
 	if first && m.open+m.opening > 0 {
 		return false
 	}
-	member, ok := p.Group.Member(id)
 	if !ok || !p.mayOpen(m) {
 		return false
 	}
--- /dev/null
+++ b/internal/lender/plan.go
@@ -0,0 +1,127 @@
+package lender
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxOvertakeTime is how long a waiting request may be overtaken by later ones of customers that
+	// have an idle connection. Closing such a connection for the request that is first would cost an
+	// opening for each statement while more customers wait than a member accepts connections.
+	maxOvertakeTime = 40 * time.Millisecond
+	// openingSlotFraction is the fraction of a member's slots that the openings of all holders may
+	// occupy; the rest runs statements on the connections already open.
+	openingSlotFraction = 0.5
+	// startPeriod is how long after its start a pool without customers counts on the other holders to
+	// open connections at the same time.
+	startPeriod = 2 * time.Second
+)
+
+// openingDemand describes a waiting request for the order of openings.
+type openingDemand struct {
+	// class is the priority of the request's route, 0 the most urgent.
+	class int
+	// waiting is the number of the customer's waiting requests, connections that of its connections,
+	// idle, lent or being opened.
+	waiting, connections int
+}
+
+// compareDemands orders openings: by class, customers without a connection first, then by waiting
+// requests per connection. Equal ones keep their order in the queue. It handles the load after a
+// restart of all instances, when most customers wait and none has a connection.
+func compareDemands(a, b openingDemand) int {
+	return cmp.Or(
+		cmp.Compare(a.class, b.class),
+		cmp.Compare(min(a.connections, 1), min(b.connections, 1)),
+		cmp.Compare(b.waiting*max(1, a.connections), a.waiting*max(1, b.connections)),
+	)
+}
+
+// concurrentOpenings returns how many connections to a member an instance may open at a time. Each
+// opening occupies one of the member's slots; after a restart of all instances, all holders open
+// connections at once. holders is the number of instances that hold connections to the member, 0 if
+// unknown.
+func concurrentOpenings(slots, holders int, perCustomer, starting bool) int {
+	switch {
+	case slots <= 0 || holders <= 0 || !perCustomer && !starting:
+		return maxConcurrentOpenings
+	case perCustomer:
+		return max(1, int(math.Ceil(openingSlotFraction*float64(slots)))/holders)
+	default:
+		return min(maxConcurrentOpenings, max(1, slots/holders))
+	}
+}
+
+// serveByCustomer lends idle connections to waiting requests of their customers and then opens
+// connections for the rest. Requests that waited for maxOvertakeTime are not overtaken.
+func (p *Pool) serveByCustomer() {
+	now := time.Now()
+	for i := 0; i < len(p.waiting); {
+		w := p.waiting[i]
+		ids := p.choose(&w.Request)
+		if c := p.takeIdle(ids, &w.Request); c != nil {
+			p.waiting = slices.Delete(p.waiting, i, i+1)
+			p.fairQueue.AdvanceTo(w.virtualStart)
+			w.local <- c
+			continue
+		}
+		if now.Sub(w.arrived) >= maxOvertakeTime && !p.beingOpened(ids, w.Customer) {
+			p.openFor(ids, &w.Request)
+		}
+		i++
+	}
+	for _, w := range p.openingOrder() {
+		ids := p.choose(&w.Request)
+		if now.Sub(w.arrived) >= openAfterWait || !p.mayReturnSoon(ids, w.Customer) {
+			p.openFor(ids, &w.Request)
+		}
+	}
+}
+
+// openingOrder returns the waiting requests in the order in which connections are opened for them,
+// without those for which enough are being opened.
+func (p *Pool) openingOrder() []*waiter {
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	waiting := map[string]int{}
+	for _, w := range p.waiting {
+		waiting[w.Customer]++
+	}
+	connections, opening := map[string]int{}, map[string]int{}
+	for _, m := range p.members {
+		for _, c := range m.idle {
+			connections[c.Customer]++
+		}
+		for customer, n := range m.lentByCustomer {
+			connections[customer] += n
+		}
+		for customer, n := range m.openingByCustomer {
+			connections[customer] += n
+			opening[customer] += n
+		}
+	}
+	demand := map[*waiter]openingDemand{}
+	var order []*waiter
+	for _, w := range p.waiting {
+		if opening[w.Customer] > 0 {
+			opening[w.Customer]--
+			continue
+		}
+		demand[w] = openingDemand{class: w.Priority, waiting: waiting[w.Customer], connections: connections[w.Customer]}
+		order = append(order, w)
+	}
+	slices.SortStableFunc(order, func(a, b *waiter) int { return compareDemands(demand[a], demand[b]) })
+	return order
+}
+
+// beingOpened reports whether a connection of a customer to one of the members is being opened.
+func (p *Pool) beingOpened(ids []string, customer string) bool {
+	return slices.ContainsFunc(ids, func(id string) bool {
+		m := p.members[id]
+		return m != nil && m.openingByCustomer[customer] > 0
+	})
+}
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -122,6 +122,7 @@
 		waiting     []*waiter
 		averageLoan time.Duration
 		ctx         context.Context
+		startedAt   time.Time
 		closed      bool
 		// fairQueue orders waiting work of customers, flows are their positions in it.
 		fairQueue scheduler.VirtualClock
@@ -191,7 +192,7 @@
 // Run maintains the connections until the context ends.
 func (p *Pool) Run(ctx context.Context) error {
 	p.mutex.Lock()
-	p.ctx = ctx
+	p.ctx, p.startedAt = ctx, time.Now()
 	p.mutex.Unlock()
 	var ticks <-chan time.Time
 	if !p.MaintainedExternally {
--- a/internal/watcher/peers.go
+++ b/internal/watcher/peers.go
@@ -13,11 +13,11 @@
 
 const (
 	// peerPollStartDelay gives the store time to answer first after a start.
-	peerPollStartDelay = 150 * time.Millisecond
+	peerPollStartDelay = 60 * time.Millisecond
 	// initialPeerPollInterval is the time between two requests to peers before the first
 	// update. Afterwards it is MaxPropagationDelay times peerPollFraction within the bounds.
 	// A change passes through a few instances, each of which adds up to an interval.
-	initialPeerPollInterval = 100 * time.Millisecond
+	initialPeerPollInterval = 60 * time.Millisecond
 	minPeerPollInterval     = 500 * time.Millisecond
 	maxPeerPollInterval     = time.Second
 	peerPollFraction        = 0.125
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -83,6 +83,8 @@
 		OnOwnership func(storer.Pair)
 		// OnInstance, if set, is called with each changed instance record.
 		OnInstance func(storer.Pair)
+		// OnApplied, if set, is called after all other callbacks of an update.
+		OnApplied func()
 		// Log writes a log line of alternating keys and values.
 		Log func(fields ...any)
 		// RequestState, if set, requests the changes after a revision from peers. It is called while
@@ -325,14 +327,36 @@
 		w.outageEndedAt = now
 		w.Log("event", "dependency-regained", "dependency", "store")
 	}
-	for _, p := range u.pairs {
-		w.applyPair(p)
-	}
+	w.applyInOrder(u.pairs)
 	if u.snapshot {
 		w.applySnapshotDeletions(u.pairs)
 	}
 	w.notifyMembers()
 	w.updateState(u)
+	if w.OnApplied != nil {
+		w.OnApplied()
+	}
+}
+
+// applyInOrder applies changes in the order in which a starting instance needs them: the
+// configuration, the members, and then the ownership and instance records, of which a whole state
+// has most.
+func (w *Watcher) applyInOrder(pairs []storer.Pair) {
+	for _, p := range pairs {
+		if p.Key == w.ConfigurationKey {
+			w.applyPair(p)
+		}
+	}
+	for _, p := range pairs {
+		if p.Key != w.ConfigurationKey && strings.HasPrefix(p.Key, w.MemberPrefix) {
+			w.applyPair(p)
+		}
+	}
+	for _, p := range pairs {
+		if p.Key != w.ConfigurationKey && !strings.HasPrefix(p.Key, w.MemberPrefix) {
+			w.applyPair(p)
+		}
+	}
 }
 
 // applyPair applies the change of one key.
