--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -84,7 +84,9 @@
 	// pressureLoggedAt and pressureRejectedAt are when a decision by them and an invalid report were
 	// last logged.
 	pressureLoggedAt, pressureRejectedAt tracker.Timestamp
-	closed                               bool
+	// firstLoanAt is when this instance first tried a holder.
+	firstLoanAt tracker.Timestamp
+	closed      bool
 
 	lent     atomic.Int64
 	borrowed atomic.Int64
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -126,6 +126,7 @@
 		waiting     []*waiter
 		averageLoan time.Duration
 		ctx         context.Context
+		startedAt   time.Time
 		closed      bool
 		// fairQueues order waiting work of customers by class, flows are their positions in them.
 		fairQueues map[int]*fairQueue
@@ -223,7 +224,7 @@
 // Run maintains the connections until the context ends.
 func (p *Pool) Run(ctx context.Context) error {
 	p.mutex.Lock()
-	p.ctx = ctx
+	p.ctx, p.startedAt = ctx, time.Now()
 	p.mutex.Unlock()
 	var ticks <-chan time.Time
 	if !p.MaintainedExternally {
