Balancer: candidates that are worse than the chosen one are left out

Cause: the pool lends any idle connection in the order of the candidates. Reads thus left a region whose member had room, or went back to an overloaded primary, whenever the connections to the chosen member were in use for a moment. Requests for loads took more bytes between regions than the proofs that they save.

Change: while the chosen member responds to this instance, worse candidates are left out. The wait for an instance's own connections counts as the wait at a holder does. Only the first reader of a region asks supervisors, and requests and replies don't name the instances. Members below 0.125 statements per slot are idle.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -9,7 +9,6 @@
 package balancer
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -19,7 +18,7 @@
 	MaxLoadAge = 2 * time.Second
 	// IdleLoad is the number of statements per slot below which all members of a group are idle.
 	// Their order then doesn't matter for the load.
-	IdleLoad = 0.25
+	IdleLoad = 0.125
 	// delayFactor relates the delay that one more statement causes to the others at a member to the
 	// square of the statements per slot. In a queue of four slots with random arrivals, the factor is
 	// 2 to 4 between half and nine tenths of the capacity.
@@ -123,8 +122,9 @@
 	return !slices.ContainsFunc(list, func(m Member) bool { return m.Wait > 0 || m.statementsPerSlot() >= IdleLoad })
 }
 
-// Order sorts candidates for a read in place, best first, and returns the reason for the first one.
-// random returns numbers in [0, 1).
+// Order moves the candidate that a read goes to to the front and returns the reason. The others, which
+// get the read if there is no connection to the first one, keep their order: connections to a member
+// that is rarely the second one would be opened for nothing. random returns numbers in [0, 1).
 //
 // It handles reads of many instances that all have the same load information, which is about 1 s
 // old. If each chose the member with the least load, all would choose the same one until the next
@@ -136,19 +136,27 @@
 		return OutcomeUnknown
 	}
 	chosen, outcome := choose(list, random)
-	id := list[chosen].ID
-	slices.SortFunc(list, func(a, b Member) int {
-		switch id {
-		case a.ID:
-			return -1
-		case b.ID:
-			return 1
-		}
-		return cmp.Or(cmp.Compare(a.Cost(), b.Cost()), cmp.Compare(a.ID, b.ID))
-	})
+	m := list[chosen]
+	copy(list[1:chosen+1], list[:chosen])
+	list[0] = m
 	return outcome
 }
 
+// Trim returns the candidates, ordered by Order, without those that are worse than the first one: in
+// another region while the first one is near, the primary that passes the read on, or a near
+// member that is overloaded. Otherwise a read would use any idle connection to one of them while those to
+// the first one are in use for a moment.
+func Trim(list []Member) []Member {
+	var kept []Member
+	for i, m := range list {
+		first := list[0]
+		if i == 0 || m.Cost() < first.Cost() || m.Near == first.Near && m.Primary == first.Primary {
+			kept = append(kept, m)
+		}
+	}
+	return kept
+}
+
 // choose picks two members and returns the index of the chosen one.
 func choose(list []Member, random func() float64) (int, Outcome) {
 	first := pick(list, random, func(i int) bool { return list[i].Near })
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -271,3 +271,13 @@
 	one.Near, far.Near, far.Busy = false, false, 40
 	must.Eq(t, balancer.OutcomePrimary, balancer.Order([]balancer.Member{far, one}, zero))
 }
+
+// Guards against reads that leave the region for an idle connection although the near member has room,
+// and against those that use one to an overloaded primary.
+func TestTrim(t *testing.T) {
+	near, far := balancer.Member{Near: true, Network: 1}, balancer.Member{Network: 2}
+	overloaded := balancer.Member{Near: true, Primary: true, Slots: 1, Busy: 9, Service: 1}
+	must.Eq(t, []balancer.Member{near, near}, balancer.Trim([]balancer.Member{near, far, near}))
+	must.Eq(t, []balancer.Member{far}, balancer.Trim([]balancer.Member{far, overloaded}))
+	must.Eq(t, []balancer.Member{overloaded, far}, balancer.Trim([]balancer.Member{overloaded, far}))
+}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -257,24 +257,39 @@
 	if len(list) <= maxIndependentReaders {
 		return nil
 	}
-	addresses := make(map[string]string, len(list))
+	order := treeOrder(list)
+	self := slices.IndexFunc(order, func(p discoverer.Peer) bool { return p.Name == e.Discoverer.Self.Name })
+	var parents []string
+	for _, i := range distributor.Parents(self) {
+		parents = append(parents, order[i].Address)
+	}
+	return parents
+}
+
+// treeOrder returns the instances of a region in the order of the tree. The largest come first: those at
+// the top send the most.
+func treeOrder(list []discoverer.Peer) []discoverer.Peer {
+	peers := make(map[string]discoverer.Peer, len(list))
 	candidates := make([]concentrator.Candidate, 0, len(list))
 	for _, p := range list {
-		addresses[p.Name] = p.Address
+		peers[p.Name] = p
 		candidates = append(candidates, concentrator.Candidate{Name: p.Name, Millicores: p.Millicores})
 	}
-	// The largest instances come first: those at the top send the most.
-	millicores := make(map[string]int, len(candidates))
-	for _, c := range candidates {
-		millicores[c.Name] = c.Millicores
+	var order []discoverer.Peer
+	for _, name := range concentrator.RankHolders(InstancePrefix, candidates) {
+		order = append(order, peers[name])
 	}
-	order := concentrator.RankHolders(InstancePrefix, candidates)
-	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(millicores[b], millicores[a]) })
-	var parents []string
-	for _, i := range distributor.Parents(slices.Index(order, e.Discoverer.Self.Name)) {
-		parents = append(parents, addresses[order[i]])
+	slices.SortStableFunc(order, func(a, b discoverer.Peer) int { return cmp.Compare(b.Millicores, a.Millicores) })
+	return order
+}
+
+// FirstReader returns the address of the first reader of the region, "" if it is this instance.
+func (e *Exchanger) FirstReader() string {
+	first := treeOrder(e.Discoverer.OwnRegion(e.Clock()))[0]
+	if first.Name == e.Discoverer.Self.Name {
+		return ""
 	}
-	return parents
+	return first.Address
 }
 
 // FollowsPeers reports whether others read the store for this instance. It implements
@@ -340,8 +355,13 @@
 // HandleRequest handles a request of a peer.
 func (e *Exchanger) HandleRequest(r *wire.TellRequest) *wire.TellReply {
 	now := e.Clock()
-	e.Discoverer.RecordContact(now, fromPeer(r.Sender))
-	reply := &wire.TellReply{Teller: toPeer(e.Discoverer.Self)}
+	if r.Sender != nil {
+		e.Discoverer.RecordContact(now, fromPeer(r.Sender))
+	}
+	reply := &wire.TellReply{}
+	if r.Sender != nil || !r.PeersOnly {
+		reply.Teller = toPeer(e.Discoverer.Self)
+	}
 	if !r.Changes && !r.OmitPeers {
 		for _, p := range e.Discoverer.PeersForReply(now) {
 			reply.Peers = append(reply.Peers, toPeer(p))
--- a/internal/exchanger/loads.go
+++ b/internal/exchanger/loads.go
@@ -13,9 +13,10 @@
 
 // RequestLoads requests the proofs and the loads of groups from the instance that supervises them.
 // A failure doesn't count against the peer: others are asked for the store's state in its place, but
-// nobody else knows the loads, so that it is asked more often than other peers.
+// nobody else knows the loads, so that it is asked more often than other peers. The request and the reply
+// don't name the instances, which would be a third of their bytes.
 func (e *Exchanger) RequestLoads(ctx context.Context, address string, groups []string) error {
-	r := &wire.TellRequest{Sender: toPeer(e.Discoverer.Self), PeersOnly: true, OmitPeers: true, Proofs: true, Selective: true}
+	r := &wire.TellRequest{PeersOnly: true, OmitPeers: true, Proofs: true, Selective: true}
 	for _, g := range groups {
 		r.Reads = append(r.Reads, &wire.GroupReads{Group: g})
 	}
--- a/internal/launcher/backend.go
+++ b/internal/launcher/backend.go
@@ -120,6 +120,7 @@
 // again within lender.MaintenanceInterval. The proof is renewed if it is wanted.
 func (b *backend) maintain(now time.Time, proofWanted bool) bool {
 	b.Pool.Maintain(now)
+	b.recordWaits()
 	noPrimary := b.Group.Primary() == ""
 	if noPrimary && now.Sub(b.primarySearchedAt) >= primarySearchInterval {
 		b.primarySearchedAt = now
@@ -134,6 +135,19 @@
 	return noPrimary || b.Pool.Active()
 }
 
+// recordWaits records how long requests wait for this instance's own connections, so that reads go to
+// other members. Those of other instances report it with each loan.
+func (b *backend) recordWaits() {
+	if _, _, waiting, _ := b.Pool.Stats(); waiting == 0 {
+		return
+	}
+	for _, id := range b.Group.IDs() {
+		if waits, queued := b.Pool.Drain(id); queued > 0 && len(waits) > 0 {
+			b.Group.RecordWait(b.clock(), id, waits[len(waits)-1])
+		}
+	}
+}
+
 // notify wakes the receiver of a channel, unless a notification is already pending.
 func notify(c chan struct{}) {
 	select {
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -95,6 +95,12 @@
 
 // runFleet runs a scenario on virtual time with a platform and a group.
 func runFleet(t *testing.T, scenario func(f *fleet)) {
+	t.Helper()
+	runFleetWith(t, func(*groupsimulator.Group) {}, scenario)
+}
+
+// runFleetWith is runFleet with additional setup of the group.
+func runFleetWith(t *testing.T, prepare func(*groupsimulator.Group), scenario func(f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -103,6 +109,7 @@
 		f := &fleet{t: t, net: n, ctx: ctx, store: storer.NewMemory(), group: &groupsimulator.Group{
 			Name: "g", Net: n, ReplicationDelay: 2 * time.Millisecond, PromotionDelay: 600 * time.Millisecond, MaxConnections: 12, StatementTime: 5 * time.Millisecond,
 		}}
+		prepare(f.group)
 		f.group.Start(ctx, "a", "b", "c")
 		f.platform = &platformer.Platform{Address: "10.6.0.1:7000", Network: n.Host("10.6.0.1", "a"), Store: f.store, Promote: func(_, id string) error { return f.group.Promote(id) }}
 		f.running.Go(func() { _ = f.platform.Run(ctx) })
--- a/internal/launcher/loads.go
+++ b/internal/launcher/loads.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// requestLoads requests the loads of the members from the supervisors of their groups, unless this
-// instance gets them along with the state of the store. It runs until the context ends.
+// requestLoads requests the loads of the members, unless this instance gets them along with the state
+// of the store. It runs until the context ends.
 func (i *Instance) requestLoads(ctx context.Context) error {
 	requestedAt := map[string]tracker.Timestamp{}
 	for {
@@ -76,32 +76,46 @@
 			clear(requestedAt)
 			continue
 		}
-		var requests sync.WaitGroup
-		now := i.Clock()
-		supervised := i.groupsBySupervisor()
-		maps.DeleteFunc(requestedAt, func(address string, _ tracker.Timestamp) bool { return supervised[address] == nil })
-		for address, groups := range supervised {
-			interval := idleLoadRequestInterval
-			if len(i.recentLoads(groups)) > 0 {
-				interval = loadRequestInterval
-			}
-			// Half an interval covers the jitter of the timer.
-			if at, ok := requestedAt[address]; ok && now-at < interval-loadRequestInterval/2 {
-				continue
-			}
-			requestedAt[address] = now
-			requests.Go(func() { i.requestLoadsOf(ctx, address, groups) })
+		i.requestLoadsOnce(ctx, requestedAt)
+	}
+}
+
+// requestLoadsOnce requests the loads that are due. The first reader of a region asks the supervisors,
+// the others ask it, which takes fewer bytes between regions, and the supervisors if it doesn't answer.
+func (i *Instance) requestLoadsOnce(ctx context.Context, requestedAt map[string]tracker.Timestamp) {
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	now := i.Clock()
+	supervised := i.groupsBySupervisor()
+	maps.DeleteFunc(requestedAt, func(address string, _ tracker.Timestamp) bool { return supervised[address] == nil })
+	due := map[string][]string{}
+	for address, groups := range supervised {
+		interval := idleLoadRequestInterval
+		if len(i.recentLoads(groups)) > 0 {
+			interval = loadRequestInterval
 		}
-		requests.Wait()
+		// Half an interval covers the jitter of the timer.
+		if at, ok := requestedAt[address]; !ok || now-at >= interval-loadRequestInterval/2 {
+			requestedAt[address], due[address] = now, groups
+		}
+	}
+	if first := i.peers.exchanger.FirstReader(); first != "" && len(due) > 0 {
+		if i.requestLoadsOf(ctx, first, slices.Concat(slices.Collect(maps.Values(due))...)) {
+			return
+		}
+	}
+	for address, groups := range due {
+		requests.Go(func() { i.requestLoadsOf(ctx, address, groups) })
 	}
 }
 
-// requestLoadsOf requests the loads of groups from their supervisor.
-func (i *Instance) requestLoadsOf(ctx context.Context, address string, groups []string) {
+// requestLoadsOf requests the loads of groups from an instance and reports whether it answered.
+func (i *Instance) requestLoadsOf(ctx context.Context, address string, groups []string) bool {
 	err := i.peers.exchanger.RequestLoads(ctx, address, groups)
 	if err != nil && ctx.Err() == nil && i.loadFailures.due(i.Clock()) {
 		i.stateLog.Log("event", "loads-not-received", "address", address, "groups", strings.Join(groups, ","), "cause", err)
 	}
+	return err == nil
 }
 
 // groupsBySupervisor returns the groups that are read, by the address of the other instance that
--- a/internal/tracker/load.go
+++ b/internal/tracker/load.go
@@ -35,7 +35,11 @@
 	maxService = 10 * time.Second
 	// minReportedLoad is the number of statements per slot from which a group's loads are sent to
 	// peers. Those of idle groups decide nothing.
-	minReportedLoad = balancer.IdleLoad / 2
+	minReportedLoad = balancer.IdleLoad
+	// respondingPeriod is how long after a response a member counts as responding to this instance.
+	// Other candidates are left out only while the chosen one does: a network partition may separate it
+	// from this instance while its load is still known.
+	respondingPeriod = 300 * time.Millisecond
 )
 
 var (
@@ -239,6 +243,9 @@
 	if placement.Outcome == balancer.OutcomeUnknown || placement.Outcome == balancer.OutcomeIdle {
 		return ids
 	}
+	if first := g.members[list[0].ID]; !first.failed && first.sampledAt != 0 && now-first.sampledAt < respondingPeriod {
+		list = balancer.Trim(list)
+	}
 	ordered := make([]string, 0, len(ids))
 	for _, m := range list {
 		ordered = append(ordered, m.ID)
--- a/internal/tracker/load_test.go
+++ b/internal/tracker/load_test.go
@@ -116,3 +116,26 @@
 	must.Between(t, 6.5, l.Busy, 8)
 	must.Eq(t, 20*time.Millisecond, l.Service)
 }
+
+// Guards against reads that have no other member while a partition separates this instance from the
+// near one, whose load is still known.
+func TestNearMemberMustRespond(t *testing.T) {
+	g, _ := groupWithLoad(t, 1)
+	candidates := func(ms int) int { return len(g.ReadCandidates(at(ms), orderer.Position{})) }
+	must.Eq(t, 3, candidates(0))
+	g.RecordSend("q")
+	g.RecordResponse(at(10), "q", 10*time.Millisecond, orderer.Position{})
+	must.Eq(t, 1, candidates(20))
+	must.Eq(t, 3, candidates(310))
+	g.RecordFailure(at(20), "q", false)
+	must.Eq(t, 3, candidates(30))
+}
+
+// Guards against an instance that sends its reads to a member whose connections are all in use at the
+// instance that holds them, and that counts such a wait for longer than 500 ms.
+func TestWaitForConnectionCounts(t *testing.T) {
+	g, _ := groupWithLoad(t, 1)
+	g.RecordWait(at(0), "q", 200*time.Millisecond)
+	must.Between(t, 200, countFirst(g, at(500))["q"], 500)
+	must.Eq(t, 1000, countFirst(g, at(501))["q"])
+}
