Limits: admission by class, waiting by latest start, reservations

Cause: at a limit the class of an operation was ignored, an operation that could still meet its objective was refused after 100 ms, most refusals said "retry in 50 ms", and their log line did not explain them.

Change: package reserver decides on the instance that runs operations: it keeps those that can be admitted before their latest start, in order of class, refuses the others at once, and reserves capacity for the time that it tells them. The accountant divides the pace by class and serves waiting operations by class over all instances, with a reserve for bursts of the most urgent class. Log lines of refusals name the limit, the usage and leases of the instance, the withheld part and the cause. New gauges count the decisions.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/identifier"
@@ -13,6 +12,7 @@
 	"github.com/oriolegw/oriolegw/internal/limiter"
 	"github.com/oriolegw/oriolegw/internal/linker"
 	"github.com/oriolegw/oriolegw/internal/linker/wire"
+	"github.com/oriolegw/oriolegw/internal/reserver"
 	"github.com/oriolegw/oriolegw/internal/sleeper"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
@@ -36,8 +36,10 @@
 type Accountant struct {
 	Meter  *limiter.Meter
 	Ledger *limiter.Ledger
-	Links  *linker.Client
-	Clock  func() tracker.Timestamp
+	// Reserver orders operations that wait for a lease; its Meter is Meter.
+	Reserver *reserver.Reserver
+	Links    *linker.Client
+	Clock    func() tracker.Timestamp
 	// Limit returns a customer's current limit.
 	Limit func(customer string) identifier.Limit
 	// Active reports whether customers are configured, Limits returns the limits of all customers.
@@ -51,10 +53,7 @@
 	// Log is called with the fields of a log line.
 	Log func(fields ...any)
 
-	mutex sync.Mutex
-	// replied is closed at each reply.
-	replied chan struct{}
-	wake    chan struct{}
+	wake chan struct{}
 	// accountantAddress is the receiver of the last report; isAccountant is set if this instance
 	// is the accountant. Only Run uses them.
 	accountantAddress string
@@ -63,7 +62,7 @@
 
 // Init initializes the accountant.
 func (a *Accountant) Init() *Accountant {
-	a.replied, a.wake = make(chan struct{}), make(chan struct{}, 1)
+	a.wake = make(chan struct{}, 1)
 	return a
 }
 
@@ -94,6 +93,11 @@
 		}
 		tick.Reset(tickInterval)
 		a.updateAccountant(ctx)
+		// Also without a reply: the fallback rate admits waiting operations.
+		a.Reserver.Advance(a.Clock(), a.Limit)
+		if in, ok := a.Meter.NextRequest(a.Clock()); ok {
+			tick.Reset(min(max(in, minReportPause), tickInterval))
+		}
 		due, soon := a.Meter.Due(a.Clock())
 		if !due || !soon && time.Since(last) < limiter.ReportInterval {
 			continue
@@ -141,10 +145,7 @@
 		return
 	}
 	a.Meter.HandleReply(sent, reply)
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	close(a.replied)
-	a.replied = make(chan struct{})
+	a.Reserver.Advance(a.Clock(), a.Limit)
 }
 
 // send sends a report to the accountant, which may be this instance, and returns the reply.
@@ -167,59 +168,75 @@
 		}
 		return limiter.Reply{}, false
 	}
-	return fromReply(reply), true
+	x, invalid := fromReply(reply)
+	if invalid > 0 {
+		a.Log("event", "invalid-allowances", "address", a.accountantAddress, "dropped", invalid)
+	}
+	return x, true
 }
 
 // HandleReport answers another instance's report, whether or not this instance considers itself the
 // accountant: accountants that don't agree share the limits.
 func (a *Accountant) HandleReport(r *wire.AccountRequest) *wire.AccountReply {
-	return toReply(a.Ledger.HandleReport(a.Clock(), fromReport(r), a.Limit))
+	x, invalid := fromReport(r)
+	if invalid > 0 {
+		a.Log("event", "invalid-spendings", "address", r.Instance, "dropped", invalid)
+	}
+	return toReply(a.Ledger.HandleReport(a.Clock(), x, a.Limit))
 }
 
-// Admit decides whether an operation of a customer may run; otherwise the error is a
-// lender.LimitError. It implements lender.Pool's Admit.
-func (a *Accountant) Admit(ctx context.Context, customer string) error {
-	limit := a.Limit(customer)
-	deadline := time.Now().Add(limiter.LeaseWaitTimeout)
-	for attempt := limiter.FirstAttempt; ; attempt = limiter.AfterReply {
-		if !time.Now().Before(deadline) {
-			attempt = limiter.LastAttempt
-		}
-		next := a.nextReply()
-		decision, retryAfter := a.Meter.Decide(a.Clock(), customer, limit, attempt)
-		switch decision {
-		case limiter.Admit:
-			return nil
-		case limiter.Refuse:
-			return &lender.LimitError{Customer: customer, RetryAfter: retryAfter}
+// Admit decides whether an operation of a customer may run, and waits for a lease while that may
+// still be useful; otherwise the error is a lender.LimitError. It implements lender.Pool's Admit.
+func (a *Accountant) Admit(ctx context.Context, r lender.Request) error {
+	limit := a.Limit(r.Customer)
+	if !limit.Limited() {
+		return nil
+	}
+	now := a.Clock()
+	o := reserver.Operation{Class: r.Priority}
+	if !r.LatestStart.IsZero() {
+		latest := r.LatestStart
+		if r.Deadline.Before(latest) {
+			latest = r.Deadline
 		}
-		if err := a.awaitReply(ctx, customer, next, deadline); err != nil {
+		o.LatestStart = now + time.Until(latest)
+	}
+	t := a.Reserver.Request(now, r.Customer, limit, o)
+	if t.Decided() != nil {
+		if err := a.awaitDecision(ctx, t); err != nil {
 			return err
 		}
 	}
+	if t.Outcome == reserver.Admitted {
+		return nil
+	}
+	err := &lender.LimitError{Customer: r.Customer, RetryAfter: t.Refusal.RetryAfter, Waited: t.Refusal.Waited, Reserved: t.Refusal.Reserved}
+	if t.Refusal.Known {
+		b := t.Refusal.Balance
+		err.Balance = &lender.LimitBalance{PerSecond: limit.PerSecond, Burst: limit.Burst, Used: b.Used, Leased: b.Leased, Withheld: b.Withheld, Cause: b.Cause.String()}
+	}
+	return err
 }
 
-// nextReply returns a channel that is closed at the next reply.
-func (a *Accountant) nextReply() <-chan struct{} {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	return a.replied
-}
-
-// awaitReply waits for the accountant's next reply.
-func (a *Accountant) awaitReply(ctx context.Context, customer string, replied <-chan struct{}, deadline time.Time) error {
-	a.Meter.AddWaiters(a.Clock(), customer, 1)
-	defer func() { a.Meter.AddWaiters(a.Clock(), customer, -1) }()
+// awaitDecision waits until an operation is decided.
+func (a *Accountant) awaitDecision(ctx context.Context, t *reserver.Ticket) error {
 	a.Wake()
-	t := time.NewTimer(time.Until(deadline))
-	defer t.Stop()
-	select {
-	case <-replied:
-	case <-t.C:
-	case <-ctx.Done():
-		return ctx.Err()
+	expired := time.NewTimer(t.Deadline() - a.Clock())
+	defer expired.Stop()
+	for {
+		select {
+		case <-t.Decided():
+			return nil
+		case <-expired.C:
+			a.Reserver.Advance(a.Clock(), a.Limit)
+			expired.Reset(minReportPause)
+		case <-ctx.Done():
+			if a.Reserver.Cancel(a.Clock(), t) == reserver.Admitted {
+				a.UndoAdmit(t.Customer())
+			}
+			return ctx.Err()
+		}
 	}
-	return nil
 }
 
 // UndoAdmit reverses the admission of an operation that has not run. It implements lender.Pool's
--- a/internal/dispatcher/execution.go
+++ b/internal/dispatcher/execution.go
@@ -125,7 +125,7 @@
 		if report := x.session.server.CountLimited; report != nil {
 			report(limit.Customer)
 		}
-		return x.refuseWithRetryAfter(ReasonOverLimit, limit.RetryAfter)
+		return x.refuseWithRetryAfter(ReasonOverLimit, limit.RetryAfter, limit.LogFields()...)
 	}
 	return x.refuse(checkoutReason(err))
 }
@@ -135,11 +135,13 @@
 	return x.refuseWithRetryAfter(reason, x.backend.retryAfter())
 }
 
-func (x *execution) refuseWithRetryAfter(reason Reason, retryAfter time.Duration) messenger.Reply {
+func (x *execution) refuseWithRetryAfter(reason Reason, retryAfter time.Duration, fields ...any) messenger.Reply {
 	s := x.session
 	s.server.countRefused(reason)
-	s.server.logDecision("statement", "id", x.statement.ID, "outcome", "refused", "reason", reason, "again-ms", retryAfter.Milliseconds(),
-		"customer", x.customer, "group", x.route.Group, "primary", x.backend.Group.Primary(), "tries", x.attempts, "waited-ms", x.checkoutWait.Milliseconds(), "ms", x.elapsedMillis())
+	s.server.logDecision("statement", append([]any{
+		"id", x.statement.ID, "outcome", "refused", "reason", reason, "again-ms", retryAfter.Milliseconds(),
+		"customer", x.customer, "group", x.route.Group, "primary", x.backend.Group.Primary(), "tries", x.attempts, "waited-ms", x.checkoutWait.Milliseconds(), "ms", x.elapsedMillis(),
+	}, fields...)...)
 	if s.tx != nil {
 		s.failTransaction()
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -34,6 +34,7 @@
 		}
 		conn, p, err := fw.borrowForPeer(stream.Context(), r.Ask)
 		if err != nil {
+			fw.logLimitRefusal(r.Ask, err)
 			if err := stream.Send(refusalReply(err)); err != nil {
 				return err
 			}
@@ -45,6 +46,15 @@
 	}
 }
 
+// logLimitRefusal logs why a peer's operation is over the customer's limit: the peer is only told
+// when to retry.
+func (fw *Forwarder) logLimitRefusal(a *wire.LendAsk, err error) {
+	var limit *lender.LimitError
+	if errors.As(err, &limit) && fw.Log != nil {
+		fw.Log(append([]any{"event", "over-limit", "customer", a.Customer, "group", a.Group, "class", a.Priority, "again-ms", limit.RetryAfter.Milliseconds()}, limit.LogFields()...)...)
+	}
+}
+
 // borrowForPeer borrows one of this instance's own connections for a peer. The request queues
 // with local ones.
 func (fw *Forwarder) borrowForPeer(ctx context.Context, a *wire.LendAsk) (*lender.Conn, *lender.Pool, error) {
--- a/internal/launcher/limits.go
+++ b/internal/launcher/limits.go
@@ -8,6 +8,7 @@
 	"github.com/oriolegw/oriolegw/internal/accountant"
 	"github.com/oriolegw/oriolegw/internal/identifier"
 	"github.com/oriolegw/oriolegw/internal/limiter"
+	"github.com/oriolegw/oriolegw/internal/reserver"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
@@ -38,12 +39,13 @@
 func (i *Instance) newAccountant(peers *peerServices) *accountant.Accountant {
 	holders := func() []string { return i.holderAddresses(peers) }
 	run := uint64(time.Now().UnixNano())
+	meter := &limiter.Meter{
+		Instance: i.Settings.PeerAddress, Incarnation: run,
+		Instances:      func() int { return max(1, len(holders())) },
+		ReportExpected: func() bool { return slices.Contains(holders(), i.Settings.PeerAddress) },
+	}
 	return (&accountant.Accountant{
-		Meter: &limiter.Meter{
-			Instance: i.Settings.PeerAddress, Incarnation: run,
-			Instances:      func() int { return max(1, len(holders())) },
-			ReportExpected: func() bool { return slices.Contains(holders(), i.Settings.PeerAddress) },
-		},
+		Meter: meter, Reserver: &reserver.Reserver{Meter: meter},
 		Ledger: &limiter.Ledger{Tolerance: i.Settings.LimitTolerance, Incarnation: run, ExpectedInstances: holders},
 		Links:  peers.client, Clock: i.Clock, Limit: i.limit, Active: i.customersEnabled, Limits: i.limits, Log: i.LogWriter.Logger("limits").Log,
 		CurrentAccountant: func() (string, bool) { return i.accountantAddress(peers) },
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/oriolegw/oriolegw/internal/dispatcher"
 	"github.com/oriolegw/oriolegw/internal/reporter"
+	"github.com/oriolegw/oriolegw/internal/reserver"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 	"github.com/uber-go/tally/v4"
 )
@@ -29,6 +30,13 @@
 	metricGroups         = metricPrefix + "groups"
 	metricRankings       = metricPrefix + "holder-rankings"
 	kindHistogram        = "histogram"
+
+	metricLimitPrefix           = metricPrefix + "limit-"
+	metricLimitWaited           = metricLimitPrefix + "waited"
+	metricLimitReservationsUsed = metricLimitPrefix + "reservations-used"
+	metricLimitRefusedAtOnce    = metricLimitPrefix + "refused-at-once"
+	metricLimitRefusedAfterWait = metricLimitPrefix + "refused-after-wait"
+	metricLimitNotReserved      = metricLimitPrefix + "not-reserved"
 )
 
 var (
@@ -66,6 +74,13 @@
 		reporter.Metric{Name: metricGroups, Kind: reporter.KindGauge, Description: "Groups whose state this instance keeps: those in use or, if few are configured, all."},
 		reporter.Metric{Name: metricRankings, Kind: reporter.KindGauge, Description: "Rankings of instances as holders of connections since the start. It grows with the changes of instances and the groups in use."},
 	)
+	list = append(list,
+		reporter.Metric{Name: metricLimitWaited, Kind: reporter.KindGauge, Description: "Operations since the start that waited for a lease of their customer's limit."},
+		reporter.Metric{Name: metricLimitReservationsUsed, Kind: reporter.KindGauge, Description: "Operations since the start that used capacity reserved for a retry."},
+		reporter.Metric{Name: metricLimitRefusedAtOnce, Kind: reporter.KindGauge, Description: "Operations since the start refused by a limit without a wait, because they were not expected to be admitted in time."},
+		reporter.Metric{Name: metricLimitRefusedAfterWait, Kind: reporter.KindGauge, Description: "Operations since the start refused by a limit after a wait. Alert when it grows faster than limit-refused-at-once: the estimates are wrong, or no accountant replies."},
+		reporter.Metric{Name: metricLimitNotReserved, Kind: reporter.KindGauge, Description: "Refusals by a limit since the start for which no capacity could be reserved within the next 5 s."},
+	)
 	for _, n := range ruleNames {
 		list = append(list, reporter.Metric{Name: metricServed + n, Kind: kindHistogram, Description: "Time from reading a statement to its response, by the route's kind."})
 	}
@@ -110,6 +125,19 @@
 		}
 		return int64(i.peers.forwarder.RankingCount())
 	})
+	limitStats := func(read func(s reserver.Stats) int64) func() int64 {
+		return func() int64 {
+			if i.peers == nil {
+				return 0
+			}
+			return read(i.peers.accountant.Reserver.Stats())
+		}
+	}
+	gauge(metricLimitWaited, limitStats(func(s reserver.Stats) int64 { return s.Waited }))
+	gauge(metricLimitReservationsUsed, limitStats(func(s reserver.Stats) int64 { return s.Reserved }))
+	gauge(metricLimitRefusedAtOnce, limitStats(func(s reserver.Stats) int64 { return s.RefusedAtOnce }))
+	gauge(metricLimitRefusedAfterWait, limitStats(func(s reserver.Stats) int64 { return s.RefusedAfterWait }))
+	gauge(metricLimitNotReserved, limitStats(func(s reserver.Stats) int64 { return s.NotReserved }))
 	gauge(metricConnections, func() int64 { held, _ := i.connectionLoad(); return held })
 	gauge(metricWaiting, func() int64 { _, waiting := i.connectionLoad(); return waiting })
 }
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -38,8 +38,35 @@
 // LimitError rejects an operation of a customer that is over its rate limit.
 type LimitError struct {
 	Customer string
-	// RetryAfter is the delay after which the caller may retry.
+	// RetryAfter is the delay after which the caller may retry; Reserved is set if capacity is
+	// reserved for that time.
 	RetryAfter time.Duration
+	Reserved   bool
+	// Waited is how long the operation waited for its admission.
+	Waited time.Duration
+	// Balance explains the refusal; nil if another instance refused, or no accountant has replied.
+	Balance *LimitBalance
+}
+
+// LimitBalance is what an instance knew of a customer's limit when it refused an operation.
+type LimitBalance struct {
+	PerSecond, Burst float64
+	// Used is how many operations this instance ran in the last 6 s, Leased how many leased ones it
+	// had left.
+	Used, Leased int
+	// Withheld is the fraction of the limit reserved for silent instances, Cause the accountant's
+	// reason for leasing no more.
+	Withheld float64
+	Cause    string
+}
+
+// LogFields returns what explains the refusal, for a log line.
+func (e *LimitError) LogFields() []any {
+	fields := []any{"reserved", e.Reserved, "limit-waited-ms", e.Waited.Milliseconds()}
+	if b := e.Balance; b != nil {
+		fields = append(fields, "per-second", b.PerSecond, "burst", b.Burst, "used-here", b.Used, "leased-here", b.Leased, "withheld", b.Withheld, "cause", b.Cause)
+	}
+	return fields
 }
 
 // Error implements error.
@@ -93,7 +120,7 @@
 		HeldElsewhere    func(group, member string) bool
 		// Admit, when set, decides whether a new operation of a customer may run on one of this
 		// instance's connections; UndoAdmit reverses the admission of an operation that has not run.
-		Admit     func(ctx context.Context, customer string) error
+		Admit     func(ctx context.Context, r Request) error
 		UndoAdmit func(customer string)
 		// NoteLent, when set, is called for each connection lent to a caller; opened is set if it
 		// was newly opened.
@@ -270,7 +297,7 @@
 	if !r.RateLimited || p.Admit == nil || !p.limited(r.Customer) {
 		return p.borrow(ctx, r)
 	}
-	if err := p.Admit(ctx, r.Customer); err != nil {
+	if err := p.Admit(ctx, r); err != nil {
 		return nil, err
 	}
 	c, err := p.borrow(ctx, r)
--- a/internal/limiter/customer.go
+++ b/internal/limiter/customer.go
@@ -15,11 +15,25 @@
 	// unreported counts operations that are in no report yet, inFlight those in the report that
 	// awaits a reply, reported those in acknowledged reports.
 	unreported, inFlight, reported window
-	// waiters is the number of operations that wait for a lease.
-	waiters int
+	// waiters is the number of operations that wait for a lease, reserved the number of refused
+	// ones that were told to retry within the next second.
+	waiters  Counts
+	reserved int
+	// requestAt is when waiting operations are reported again.
+	requestAt Timestamp
 	// demand is the requested operations per second as of demandAt.
-	demand   float64
-	demandAt Timestamp
+	// classDemand is the same by class.
+	demand      float64
+	classDemand Rates
+	demandAt    Timestamp
+	// pace is this instance's share of the pace in operations per second, 0 if unknown, for the
+	// reported demand pacedDemand; cause and withheld are those of the last reply, throttledUntil is until when the customer counts as
+	// throttled.
+	pace           float64
+	pacedDemand    Rates
+	cause          Cause
+	withheld       float64
+	throttledUntil Timestamp
 	// leaseRequiredUntil is until when every operation requires a lease.
 	leaseRequiredUntil Timestamp
 	// refuseUntil is until when operations are refused without asking the accountant, retryAt when
@@ -72,14 +86,17 @@
 }
 
 // countDemand adds a requested operation to the demand estimate.
-func (c *customer) countDemand(now Timestamp) {
-	c.demand = decayed(c.demand, now-c.demandAt, demandHalfLife) + demandStep
-	c.demandAt = now
+func (c *customer) countDemand(now Timestamp, class int) {
+	c.demand, c.classDemand, c.demandAt = c.currentDemand(now)+demandStep, c.currentClassDemand(now), now
+	c.classDemand[class] += classDemandStep
 }
 
 // demandStep is the weight of one operation in the demand estimate: ln 2 / demandHalfLife makes
 // the decaying count a rate per second.
-var demandStep = 0.6931 / demandHalfLife.Seconds()
+var (
+	demandStep      = 0.6931 / demandHalfLife.Seconds()
+	classDemandStep = 0.6931 / classDemandHalfLife.Seconds()
+)
 
 // currentFallbackRate returns this instance's fallback rate in operations per second. An instance
 // that isn't expected to run operations has none until an accountant assigns one.
@@ -110,7 +127,18 @@
 	return decayed(c.demand, now-c.demandAt, demandHalfLife)
 }
 
+// currentClassDemand returns the demand estimate at now by class.
+func (c *customer) currentClassDemand(now Timestamp) Rates {
+	return c.classDemand.decayed(now-c.demandAt, classDemandHalfLife)
+}
+
+// relinquishes reports whether the instance returns its unused tokens with the next report: while
+// the customer is throttled, operations on other instances wait for them.
+func (c *customer) relinquishes(now Timestamp) bool {
+	return now < c.throttledUntil && c.tokens > 0 && now < c.leasedUntil && c.waiters.Total() == 0
+}
+
 // inactive reports whether the customer has no recent operations and none waiting.
 func (c *customer) inactive(now Timestamp) bool {
-	return c.unreported.sum(now) == 0 && c.waiters == 0 && c.currentDemand(now) < minDemand
+	return c.unreported.sum(now) == 0 && c.waiters.Total() == 0 && c.currentDemand(now) < minDemand
 }
--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -58,6 +58,15 @@
 		tokens    float64
 		updatedAt Timestamp
 		shares    map[string]*instanceShare
+		// smoothedPace is the moving average of the refill rate per second, throttledAt when fewer
+		// tokens were leased than operations waited, 0 if never.
+		smoothedPace float64
+		// reserve is the part of the tokens that is left for the most urgent class.
+		reserve float64
+		// demandSum is the demand of all instances by class as of summedAt.
+		demandSum   Rates
+		summedAt    Timestamp
+		throttledAt Timestamp
 		// predecessorRates are the fallback rates that the previous accountant assigned.
 		predecessorRates map[*reporter]float64
 	}
@@ -69,9 +78,13 @@
 		// used since assumedAt, until a report contains the actual usage.
 		leased, assumedUsed    int
 		leasedUntil, assumedAt Timestamp
-		// demand is the requested operations per second as of demandAt.
-		demand   float64
-		demandAt Timestamp
+		// demand is the requested operations per second as of demandAt, classDemand the same by
+		// class.
+		demand      float64
+		classDemand Rates
+		demandAt    Timestamp
+		// waiting is the number of operations that waited at the last report and got no token.
+		waiting Counts
 		// fallbackRate is the instance's rate in operations per second while it is isolated.
 		fallbackRate float64
 	}
@@ -198,7 +211,7 @@
 func (l *Ledger) account(now Timestamp, customer string, limit identifier.Limit, fleet fleetStatus) *account {
 	a, ok := l.accounts[customer]
 	if !ok {
-		a = &account{used: newHistory(l.Tolerance.Window), tokens: initialBurstFraction * l.Tolerance.burst(limit), updatedAt: now, shares: map[string]*instanceShare{}, predecessorRates: map[*reporter]float64{}}
+		a = &account{smoothedPace: limit.PerSecond, used: newHistory(l.Tolerance.Window), tokens: initialBurstFraction * l.Tolerance.burst(limit), updatedAt: now, shares: map[string]*instanceShare{}, predecessorRates: map[*reporter]float64{}}
 		l.accounts[customer] = a
 	}
 	a.limit = limit
@@ -219,14 +232,21 @@
 			delete(a.shares, name)
 		}
 	}
-	a.tokens = min((1-a.reservedFraction(now, fleet))*t.burst(a.limit), a.tokens+a.pace(now, t, fleet)*(now-a.updatedAt).Seconds())
+	pace, elapsed := a.pace(now, t, fleet, 0), now-a.updatedAt
+	a.tokens = min((1-a.reservedFraction(now, fleet))*t.burst(a.limit), a.tokens+pace*elapsed.Seconds())
+	told := a.pace(now, t, fleet, paceSmoothing)
+	a.smoothedPace = told + (a.smoothedPace-told)*math.Exp(-elapsed.Seconds()/paceSmoothing.Seconds())
+	a.refillReserve(now, t, fleet, pace, elapsed)
 	a.updatedAt = now
 }
 
-// pace returns the refill rate of the account per second.
-func (a *account) pace(now Timestamp, t Tolerance, fleet fleetStatus) float64 {
-	allowed := t.leaseLimit(a.limit) * (1 - a.reservedFraction(now, fleet))
-	return max(0, a.used.pace(now, allowed-a.totalLeased()))
+// pace returns the refill rate of the account per second, from a time ahead on.
+func (a *account) pace(now Timestamp, t Tolerance, fleet fleetStatus, ahead time.Duration) float64 {
+	allowed := t.leaseLimit(a.limit)
+	if _, several := a.urgentClass(now); several {
+		allowed = t.sharedLimit(a.limit)
+	}
+	return max(0, a.used.pace(now, allowed*(1-a.reservedFraction(now, fleet))-a.totalLeased(), ahead))
 }
 
 // consume records operations as run now.
@@ -307,7 +327,8 @@
 		a.tokens += float64(s.assumedUsed)
 		s.assumedUsed = 0
 	}
-	s.leased, s.demandAt, s.demand = usage.UnusedTokens, now, usage.Demand
+	s.leased, s.demandAt, s.demand, s.classDemand = usage.UnusedTokens, now, usage.Demand, usage.classDemand()
+	s.waiting, a.summedAt = Counts{}, 0
 	available := a.available(now, t, fleet)
 	demandShare := 1.0
 	if total := a.totalDemand(now); total > 0 {
@@ -321,8 +342,16 @@
 	// exhaust a small customer's limit.
 	wanted := float64(usage.Waiters) + math.Floor(usage.Demand*leaseHorizon.Seconds()) - float64(usage.UnusedTokens)
 	g.Tokens = max(0, int(min(available, max(demandShare*available, float64(usage.Waiters)), wanted)))
+	if g.Tokens < usage.Waiters || a.throttled(now) {
+		g.Tokens, s.waiting = a.grantWaiting(now, s, usage.waiting(), available, t, fleet)
+	}
+	a.reserve = max(0, min(a.reserve, a.tokens-a.totalLeased()-float64(g.Tokens)))
+	g.Pace = max(minPace, a.paceShare(now, s, demandShare))
+	g.Withheld = a.reservedFraction(now, fleet)
 	if g.Tokens < usage.Waiters {
-		g.RetryAfter = clampRetryAfter((float64(usage.Waiters-g.Tokens) - (available - float64(g.Tokens))) / t.rate(a.limit))
+		a.throttledAt = now
+		g.RetryAfter = clampRetryAfter(float64(usage.Waiters-g.Tokens) / g.Pace)
+		g.Cause = a.cause(now, t, g.Withheld, usage.Waiters)
 	}
 	s.leased, s.leasedUntil = s.leased+g.Tokens, now+leaseDuration+leaseGrace
 	if s.leased == 0 && usage.Demand < minDemand {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -26,8 +26,10 @@
 //
 //	leased per second, all sides + fallback rates of isolated instances <= rate + burst / window
 //
-// Within the window, a token bucket spreads the leases, so that a customer above its limit is
-// served evenly instead of in one burst per window.
+// Within the window, a token bucket spreads the leases. It is refilled at the pace: the largest
+// constant rate that keeps every window, up to one window ahead, within the limit. So a burst
+// causes no gap one window later. Tokens of a throttled customer go to the waiting operations of
+// the most urgent class first, on all instances.
 package limiter
 
 import (
@@ -41,6 +43,31 @@
 const (
 	// excessLeaseFraction is the fraction of the tolerated excess that an account may lease.
 	excessLeaseFraction = 0.25
+	// sharedExcessFraction replaces it for all but the most urgent class of a customer that uses
+	// several: the rest of the window is left for bursts of the most urgent class.
+	sharedExcessFraction = 0.2
+	// urgentReserveFraction is the largest fraction of the balance that is left for these bursts.
+	// The reserve is urgentReserveDeviations standard deviations of the class's demand of a second.
+	urgentReserveFraction   = 0.5
+	urgentReserveDeviations = 3
+	// reserveRefillFraction is the fraction of the pace that refills the reserve: refilling it with
+	// the whole pace would cause a gap for the other classes after each burst.
+	reserveRefillFraction = 0.15
+	// throttledPeriod is how long after a lease for fewer operations than waited an account, or an
+	// instance, counts as throttled.
+	throttledPeriod = time.Second
+	// throttledReportInterval is how often an instance reports the usage of a throttled customer,
+	// since usage enters the accountant's window only when it is reported.
+	throttledReportInterval = 200 * time.Millisecond
+	// minRequestInterval and maxRequestInterval bound how often an instance reports operations that
+	// wait while the customer is throttled. waitersTTL is how long the accountant considers them.
+	minRequestInterval = 10 * time.Millisecond
+	maxRequestInterval = 100 * time.Millisecond
+	waitersTTL         = 300 * time.Millisecond
+	// paceSmoothing is the time constant of the pace that is divided among the instances.
+	paceSmoothing = time.Second
+	// minPace is the least pace that is told, since 0 means unknown, in operations per second.
+	minPace = 0.001
 	// excessBurstFraction is the fraction of the tolerated excess that may run at once on top of
 	// the burst.
 	excessBurstFraction = 0.35
@@ -83,6 +110,9 @@
 	refusalDuration = 300 * time.Millisecond
 	// demandHalfLife is the half-life of the demand estimate.
 	demandHalfLife = 2 * time.Second
+	// classDemandHalfLife is that of the demand by class. It is shorter: until the demand of the more
+	// urgent classes is known, too much capacity is reserved for the others.
+	classDemandHalfLife = 700 * time.Millisecond
 	// fallbackBurstSpan is the time for which an isolated instance may accumulate unused tokens of
 	// its fallback rate.
 	fallbackBurstSpan = time.Second
@@ -116,6 +146,13 @@
 		Waiters int
 		// Demand is the recent number of requested operations per second.
 		Demand float64
+		// WaitersByClass divides Waiters by the order in which they should be served, DemandByClass
+		// Demand by class; zero if unknown.
+		WaitersByClass Counts
+		DemandByClass  Rates
+		// Reserved is the number of refused operations that were told to retry within the next
+		// second.
+		Reserved int
 		// FallbackRate is the fallback rate that the previous accountant assigned, in operations per
 		// second; HasFallbackRate is set if it assigned one.
 		FallbackRate    float64
@@ -159,6 +196,12 @@
 		FallbackRate float64
 		// RetryAfter is when more tokens may be available, if fewer were leased than requested.
 		RetryAfter time.Duration
+		// Pace is the instance's share of the pace in operations per second, 0 if unknown.
+		Pace float64
+		// Cause is why fewer tokens were leased than operations wait, Withheld the fraction of the
+		// limit that is reserved for silent instances.
+		Cause    Cause
+		Withheld float64
 	}
 )
 
@@ -172,20 +215,17 @@
 	return max(1, l.PerSecond*t.Window.Seconds()+l.Burst+excessLeaseFraction*t.excess(l))
 }
 
+// sharedLimit returns how many operations of less urgent classes may make an account lease in a
+// window.
+func (t Tolerance) sharedLimit(l identifier.Limit) float64 {
+	return max(1, l.PerSecond*t.Window.Seconds()+l.Burst+sharedExcessFraction*t.excess(l))
+}
+
 // burst returns the maximum balance of an account.
 func (t Tolerance) burst(l identifier.Limit) float64 {
 	return max(1, l.Burst+excessBurstFraction*t.excess(l))
 }
 
-// rate returns the refill rate of an account per second, so that a window's refill stays within
-// rate and burst.
-func (t Tolerance) rate(l identifier.Limit) float64 {
-	if t.Window <= 0 {
-		return l.PerSecond
-	}
-	return l.PerSecond + l.Burst/t.Window.Seconds()
-}
-
 // decayed returns what remains of n after a time, given its half-life.
 func decayed(n float64, elapsed, halfLife time.Duration) float64 {
 	return n * math.Exp2(-float64(max(0, elapsed))/float64(halfLife))
--- a/internal/limiter/meter.go
+++ b/internal/limiter/meter.go
@@ -63,10 +63,15 @@
 	}
 )
 
-// Decide decides on an operation of a customer. After RequestLease, the caller calls
-// AddWaiters, waits for the reply to a report, and calls Decide again. retryAfter is the delay
-// after which a refused caller may retry.
+// Decide decides on an operation of the most urgent class, as DecideClass does.
 func (m *Meter) Decide(now Timestamp, name string, limit identifier.Limit, attempt Attempt) (decision Decision, retryAfter time.Duration) {
+	return m.DecideClass(now, name, limit, 0, attempt)
+}
+
+// DecideClass decides on an operation of a customer. After RequestLease, the caller calls
+// SetWaiters or AddWaiters, waits for the reply to a report, and calls it again. retryAfter is the
+// delay after which a refused caller may retry.
+func (m *Meter) DecideClass(now Timestamp, name string, limit identifier.Limit, class int, attempt Attempt) (decision Decision, retryAfter time.Duration) {
 	if !limit.Limited() {
 		return Admit, 0
 	}
@@ -74,7 +79,7 @@
 	defer m.mutex.Unlock()
 	c := m.customer(now, name, limit)
 	if attempt == FirstAttempt {
-		c.countDemand(now)
+		c.countDemand(now, class)
 	}
 	isolated := m.isolated(now)
 	if isolated && !c.isolated {
@@ -94,7 +99,7 @@
 	case now < c.refuseUntil:
 		return Refuse, max(c.retryAt-now, minRetryAfter)
 	case attempt == LastAttempt:
-		return Refuse, minRetryAfter
+		return Refuse, m.lastRetryAfter(now, c)
 	default:
 		return RequestLease, 0
 	}
@@ -102,6 +107,38 @@
 	return Admit, 0
 }
 
+// lastRetryAfter returns the retry delay of an operation whose wait has timed out: until a token of
+// the instance's share is due, or until the instance counts as isolated.
+func (m *Meter) lastRetryAfter(now Timestamp, c *customer) time.Duration {
+	if c.pace > 0 {
+		return clampRetryAfter(float64(1+c.waiters.Total()) / c.pace)
+	}
+	return max(minRetryAfter, m.unackedSince+isolationTimeout-now)
+}
+
+// CountDemand counts a requested operation that is not decided yet, because others wait.
+func (m *Meter) CountDemand(now Timestamp, name string, limit identifier.Limit, class int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.customer(now, name, limit).countDemand(now, class)
+}
+
+// Supply returns what is known of a customer's limit.
+func (m *Meter) Supply(now Timestamp, name string, limit identifier.Limit) Supply {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	c, isolated := m.customer(now, name, limit), m.isolated(now)
+	s := Supply{Rate: c.pace, Demand: c.pacedDemand, Throttled: isolated || now < c.throttledUntil}
+	if isolated {
+		s.Rate, s.Demand = c.currentFallbackRate(limit, m.Instances(), m.ReportExpected()), c.currentClassDemand(now)
+	}
+	s.Balance = InstanceBalance{Used: c.unreported.sum(now) + c.inFlight.sum(now) + c.reported.sum(now), Cause: c.cause, Withheld: c.withheld}
+	if now < c.leasedUntil {
+		s.Balance.Leased = c.tokens
+	}
+	return s
+}
+
 // Undo reverses the admission of an operation that has not run.
 func (m *Meter) Undo(now Timestamp, name string) {
 	m.mutex.Lock()
@@ -117,8 +154,33 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if c, ok := m.customers[name]; ok {
-		c.waiters = max(0, c.waiters+by)
+		c.waiters[0] = max(0, c.waiters[0]+by)
+		c.requestAt = 0
+	}
+}
+
+// SetWaiters sets how many operations wait for a lease, and how many refused ones were told to
+// retry within the next second.
+func (m *Meter) SetWaiters(now Timestamp, name string, waiters Counts, reserved int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	c, ok := m.customers[name]
+	if !ok {
+		return
 	}
+	for k := range waiters {
+		if waiters[k] > 0 {
+			// The first of a class more urgent than those that wait is reported at once.
+			if c.waiters[k] == 0 {
+				c.requestAt = 0
+			}
+			break
+		}
+		if c.waiters[k] > 0 {
+			break
+		}
+	}
+	c.waiters, c.reserved = waiters, reserved
 }
 
 // isolated reports whether the accountant has not replied within isolationTimeout.
@@ -132,14 +194,28 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for _, c := range m.customers {
-		if c.waiters > 0 {
+		used := c.unreported.sum(now) > 0 || c.relinquishes(now)
+		if c.waiters.Total() > 0 && now >= c.requestAt || used && now < c.throttledUntil && m.pending == nil && now-m.lastAcked >= throttledReportInterval {
 			return true, true
 		}
-		due = due || c.unreported.sum(now) > 0
+		due = due || used
 	}
 	return due || now-m.lastAcked > idleReportInterval && (len(m.customers) > 0 || m.ReportExpected()), false
 }
 
+// NextRequest returns how long after now waiting operations are reported again; ok is false if none
+// waits.
+func (m *Meter) NextRequest(now Timestamp) (in time.Duration, ok bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, c := range m.customers {
+		if c.waiters.Total() > 0 && (!ok || c.requestAt-now < in) {
+			in, ok = c.requestAt-now, true
+		}
+	}
+	return max(0, in), ok
+}
+
 // NextReport returns the next report for the accountant. An unacknowledged report is repeated.
 func (m *Meter) NextReport(now Timestamp) Report {
 	m.mutex.Lock()
@@ -154,10 +230,13 @@
 	r := Report{Instance: m.Instance, Incarnation: m.Incarnation, Sequence: m.sequence, NewAccountant: m.accountantIncarnation == 0, SincePredecessorAck: m.sincePredecessorAck(now)}
 	for name, c := range m.customers {
 		inactive := c.inactive(now)
-		if !inactive && c.unreported.sum(now) == 0 && c.waiters == 0 && !(r.NewAccountant && (c.grantedAt != 0 || c.reported.sum(now) > 0)) {
+		if !inactive && c.unreported.sum(now) == 0 && c.waiters.Total() == 0 && !c.relinquishes(now) && !(r.NewAccountant && (c.grantedAt != 0 || c.reported.sum(now) > 0)) {
 			continue
 		}
-		s := Usage{Customer: name, Used: c.unreported.list(now), Waiters: c.waiters, Demand: c.currentDemand(now)}
+		s := Usage{Customer: name, Used: c.unreported.list(now), Waiters: c.waiters.Total(), Demand: c.currentDemand(now), WaitersByClass: c.waiters, DemandByClass: c.currentClassDemand(now), Reserved: c.reserved}
+		if c.relinquishes(now) {
+			c.tokens = 0
+		}
 		if now < c.leasedUntil && !inactive {
 			s.UnusedTokens = c.tokens
 		}
@@ -209,6 +288,11 @@
 	pastReported := m.pending != nil && m.pending.NewAccountant
 	if m.pending != nil {
 		m.markReported(sent)
+		for _, s := range m.pending.Usages {
+			if c, ok := m.customers[s.Customer]; ok {
+				c.pacedDemand = s.DemandByClass
+			}
+		}
 	}
 	m.pending, m.lastAcked = nil, max(sent, m.unackedSince)
 	if pastReported || m.accountantIncarnation == r.Incarnation {
@@ -232,8 +316,15 @@
 		} else {
 			c.fallbackTokens = max(c.fallbackTokens, 1)
 		}
+		c.pace, c.cause, c.withheld = g.Pace, g.Cause, g.Withheld
+		c.requestAt = 0
+		if g.Cause != CauseNone {
+			c.throttledUntil = sent + throttledPeriod
+			c.requestAt = sent + min(max(time.Duration(float64(time.Second)/max(g.Pace, minPace)), minRequestInterval), maxRequestInterval)
+		}
 		c.refuseUntil = 0
-		if g.RetryAfter > 0 {
+		if g.RetryAfter > 0 && g.Pace == 0 {
+			// The accountant runs an earlier version.
 			c.refuseUntil, c.retryAt = sent+min(g.RetryAfter, refusalDuration), sent+g.RetryAfter
 		}
 	}
--- a/internal/limiter/window.go
+++ b/internal/limiter/window.go
@@ -71,14 +71,18 @@
 // window, up to the one that ends one window ahead, has at most the allowed operations. It is
 // negative if the current window has more. Handles sustained demand above the limit after a burst:
 // refilling at a fixed rate until the window is full would cause a gap one window after the burst.
-func (h *history) pace(now Timestamp, allowed float64) float64 {
+//
+// Windows that end within skip are not considered.
+func (h *history) pace(now Timestamp, allowed float64, skip time.Duration) float64 {
 	remaining := allowed - float64(h.sum(now))
 	lowest := math.Inf(1)
 	for k := range int64(len(h.counts)) {
 		// Until ahead, the k oldest slots have left the window. Within this time, its end has the
 		// lowest rate.
 		ahead := min(h.window, time.Duration(k+1)*h.width-now%h.width)
-		lowest = min(lowest, remaining/ahead.Seconds())
+		if ahead > skip {
+			lowest = min(lowest, remaining/ahead.Seconds())
+		}
 		remaining += float64(h.counts[(h.newest+1+k)%int64(len(h.counts))])
 	}
 	return lowest
