--- a/internal/dispatcher/execution.go
+++ b/internal/dispatcher/execution.go
@@ -125,7 +125,7 @@
 		if report := x.session.server.CountLimited; report != nil {
 			report(limit.Customer)
 		}
-		return x.refuseWithRetryAfter(ReasonOverLimit, limit.RetryAfter)
+		return x.refuseWithRetryAfter(ReasonOverLimit, limit.RetryAfter, limit.LogFields()...)
 	}
 	var overload *lender.OverloadError
 	if errors.As(err, &overload) {
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/oriolegw/oriolegw/internal/forecaster"
 	"github.com/oriolegw/oriolegw/internal/forwarder"
 	"github.com/oriolegw/oriolegw/internal/reporter"
+	"github.com/oriolegw/oriolegw/internal/reserver"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 	"github.com/uber-go/tally/v4"
 )
@@ -35,6 +36,13 @@
 	metricPlaced         = metricPrefix + "reads-placed."
 	metricLoadsRejected  = metricPrefix + "loads-rejected"
 	kindHistogram        = "histogram"
+
+	metricLimitPrefix           = metricPrefix + "limit-"
+	metricLimitWaited           = metricLimitPrefix + "waited"
+	metricLimitReservationsUsed = metricLimitPrefix + "reservations-used"
+	metricLimitRefusedAtOnce    = metricLimitPrefix + "refused-at-once"
+	metricLimitRefusedAfterWait = metricLimitPrefix + "refused-after-wait"
+	metricLimitNotReserved      = metricLimitPrefix + "not-reserved"
 )
 
 var (
@@ -90,6 +98,13 @@
 		reporter.Metric{Name: metricPrefix + forwarder.CountLoanElsewhere, Kind: reporter.KindCounter, Description: "Loans for a member other than the best one, since the queue for that one was too long."},
 		reporter.Metric{Name: metricPrefix + forwarder.CountPressureRejected, Kind: reporter.KindCounter, Description: "Invalid queue lengths in replies of instances that hold connections. Alert when it grows for a minute; event=holder-queue-rejected names the instance."},
 	)
+	list = append(list,
+		reporter.Metric{Name: metricLimitWaited, Kind: reporter.KindGauge, Description: "Operations since the start that waited for a lease of their customer's limit."},
+		reporter.Metric{Name: metricLimitReservationsUsed, Kind: reporter.KindGauge, Description: "Operations since the start that used capacity reserved for a retry."},
+		reporter.Metric{Name: metricLimitRefusedAtOnce, Kind: reporter.KindGauge, Description: "Operations since the start refused by a limit without a wait, because they were not expected to be admitted in time."},
+		reporter.Metric{Name: metricLimitRefusedAfterWait, Kind: reporter.KindGauge, Description: "Operations since the start refused by a limit after a wait. Alert when it grows faster than limit-refused-at-once: the estimates are wrong, or no accountant replies."},
+		reporter.Metric{Name: metricLimitNotReserved, Kind: reporter.KindGauge, Description: "Refusals by a limit since the start for which no capacity could be reserved within the next 5 s."},
+	)
 	for _, n := range ruleNames {
 		list = append(list, reporter.Metric{Name: metricServed + n, Kind: kindHistogram, Description: "Time from reading a statement to its response, by the route's kind."})
 	}
@@ -141,6 +156,19 @@
 		}
 		return int64(i.peers.forwarder.RankingCount())
 	})
+	limitStats := func(read func(s reserver.Stats) int64) func() int64 {
+		return func() int64 {
+			if i.peers == nil {
+				return 0
+			}
+			return read(i.peers.accountant.Reserver.Stats())
+		}
+	}
+	gauge(metricLimitWaited, limitStats(func(s reserver.Stats) int64 { return s.Waited }))
+	gauge(metricLimitReservationsUsed, limitStats(func(s reserver.Stats) int64 { return s.Reserved }))
+	gauge(metricLimitRefusedAtOnce, limitStats(func(s reserver.Stats) int64 { return s.RefusedAtOnce }))
+	gauge(metricLimitRefusedAfterWait, limitStats(func(s reserver.Stats) int64 { return s.RefusedAfterWait }))
+	gauge(metricLimitNotReserved, limitStats(func(s reserver.Stats) int64 { return s.NotReserved }))
 	gauge(metricConnections, func() int64 { held, _ := i.connectionLoad(); return held })
 	gauge(metricWaiting, func() int64 { _, waiting := i.connectionLoad(); return waiting })
 }
