Retry times of a path that is down: no less than the outage is expected to last

Cause: callers retry twice. Told the time of the next probe, they used both retries within a second of an outage of several.

Change: the retry time is the later of the next probe and half of the outage's age, at most 1.15 s.

--- a/internal/forecaster/forecaster.go
+++ b/internal/forecaster/forecaster.go
@@ -20,8 +20,9 @@
 	// minRetryAfter is the smallest retry time of an outage: about one round trip between
 	// regions and the opening of a connection.
 	minRetryAfter = 30 * time.Millisecond
-	// maxOutageRetry bounds the retry time for an outage whose end is unknown.
-	maxOutageRetry = time.Second
+	// maxOutageRetry bounds the retry time for an outage whose end is unknown: callers that retry
+	// twice and give up after 2.5 s then cover most of that time.
+	maxOutageRetry = 1150 * time.Millisecond
 )
 
 // The outcomes of a decision.
--- a/internal/forecaster/outage.go
+++ b/internal/forecaster/outage.go
@@ -65,7 +65,9 @@
 }
 
 // DecideDown decides on a request whose paths are all down. It waits while a failover may still end
-// or the result of a probe is expected soon; otherwise one request at a time probes, and the others are refused until the next probe.
+// or the result of a probe is expected soon; otherwise one request at a time probes. The others are
+// refused until the next probe, but for no less than the outage is expected to last: callers retry
+// only a few times.
 func DecideDown(now time.Time, p Paths) Decision {
 	switch {
 	case p.Probing, p.Failover && now.Sub(p.Since) < FailoverTime:
@@ -73,6 +75,6 @@
 	case p.MayProbe:
 		return Decision{Verdict: Probe}
 	default:
-		return Decision{Verdict: Refuse, Cause: CausePathDown, RetryAfter: max(p.NextProbe.Sub(now), minRetryAfter), Outage: now.Sub(p.Since)}
+		return Decision{Verdict: Refuse, Cause: CausePathDown, RetryAfter: max(p.NextProbe.Sub(now), OutageRetry(now, p.Since)), Outage: now.Sub(p.Since)}
 	}
 }
