Holders: a refusal that ends a wait is an early one

A holder's retry time after an attempt of 200 ms that timed out is a guess. It would have ended waits that a failover lets succeed. A path that is down at the holder is refused with a retry time as before: reported as unreachable, each instance would open connections of its own when the member returns. Cause holder for the borrower's counter.

--- a/internal/forecaster/forecaster.go
+++ b/internal/forecaster/forecaster.go
@@ -46,12 +46,15 @@
 	CausePathDown Cause = "path-down"
 	// CausePrimaryUnknown means that the primary has been unknown for longer than a failover.
 	CausePrimaryUnknown Cause = "primary-unknown"
+	// CauseHolder means that the instance that holds the connections refused, with a retry time
+	// after the request's deadline.
+	CauseHolder Cause = "holder"
 	// CauseTimeout means that the request waited until its deadline.
 	CauseTimeout Cause = "timeout"
 )
 
 // Causes are all causes, for metrics.
-var Causes = []Cause{CauseQueue, CausePathDown, CausePrimaryUnknown, CauseTimeout}
+var Causes = []Cause{CauseQueue, CausePathDown, CausePrimaryUnknown, CauseHolder, CauseTimeout}
 
 type (
 	// Verdict is what happens to a request.
--- a/internal/forwarder/holders.go
+++ b/internal/forwarder/holders.go
@@ -218,7 +218,7 @@
 				return conn, err
 			}
 			last = err
-			if wait := waitError(err); wait != nil && time.Now().Add(wait.RetryAfter).After(until) {
+			if refusedByHolder(err, time.Now(), r.Deadline, until) {
 				return nil, err
 			}
 		}
@@ -226,6 +226,15 @@
 	}
 }
 
+// refusedByHolder reports whether a holder refused an attempt at once and expects to serve the request
+// after its deadline. The retry time of an attempt that waited until attemptEnd is only a guess, for
+// example while a failover may end sooner. Such a reply may arrive a little before attemptEnd, which is
+// sent in whole milliseconds.
+func refusedByHolder(err error, now, attemptEnd, deadline time.Time) bool {
+	wait := waitError(err)
+	return wait != nil && now.Add(retryDelay).Before(attemptEnd) && now.Add(wait.RetryAfter).After(deadline)
+}
+
 // soonest returns the error of a and b with the shorter expected wait; an unknown wait may be the
 // shortest.
 func soonest(a, b error) error {
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/oriolegw/oriolegw/internal/forecaster"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/linker/wire"
 )
@@ -179,8 +178,6 @@
 	switch {
 	case errors.As(err, &limit):
 		return &wire.LendReply{Refusal: wire.LendRefusal_LIMITED, AgainMs: uint32(limit.RetryAfter.Milliseconds())}
-	case errors.As(err, &wait) && wait.Cause == forecaster.CausePathDown:
-		return &wire.LendReply{Refusal: wire.LendRefusal_UNREACHED}
 	case errors.As(err, &wait) && errors.Is(err, lender.ErrNoConnection):
 		return &wire.LendReply{Refusal: wire.LendRefusal_FULL, AgainMs: uint32(wait.RetryAfter.Milliseconds())}
 	case errors.Is(err, lender.ErrNoConnection):
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -169,7 +169,7 @@
 	if r.LatestStart.IsZero() || wait == 0 || wait > maxPeerWait {
 		return lender.ErrNoConnection
 	}
-	return &lender.WaitError{Err: lender.ErrNoConnection, Decision: forecaster.Decision{Cause: forecaster.CauseQueue, RetryAfter: wait}}
+	return &lender.WaitError{Err: lender.ErrNoConnection, Decision: forecaster.Decision{Cause: forecaster.CauseHolder, RetryAfter: wait}}
 }
 
 // releaseAbandoned waits for the reply to a canceled request and returns what was lent. Closing
--- a/internal/forwarder/wait_test.go
+++ b/internal/forwarder/wait_test.go
@@ -20,3 +20,14 @@
 	must.Eq(t, unknown, soonest(unknown, long))
 	must.Eq(t, long, soonest(lender.ErrUseLocal, long))
 }
+
+// Guards against a holder's guess ending a wait that a failover may let succeed: only an early refusal
+// counts, and only if its retry time is after the deadline.
+func TestHolderTimeoutIsNoRefusal(t *testing.T) {
+	now, err := time.Now(), decodeFull(500, lender.Request{LatestStart: time.Now()})
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	must.True(t, refusedByHolder(err, now, at(200), at(400)))
+	must.False(t, refusedByHolder(err, now, at(200), at(600)))
+	must.False(t, refusedByHolder(err, at(199), at(200), at(600)))
+	must.False(t, refusedByHolder(lender.ErrNoConnection, now, at(200), at(400)))
+}
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -42,6 +42,7 @@
 		forecaster.CauseQueue:          "Requests with a latency objective refused at once because the queue for a connection does not drain before their deadline. Alert when it grows by a hundredth of the statements for 10 s.",
 		forecaster.CausePathDown:       "Requests with a latency objective refused at once because no eligible member is reachable, directly or through other instances.",
 		forecaster.CausePrimaryUnknown: "Requests with a latency objective refused at once because the primary has been unknown for longer than a failover takes.",
+		forecaster.CauseHolder:         "Requests with a latency objective refused at once because the instance that holds the connections expects to serve them after their deadline; its log has the cause.",
 		forecaster.CauseTimeout:        "Requests with a latency objective that waited for a connection until their deadline.",
 	}
 
