Late requests: behind the others of their customer, not behind all customers

Cause: a request that missed its objective queued behind all requests that were in time. A customer with few requests, delayed by the opening of a connection, then waited for all of a customer with many, until its deadline.

Change: where a pool has customers, a late request moves behind the others of its own customer only.

--- a/internal/lender/charge_test.go
+++ b/internal/lender/charge_test.go
@@ -80,3 +80,38 @@
 		must.Between(t, 0.08, part, 0.2)
 	}
 }
+
+// Guards against a customer's late request waiting for all requests of another that are in time.
+func TestLateRequestKeepsCustomersTurn(t *testing.T) {
+	runSharedPools(t, &groupsimulator.Group{MaxConnections: 24, Slots: 3, MaxQueued: 64}, 1, 1, func(t *testing.T, s *testGroup) {
+		p := s.pools[0]
+		p.Configure(24, directory(2))
+		run := func(customer string, objective time.Duration) error {
+			now := time.Now()
+			c, err := p.Borrow(t.Context(), lender.Request{EligibleMembers: primary, Customer: customer, Deadline: now.Add(deadlineTime), LatestStart: now.Add(objective)})
+			if err != nil {
+				return err
+			}
+			_, _, err = c.Exchange([]messenger.Command{{ID: "x", Kind: messenger.KindRead, Text: "FETCH k"}}, time.Now().Add(time.Second))
+			p.Return(c)
+			return err
+		}
+		var running sync.WaitGroup
+		until := time.Now().Add(5 * time.Second)
+		for range 60 {
+			running.Go(func() {
+				for time.Now().Before(until) {
+					if run(name(0), objectiveTime) != nil {
+						time.Sleep(50 * time.Millisecond)
+					}
+				}
+			})
+		}
+		for time.Sleep(time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+			for range 5 {
+				running.Go(func() { must.NoError(t, run(name(1), 10*time.Millisecond)) })
+			}
+		}
+		running.Wait()
+	})
+}
--- a/internal/lender/forecast.go
+++ b/internal/lender/forecast.go
@@ -205,10 +205,11 @@
 	now := time.Now()
 	ids := p.choose(&w.Request)
 	p.setMembers(w, ids)
-	if !w.late && now.After(w.LatestStart) && p.queuesLateLast() {
+	if !w.overdue && now.After(w.LatestStart) {
 		i := slices.Index(p.waiting, w)
 		p.waiting = slices.Delete(p.waiting, i, i+1)
-		w.late = true
+		w.overdue = true
+		p.markLate(w)
 		p.waiting = slices.Insert(p.waiting, p.position(w), w)
 	}
 	if w.probe && slices.ContainsFunc(ids, func(id string) bool { return p.member(id).opening > 0 }) {
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -203,9 +203,9 @@
 		arrived time.Time
 		// members are the eligible members when they were last determined.
 		members []string
-		// late is set if the request can't meet its objective, probe if it probes a path that is
-		// down.
-		late, probe bool
+		// late is set if the request queues behind those that can meet their objective, overdue once
+		// its own has passed, and probe if it probes a path that is down.
+		late, overdue, probe bool
 		// customerPriority is the customer's priority, virtualStart its start in the fair queue, and
 		// charge its charge there.
 		customerPriority int
--- a/internal/lender/queue.go
+++ b/internal/lender/queue.go
@@ -24,10 +24,8 @@
 	case forecaster.Probe:
 		w.probe = true
 	case forecaster.KeepLate:
-		if p.queuesLateLast() {
-			w.late = true
-			i = p.position(w)
-		}
+		p.markLate(w)
+		i = p.position(w)
 	}
 	p.waiting = slices.Insert(p.waiting, i, w)
 	p.setMembers(w, ids)
@@ -35,8 +33,8 @@
 }
 
 // position returns a request's position among the waiting ones: by the priority of the route,
-// those that can meet their objective first, the priority of the customer, fair queuing of the
-// customers, and arrival.
+// without customers those that can meet their objective first, the priority of the customer, fair
+// queuing of the customers, and arrival.
 func (p *Pool) position(w *waiter) int {
 	i, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b *waiter) int {
 		return cmp.Or(
@@ -107,9 +105,18 @@
 	}
 }
 
-// queuesLateLast reports whether requests that can't meet their objective queue behind the others.
-// Where all requests have the same class and no customer, the order is that of arrival.
-func (p *Pool) queuesLateLast() bool { return p.customers != nil || p.severalClasses() }
+// markLate moves a request that can't meet its objective behind the others of its class, or those of
+// its customer: a customer's late request must not wait for all of another's. Where all requests have
+// the same class and no customer, the order is that of arrival.
+func (p *Pool) markLate(w *waiter) {
+	switch {
+	case p.customers != nil:
+		_, start := p.nextStart(&w.Request)
+		w.virtualStart = max(w.virtualStart, start)
+	case p.severalClasses():
+		w.late = true
+	}
+}
 
 // severalClasses reports whether requests of several classes have waited.
 func (p *Pool) severalClasses() bool { return bits.OnesCount64(p.classes) > 1 }
