--- a/internal/forecaster/forecaster.go
+++ b/internal/forecaster/forecaster.go
@@ -20,8 +20,9 @@
 	// minRetryAfter is the smallest retry time of an outage: about one round trip between
 	// regions and the opening of a connection.
 	minRetryAfter = 30 * time.Millisecond
-	// maxOutageRetry bounds the retry time for an outage whose end is unknown.
-	maxOutageRetry = time.Second
+	// maxOutageRetry bounds the retry time for an outage whose end is unknown: callers that retry
+	// twice and give up after 2.5 s then cover most of that time.
+	maxOutageRetry = 1150 * time.Millisecond
 )
 
 // The outcomes of a decision.
@@ -45,12 +46,15 @@
 	CausePathDown Cause = "path-down"
 	// CausePrimaryUnknown means that the primary has been unknown for longer than a failover.
 	CausePrimaryUnknown Cause = "primary-unknown"
+	// CauseHolder means that the instance that holds the connections refused, with a retry time
+	// after the request's deadline.
+	CauseHolder Cause = "holder"
 	// CauseTimeout means that the request waited until its deadline.
 	CauseTimeout Cause = "timeout"
 )
 
 // Causes are all causes, for metrics.
-var Causes = []Cause{CauseQueue, CausePathDown, CausePrimaryUnknown, CauseTimeout}
+var Causes = []Cause{CauseQueue, CausePathDown, CausePrimaryUnknown, CauseHolder, CauseTimeout}
 
 type (
 	// Verdict is what happens to a request.
--- a/internal/lender/charge_test.go
+++ b/internal/lender/charge_test.go
@@ -71,14 +71,47 @@
 // Guards against a class that gets nothing under sustained pressure from class 0, with customers and
 // without.
 func TestLowerClassIsNotStarved(t *testing.T) {
-	for _, customers := range []int{0, 2} {
-		loads := []load{{40, 0, 1, ""}, {40, 2, 1, ""}}
-		if customers > 0 {
-			loads[0].customer, loads[1].customer = name(0), name(1)
-		}
-		served := runLoads(t, customers, loads...)
+	for customers, served := range [][]int{
+		runLoads(t, 0, load{40, 0, 1, ""}, load{40, 2, 1, ""}),
+		runLoads(t, 2, load{40, 0, 1, name(0)}, load{40, 2, 1, name(1)}),
+	} {
 		part := float64(served[1]) / float64(served[0]+served[1])
-		t.Logf("customers %d: served %v, part of class 2 %.3f", customers, served, part)
+		t.Logf("customers %t: served %v, part of class 2 %.3f", customers > 0, served, part)
 		must.Between(t, 0.08, part, 0.2)
 	}
 }
+
+// Guards against a customer's late request waiting for all requests of another that are in time.
+func TestLateRequestKeepsCustomersTurn(t *testing.T) {
+	runSharedPools(t, &groupsimulator.Group{MaxConnections: 24, Slots: 3, MaxQueued: 64}, 1, 1, func(t *testing.T, s *testGroup) {
+		p := s.pools[0]
+		p.Configure(24, directory(2))
+		run := func(customer string, objective time.Duration) error {
+			now := time.Now()
+			c, err := p.Borrow(t.Context(), lender.Request{EligibleMembers: primary, Customer: customer, Deadline: now.Add(deadlineTime), LatestStart: now.Add(objective)})
+			if err != nil {
+				return err
+			}
+			_, _, err = c.Exchange([]messenger.Command{{ID: "x", Kind: messenger.KindRead, Text: "FETCH k"}}, time.Now().Add(time.Second))
+			p.Return(c)
+			return err
+		}
+		var running sync.WaitGroup
+		until := time.Now().Add(5 * time.Second)
+		for range 60 {
+			running.Go(func() {
+				for time.Now().Before(until) {
+					if run(name(0), objectiveTime) != nil {
+						time.Sleep(50 * time.Millisecond)
+					}
+				}
+			})
+		}
+		for time.Sleep(time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+			for range 5 {
+				running.Go(func() { must.NoError(t, run(name(1), 10*time.Millisecond)) })
+			}
+		}
+		running.Wait()
+	})
+}
