Connections of customers: keep more, evict by the last one's use, open less

Cause: with 78 customers and 66 connections, 0.21 to 0.38 connections were opened for an operation in a replay of "limits" on one member (30 to 240 statements a second). Half of the connections were kept; the third connection of a frequent customer was kept and the only one of another evicted; a request opened another connection after 25 ms although one of its customer was to be returned. After a power loss, with 48 places taken by dead connections, a refused opening paused all others: 84 of 577 statements failed.

Change: a member's connections are kept but for three a slot, at least half. The customer whose last connection was used least loses it. A request waits for two average loans, at most 100 ms and a quarter of the time to its latest start, before another connection of its customer is opened. At a full member, a connection is opened in place of an idle one during the back-off. The stand-in of a group registers the slots that it has; it registered 3 always.

--- a/internal/lender/evict.go
+++ b/internal/lender/evict.go
@@ -17,9 +17,11 @@
 
 const (
 	// customerIdleFraction is the fraction of an instance's share of a member's connections below
-	// which idle ones are kept for customers. The rest is for reconnects after a restart, while
-	// members still hold the old connections.
-	customerIdleFraction = 0.5
+	// which idle ones are always kept for customers, roomPerSlot the number of connections for each
+	// slot of the member that are left otherwise. They are for reconnects after a restart of all
+	// instances, while the member still holds the old connections: with fewer than two for each slot,
+	// customers wait for places.
+	customerIdleFraction, roomPerSlot = 0.5, 3
 	// soleHolderFraction is the fraction of a member's connections that an instance may open if it
 	// holds them for all instances. The rest is for the failover controller and for instances that
 	// can't reach the holder.
@@ -37,47 +39,61 @@
 	// usageHalfLife is the half-life of a customer's usage count, long enough to distinguish
 	// customers that send statements every few seconds from those that do every minute.
 	usageHalfLife = 10 * time.Second
+	// usageDecays is how many times in a half-life the counts decay.
+	usageDecays = 4
 )
 
-// usage is a decaying count of connection uses by customer. The zero value is empty.
-type usage struct {
-	decayedAt time.Time
-	counts    map[string]float64
-}
+type (
+	// usage is a decaying count of connection uses. The zero value is empty.
+	usage struct {
+		decayedAt time.Time
+		counts    map[usageKey]float64
+	}
+
+	// usageKey identifies a customer's n-th connection at a time: it is used when the customer has n
+	// connections lent at once.
+	usageKey struct {
+		customer string
+		n        int
+	}
+)
+
+// minUsage is the decayed count below which an entry is deleted.
+const minUsage = 0.05
 
-// add counts a use.
-func (u *usage) add(now time.Time, customer string) {
+// add counts a use of a customer's n-th connection.
+func (u *usage) add(now time.Time, customer string, n int) {
 	if u.counts == nil {
-		u.counts = map[string]float64{}
+		u.counts = map[usageKey]float64{}
 	}
-	if elapsed := now.Sub(u.decayedAt); elapsed >= usageHalfLife {
+	if elapsed := now.Sub(u.decayedAt); elapsed >= usageHalfLife/usageDecays {
 		u.decayedAt = now
 		factor := math.Exp2(-float64(elapsed) / float64(usageHalfLife))
-		for c := range u.counts {
-			u.counts[c] *= factor
+		for k := range u.counts {
+			u.counts[k] *= factor
 		}
-		maps.DeleteFunc(u.counts, func(_ string, n float64) bool { return n < minUsage })
+		maps.DeleteFunc(u.counts, func(_ usageKey, n float64) bool { return n < minUsage })
 	}
-	u.counts[customer]++
+	u.counts[usageKey{customer, n}]++
 }
 
-// minUsage is the decayed count below which a customer's entry is deleted.
-const minUsage = 0.05
-
-// evictionCandidate returns the index of the idle connection to evict: that of the customer with
-// the lowest usage per idle connection, and among equals the least recently used.
-func evictionCandidate(idle []*Conn, usage *usage) int {
-	perCustomer := map[string]int{}
+// evictionCandidate returns the index of the idle connection to evict: one of the customer whose last
+// connection was used least, and among equals the least recently used. lent holds the numbers of
+// lent connections by customer. It handles the load of more customers than a member accepts
+// connections: a rule by uses per connection would keep the third connection of a frequent customer,
+// which is rarely needed, and evict the only one of another.
+func evictionCandidate(idle []*Conn, lent map[string]int, usage *usage) int {
+	perCustomer := maps.Clone(lent)
 	for _, c := range idle {
-		perCustomer[c.Customer]++
+		addCount(&perCustomer, c.Customer, 1)
 	}
 	candidate := -1
-	usagePerConn := func(c *Conn) float64 { return usage.counts[c.Customer] / float64(perCustomer[c.Customer]) }
+	lastUsage := func(c *Conn) float64 { return usage.counts[usageKey{c.Customer, perCustomer[c.Customer]}] }
 	for i, c := range idle {
 		switch {
-		case candidate < 0, usagePerConn(c) < usagePerConn(idle[candidate]):
+		case candidate < 0, lastUsage(c) < lastUsage(idle[candidate]):
 			candidate = i
-		case usagePerConn(c) == usagePerConn(idle[candidate]) && c.lastUsed.Before(idle[candidate].lastUsed):
+		case lastUsage(c) == lastUsage(idle[candidate]) && c.lastUsed.Before(idle[candidate].lastUsed):
 			candidate = i
 		}
 	}
@@ -89,7 +105,7 @@
 	if p.customers == nil || len(m.idle) == 0 {
 		return false
 	}
-	p.endIdle(m, evictionCandidate(m.idle, &m.usage))
+	p.endIdle(m, evictionCandidate(m.idle, m.lentByCustomer, &m.usage))
 	return true
 }
 
@@ -117,7 +133,19 @@
 
 // idleQuota returns how many connections to a member may stay open for customers.
 func (p *Pool) idleQuota(member string) int {
-	return max(1, int(customerIdleFraction*float64(p.memberConnections)/float64(max(1, p.holders(member)))))
+	x, _ := p.Group.Member(member)
+	return idleQuota(p.memberConnections, x.Slots, p.holders(member))
+}
+
+// idleQuota returns how many connections to a member an instance may keep open for customers, as one
+// of the given number of holders, 0 if unknown: all but roomPerSlot for each slot, at least
+// customerIdleFraction.
+func idleQuota(connections, slots, holders int) int {
+	kept := customerIdleFraction * float64(connections)
+	if slots > 0 {
+		kept = max(kept, float64(connections-roomPerSlot*slots))
+	}
+	return max(1, int(kept/float64(max(1, holders))))
 }
 
 // closeSpareByCustomer closes a member's idle connections that are broken, unused for maxIdleTime,
--- a/internal/lender/lend.go
+++ b/internal/lender/lend.go
@@ -107,7 +107,7 @@
 		}
 		c.neverLent = false
 		c.lastUsed = c.lentAt
-		m.usage.add(c.lentAt, c.Customer)
+		m.usage.add(c.lentAt, c.Customer, m.lentByCustomer[c.Customer])
 		m.throttler.RecordSend(c.lentAt)
 	}
 }
--- a/internal/lender/open.go
+++ b/internal/lender/open.go
@@ -51,7 +51,7 @@
 	member, ok := p.Group.Member(id)
 	now := time.Now()
 	limit := concurrentOpenings(member.Slots, p.holders(id), p.customers != nil, now.Sub(p.startedAt) < startPeriod)
-	if p.ctx == nil || p.closed || m.opening >= min(limit, m.open+1) || now.Before(m.retryAt) {
+	if p.ctx == nil || p.closed || m.opening >= min(limit, m.open+1) || now.Before(m.retryAt) && !m.mayExchange(p.customers != nil) {
 		return false
 	}
 	// While statements queue at the member, another connection serves none sooner, and its opening
@@ -62,7 +62,7 @@
 	if first && m.open+m.opening > 0 {
 		return false
 	}
-	if !ok || !p.mayOpen(m) {
+	if !ok || !p.makeRoom(m, now) {
 		return false
 	}
 	if m.opening == 0 {
@@ -89,7 +89,7 @@
 		p.NoteOpened(member.ID, err)
 	}
 	if err == nil {
-		m.backoff, m.noResponse, m.timeouts = 0, false, 0
+		m.backoff, m.noResponse, m.timeouts, m.full = 0, false, 0, m.full && time.Now().Before(m.retryAt)
 		m.open++
 		c.Customer, c.lastUsed, c.neverLent = customer, time.Now(), true
 		p.addIdle(c)
@@ -99,7 +99,7 @@
 	maxDelay := maxBackoff
 	if errors.As(err, &refused) && refused.Code == messenger.CodeTooManyConnections {
 		m.lastFull, maxDelay = time.Now(), maxFullBackoff
-		p.evictIdle(m)
+		m.full, m.vacated = true, p.evictIdle(m)
 	} else {
 		p.Group.RecordFailure(p.Clock(), member.ID, false)
 		m.noResponse = !errors.Is(err, syscall.ECONNREFUSED) && refused == nil
@@ -124,7 +124,10 @@
 func (p *Pool) openForWaiter(w *waiter) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if slices.Contains(p.waiting, w) {
-		p.openFor(p.choose(&w.Request), &w.Request)
+	if !slices.Contains(p.waiting, w) {
+		return
+	}
+	if ids := p.choose(&w.Request); time.Since(w.arrived) >= p.openDelay(w) || !p.mayReturnSoon(ids, w.Customer) {
+		p.openFor(ids, &w.Request)
 	}
 }
--- a/internal/lender/plan.go
+++ b/internal/lender/plan.go
@@ -15,6 +15,11 @@
 	// openingSlotFraction is the fraction of a member's slots that the openings of all holders may
 	// occupy; the rest runs statements on the connections already open.
 	openingSlotFraction = 0.5
+	// maxLoansAwaited is how many average loans a request waits for a lent connection of its customer,
+	// awaitedSlackFraction the fraction of the time until its latest start that this may take.
+	maxLoansAwaited, awaitedSlackFraction = 2.0, 0.25
+	// maxOpenDelay bounds this wait where transactions make loans long.
+	maxOpenDelay = 100 * time.Millisecond
 	// startPeriod is how long after its start a pool without customers counts on the other holders to
 	// open connections at the same time.
 	startPeriod = 2 * time.Second
@@ -75,7 +80,7 @@
 	}
 	for _, w := range p.openingOrder() {
 		ids := p.choose(&w.Request)
-		if now.Sub(w.arrived) >= openAfterWait || !p.mayReturnSoon(ids, w.Customer) {
+		if now.Sub(w.arrived) >= p.openDelay(w) || !p.mayReturnSoon(ids, w.Customer) {
 			p.openFor(ids, &w.Request)
 		}
 	}
@@ -125,3 +130,47 @@
 		return m != nil && m.openingByCustomer[customer] > 0
 	})
 }
+
+// mayExchange reports whether a connection may be opened in place of an idle one although the member
+// was full: it frees the place of a connection that is closed. After a power loss, a member holds
+// dead connections for some seconds; without an exchange, the customers that have none of the few
+// remaining places would wait for the end of each back-off.
+func (m *memberPool) mayExchange(perCustomer bool) bool {
+	return perCustomer && m.full && (m.vacated || len(m.idle) > 0)
+}
+
+// makeRoom reports whether a connection may be opened, and evicts an idle one if necessary.
+func (p *Pool) makeRoom(m *memberPool, now time.Time) bool {
+	if !now.Before(m.retryAt) {
+		return p.mayOpen(m)
+	}
+	if m.vacated {
+		m.vacated = false
+		return true
+	}
+	return p.evictIdle(m)
+}
+
+// openDelay returns how long a waiting request waits for a lent connection of its customer before
+// another one is opened, given the average loan and the time until the request's latest start,
+// negative without one. It handles the load of more customers than a member accepts connections:
+// another connection of a frequent customer takes the place of the only one of another.
+func openDelay(perCustomer bool, averageLoan, untilLatestStart time.Duration) time.Duration {
+	if !perCustomer {
+		return openAfterWait
+	}
+	delay := min(maxOpenDelay, time.Duration(maxLoansAwaited*float64(averageLoan)))
+	if untilLatestStart >= 0 {
+		delay = min(delay, time.Duration(awaitedSlackFraction*float64(untilLatestStart)))
+	}
+	return max(openAfterWait, delay)
+}
+
+// openDelay returns the openDelay of a waiting request.
+func (p *Pool) openDelay(w *waiter) time.Duration {
+	untilLatestStart := time.Duration(-1)
+	if !w.LatestStart.IsZero() {
+		untilLatestStart = max(0, w.LatestStart.Sub(w.arrived))
+	}
+	return openDelay(p.customers != nil, p.averageLoan, untilLatestStart)
+}
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -155,6 +155,9 @@
 		retryAt             time.Time
 		// lastFull is when the member last refused a connection because it has too many.
 		lastFull time.Time
+		// full is set if retryAt follows such a refusal; vacated is set if an idle connection was
+		// closed since then whose place is unused.
+		full, vacated bool
 		// throttler limits the rate of new work while the member is overloaded.
 		throttler throttler.Throttler
 		// resumeTimer is set while waiting requests are paced.
--- a/internal/lender/replay_test.go
+++ b/internal/lender/replay_test.go
@@ -12,6 +12,7 @@
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/standin/groupsimulator"
+	"github.com/shoenig/test/must"
 )
 
 // skewed returns a customer's number, with probabilities that fall with the number as in Zipf's law
@@ -114,3 +115,82 @@
 	p.Return(c)
 	return wait, err
 }
+
+// replayPowerLoss sends the load of replayLimits to a member that still holds dead connections for 3 s
+// after all instances lost power, to a pool that has just started.
+func replayPowerLoss(t *testing.T, dead int, perSecond float64) (r limitsReplay) {
+	group := &groupsimulator.Group{MaxConnections: 66, Slots: 6, MaxQueued: 64, HandshakeTime: 12 * time.Millisecond}
+	runSharedPools(t, group, 1, 1, func(t *testing.T, s *testGroup) {
+		p := s.pools[0]
+		p.NoteOpened = func(_ string, err error) {
+			if err != nil {
+				r.refused++
+			}
+		}
+		host := s.net.Host("10.8.9.9", "a")
+		m, _ := p.Group.Member("g-1")
+		var old []*lender.Conn
+		for n := range dead {
+			c, err := lender.Connect(t.Context(), host, p.Codec, m, name(n))
+			must.NoError(t, err)
+			old = append(old, c)
+		}
+		p.Configure(66, directory(78))
+		time.AfterFunc(3*time.Second, func() {
+			for _, c := range old {
+				c.Close()
+			}
+		})
+		random := rand.New(rand.NewPCG(1, 1))
+		var mutex sync.Mutex
+		var running sync.WaitGroup
+		_, _, _, before := p.Stats()
+		for begin := time.Now(); time.Since(begin) < 3*time.Second; {
+			customer, class := name(skewed(random, 78, 1)), random.IntN(3)
+			running.Go(func() {
+				wait, err := runClassStatement(t, p, customer, class)
+				mutex.Lock()
+				defer mutex.Unlock()
+				if err != nil {
+					r.failed++
+					return
+				}
+				r.served++
+				r.waits = append(r.waits, wait)
+			})
+			time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+		}
+		running.Wait()
+		_, _, _, opened := p.Stats()
+		r.opened = opened - before
+		slices.Sort(r.waits)
+	})
+	return r
+}
+
+// Guards against opening a connection for every third statement, and against openings beyond the
+// member's limit, where more customers than a member accepts connections use it.
+func TestOpeningsPerOperation(t *testing.T) {
+	for _, perSecond := range []float64{30, 120, 200, 240} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			r := replayLimits(t, 1, perSecond, 40*time.Second)
+			t.Log(r)
+			must.Less(t, 0.15, float64(r.opened)/float64(r.served))
+			must.Eq(t, 0, r.refused)
+			must.Eq(t, 0, r.failed)
+		})
+	}
+}
+
+// After a power loss, members hold the connections of all customers for 3 s; the remaining places
+// must be enough to serve all customers.
+func TestRoomAfterPowerLoss(t *testing.T) {
+	for _, dead := range []int{33, 48} {
+		t.Run(fmt.Sprint(dead), func(t *testing.T) {
+			r := replayPowerLoss(t, dead, 200)
+			t.Log(r)
+			must.Eq(t, 0, r.failed)
+			must.Less(t, 150*time.Millisecond, quantile(r.waits, 0.99))
+		})
+	}
+}
--- a/internal/standin/groupsimulator/group.go
+++ b/internal/standin/groupsimulator/group.go
@@ -225,7 +225,7 @@
 	var list []tracker.Member
 	for _, m := range g.members {
 		if !m.terminated {
-			list = append(list, tracker.Member{ID: m.ID, Group: g.Name, Address: m.IP + Port, Zone: m.Zone, Slots: 3, Leaving: m.leaving, Primary: m.primary, Revision: 1, StartTime: m.startedMillis})
+			list = append(list, tracker.Member{ID: m.ID, Group: g.Name, Address: m.IP + Port, Zone: m.Zone, Slots: cmp.Or(g.Slots, 3), Leaving: m.leaving, Primary: m.primary, Revision: 1, StartTime: m.startedMillis})
 		}
 	}
 	return list
