Placement by load: a loaded holder hands over connections

Cause: holders are ranked by size alone, so an instance with 0.134 cores may hold connections whose loans take most of its processor. A customer's read opened a connection at the first eligible member although another had one.

Change: instances tell their processor load (Peer.load_milli). One that uses half of its limit hands over the member with the most loans to the next one of the ranking, if that keeps below 0.4: one move in 2 s, none within 2 s of a change of the peers, and each further move of a member takes twice as long to be reversed. The new holder keeps idle connections only while the first one declines to lend. A read goes to a member with a kept connection of its customer where measured loan times say that this is faster. Invalid loads are dropped and logged.

--- a/cmd/oriolegw-edge/main.go
+++ b/cmd/oriolegw-edge/main.go
@@ -69,7 +69,7 @@
 	n := networker.TCP{}
 	promotions := (&platform.PromotionClient{Address: s.PromotionAddress, Network: n, LeaseHolder: s.Name}).Open()
 	i := &launcher.Instance{
-		Settings: s, Network: n, LogWriter: logs, Clock: launcher.Boottime, Shutdown: shutdown,
+		Settings: s, Network: n, LogWriter: logs, Clock: launcher.Boottime, ProcessorTime: launcher.ProcessorTime, Shutdown: shutdown,
 		Reload: reload, LoadSettings: func() (*loader.EdgeSettings, error) { return loader.LoadEdgeSettings(file) },
 		Platform: launcher.Platform{
 			Store:              (&platform.Store{Address: s.StoreAddress, Network: n}).Open(),
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -48,6 +48,9 @@
 		Name, Address, Zone string
 		// Millicores is its CPU limit in thousandths of a core, 0 if unknown.
 		Millicores int
+		// LoadMilli is the used part of the CPU limit in thousandths, 0 if unknown. It is set in
+		// messages only; Discoverer.Load returns the last one of a peer.
+		LoadMilli int
 	}
 
 	// Discoverer keeps the known peers. Set the exported fields before use. It is safe for
@@ -62,6 +65,9 @@
 		// across regions select the same lenders.
 		KeepAllZones atomic.Bool
 
+		// selfLoad is the load of this instance in thousandths, 0 if unknown.
+		selfLoad atomic.Int64
+
 		mutex sync.Mutex
 		peers map[string]*peerState
 		// added counts the peers added since the start, by zone.
@@ -79,9 +85,37 @@
 		// at failedAt.
 		failures               int
 		failingSince, failedAt tracker.Timestamp
+		// load is the peer's last reported load in thousandths, 0 if unknown, at loadAt.
+		load   int
+		loadAt tracker.Timestamp
 	}
 )
 
+// MaxLoadMilli is the largest valid load: ten times the CPU limit, which short samples may exceed.
+const MaxLoadMilli = 10_000
+
+// SetLoad sets the load of this instance in thousandths of its CPU limit, 0 if unknown.
+func (d *Discoverer) SetLoad(milli int) { d.selfLoad.Store(int64(milli)) }
+
+// SelfWithLoad returns this instance with its load, for messages.
+func (d *Discoverer) SelfWithLoad() Peer {
+	p := d.Self
+	p.LoadMilli = int(d.selfLoad.Load())
+	return p
+}
+
+// Load returns the last load that a peer has reported itself, in thousandths of its CPU limit, and
+// when; 0 if unknown.
+func (d *Discoverer) Load(name string) (milli int, at tracker.Timestamp) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	s, ok := d.peers[name]
+	if !ok {
+		return 0, 0
+	}
+	return s.load, s.loadAt
+}
+
 // RecordContact records a request or reply of a peer. It removes other peers with the same address.
 func (d *Discoverer) RecordContact(now tracker.Timestamp, p Peer) {
 	if p.Name == "" || p.Address == "" || p.Name == d.Self.Name {
@@ -93,7 +127,12 @@
 		d.removeOthersAt(p)
 	}
 	s := d.peerState(p)
-	*s = peerState{Peer: p, lastSeen: now, contacted: true}
+	load, loadAt := s.load, s.loadAt
+	if p.LoadMilli > 0 && p.LoadMilli <= MaxLoadMilli {
+		load, loadAt = p.LoadMilli, now
+	}
+	p.LoadMilli = 0
+	*s = peerState{Peer: p, lastSeen: now, contacted: true, load: load, loadAt: loadAt}
 	d.evict(p.Zone)
 }
 
@@ -114,6 +153,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	p.LoadMilli = 0 // of unknown age
 	s, known := d.peers[p.Name]
 	if known && s.contacted || !known && d.zoneFull(p.Zone) {
 		return
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -58,6 +58,8 @@
 	// registerRetryDelay is the minimum time between two attempts to write the record of this
 	// instance.
 	registerRetryDelay = time.Second
+	// loadRejectedInterval is the minimum time between two log lines on invalid loads.
+	loadRejectedInterval = 10 * time.Second
 	// InstancePrefix is the key prefix of instance records in the store.
 	InstancePrefix = "oriolegw/instance/"
 )
@@ -125,6 +127,8 @@
 	listed bool
 	// ownRecord is the record of this instance in the store.
 	ownRecord storer.Pair
+	// loadRejectedAt is when an invalid load was last logged.
+	loadRejectedAt tracker.Timestamp
 	// registerTriedAt is when the record was last written.
 	registerTriedAt tracker.Timestamp
 }
@@ -287,7 +291,7 @@
 
 // request sends a request to a peer and records the peers and proofs of its reply.
 func (e *Exchanger) request(ctx context.Context, address string, r *wire.TellRequest) (watcher.StoreState, error) {
-	r.Sender = toPeer(e.Discoverer.Self)
+	r.Sender = toPeer(e.Discoverer.SelfWithLoad())
 	var reply *wire.TellReply
 	requestedAt := e.Clock()
 	timeout := callTimeout
@@ -310,6 +314,7 @@
 	}
 	now := e.Clock()
 	responder := fromPeer(reply.Teller)
+	e.checkLoad(now, responder)
 	e.Discoverer.RecordContact(now, responder)
 	for _, p := range reply.Peers {
 		e.Discoverer.RecordListed(now, fromPeer(p))
@@ -337,8 +342,10 @@
 // HandleRequest handles a request of a peer.
 func (e *Exchanger) HandleRequest(r *wire.TellRequest) *wire.TellReply {
 	now := e.Clock()
-	e.Discoverer.RecordContact(now, fromPeer(r.Sender))
-	reply := &wire.TellReply{Teller: toPeer(e.Discoverer.Self)}
+	sender := fromPeer(r.Sender)
+	e.checkLoad(now, sender)
+	e.Discoverer.RecordContact(now, sender)
+	reply := &wire.TellReply{Teller: toPeer(e.Discoverer.SelfWithLoad())}
 	if !r.Changes && !r.OmitPeers {
 		for _, p := range e.Discoverer.PeersForReply(now) {
 			reply.Peers = append(reply.Peers, toPeer(p))
@@ -412,10 +419,26 @@
 	return list
 }
 
+// checkLoad logs an invalid load, which the discoverer drops.
+func (e *Exchanger) checkLoad(now tracker.Timestamp, p discoverer.Peer) {
+	if p.LoadMilli <= discoverer.MaxLoadMilli {
+		return
+	}
+	e.mutex.Lock()
+	due := e.loadRejectedAt == 0 || now-e.loadRejectedAt >= loadRejectedInterval
+	if due {
+		e.loadRejectedAt = now
+	}
+	e.mutex.Unlock()
+	if due {
+		e.Log("event", "load-rejected", "peer", p.Name, "load-milli", p.LoadMilli)
+	}
+}
+
 func toPeer(p discoverer.Peer) *wire.Peer {
-	return &wire.Peer{Name: p.Name, Address: p.Address, Zone: p.Zone, Millicores: uint32(max(0, p.Millicores))}
+	return &wire.Peer{Name: p.Name, Address: p.Address, Zone: p.Zone, Millicores: uint32(max(0, p.Millicores)), LoadMilli: uint32(max(0, p.LoadMilli))}
 }
 
 func fromPeer(p *wire.Peer) discoverer.Peer {
-	return discoverer.Peer{Name: p.GetName(), Address: p.GetAddress(), Zone: p.GetZone(), Millicores: int(p.GetMillicores())}
+	return discoverer.Peer{Name: p.GetName(), Address: p.GetAddress(), Zone: p.GetZone(), Millicores: int(p.GetMillicores()), LoadMilli: int(p.GetLoadMilli())}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -80,10 +80,15 @@
 	// firstLoanAt is when this instance first tried a holder.
 	firstLoanAt tracker.Timestamp
 	closed      bool
-
-	lent     atomic.Int64
-	borrowed atomic.Int64
-	rankings atomic.Int64
+	// moves are the connections handed over because of load.
+	moves moves
+	// reads is what is known about the customers' connections at other instances.
+	reads reads
+
+	lent       atomic.Int64
+	borrowed   atomic.Int64
+	rankings   atomic.Int64
+	readsMoved atomic.Int64
 }
 
 // LentCount returns how many connections are currently lent to peers.
--- a/internal/forwarder/holders.go
+++ b/internal/forwarder/holders.go
@@ -84,12 +84,27 @@
 // HeldElsewhere reports whether another instance holds this instance's connections to a member. It
 // implements lender.Pool's HeldElsewhere.
 func (fw *Forwarder) HeldElsewhere(group, member string) bool {
-	return fw.holders(group, member).isRemote()
+	return fw.holders(group, member).isRemote() && !fw.isActing(member)
 }
 
-// holders returns the holders of a group's connections to a member; empty if each instance
-// holds its own.
+// holders returns the holders of a group's connections to a member, without this instance if it has
+// handed them over; empty if each instance holds its own.
 func (fw *Forwarder) holders(group, member string) holders {
+	list := fw.rankedHolders(group, member)
+	if len(list) == 0 {
+		return list
+	}
+	fw.mutex.Lock()
+	defer fw.mutex.Unlock()
+	if fw.moves.mover.HandedOver(member) {
+		return list.withoutSelf()
+	}
+	return list
+}
+
+// rankedHolders returns the holders of a group's connections to a member by their ranking; empty if
+// each instance holds its own.
+func (fw *Forwarder) rankedHolders(group, member string) holders {
 	// Must precede the lock: memberZone takes locks of its own.
 	zone := fw.memberZone(group, member)
 	fw.mutex.Lock()
@@ -197,6 +212,7 @@
 	if fw.placement(group) == concentrator.PerInstance {
 		return nil, lender.ErrUseLocal
 	}
+	fw.countRequest("")
 	until := r.Deadline
 	for {
 		members := r.EligibleMembers()
@@ -208,6 +224,9 @@
 		}
 		if len(members) > 0 {
 			r.Deadline = time.Now().Add(min(attemptTimeout, time.Until(until)))
+			if !r.StatusQuery {
+				members = fw.preferKept(r.Customer, members)
+			}
 			conn, err := fw.borrowFromHolders(ctx, group, members, r)
 			if !errors.Is(err, lender.ErrNoConnection) {
 				return conn, err
@@ -272,8 +291,12 @@
 		if !fw.mayTry(address, r.EligibleMembers()) {
 			continue
 		}
+		begin := fw.Clock()
 		conn, err := fw.borrow(ctx, address, group, r.EligibleMembers(), r)
 		if err == nil {
+			if !r.StatusQuery {
+				fw.recordLoan(r.Customer, conn.Member, fw.Clock()-begin)
+			}
 			fw.borrowed.Add(1)
 			fw.recordSuccess(address, r.EligibleMembers())
 			return conn, nil
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -52,15 +52,22 @@
 	if p == nil || fw.Draining() {
 		return nil, nil, errUnreachable
 	}
+	members := fw.lendable(a.Members)
 	wait := min(time.Duration(a.WaitMs)*time.Millisecond, maxPeerWait)
-	if len(p.Reachable(a.Members)) == 0 {
+	if len(p.Reachable(members)) == 0 {
 		return nil, nil, errUnreachable
 	}
 	conn, err := p.Borrow(ctx, lender.Request{
-		EligibleMembers: func() []string { return a.Members },
+		EligibleMembers: func() []string { return members },
 		Priority:        int(a.Priority), Deadline: time.Now().Add(wait), StatusQuery: a.Question, Customer: a.Customer, RateLimited: a.Counts, Transaction: a.Long, LocalOnly: true,
 		LatestStart: decodeLatestStart(time.Now(), a.LatestStartMs),
 	})
+	if err == nil {
+		fw.countRequest(conn.Member)
+		if !a.Question {
+			fw.checkActingIfDue(ctx, a.Group, conn.Member)
+		}
+	}
 	return conn, p, err
 }
 
--- a/internal/launcher/clock.go
+++ b/internal/launcher/clock.go
@@ -21,3 +21,12 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// ProcessorTime returns the processor time that this process has used, 0 if it is unknown.
+func ProcessorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -76,6 +76,8 @@
 		// Reload receives the signals to check the settings for changes; LoadSettings loads them.
 		Reload       <-chan os.Signal
 		LoadSettings func() (*loader.EdgeSettings, error)
+		// ProcessorTime, when set, returns the processor time that the process has used.
+		ProcessorTime func() time.Duration
 
 		metrics       tally.Scope
 		metricsCloser io.Closer
@@ -88,8 +90,10 @@
 		// applied; only markConfigured closes it.
 		configured chan struct{}
 		draining   atomic.Bool
-		startedAt  tracker.Timestamp
-		stateLog   *logwriter.Logger
+		// loadMilli is the used part of the CPU limit in thousandths, 0 if unknown.
+		loadMilli atomic.Int64
+		startedAt tracker.Timestamp
+		stateLog  *logwriter.Logger
 
 		// backendAdded wakes maintainBackends.
 		backendAdded chan struct{}
@@ -139,6 +143,7 @@
 		run(i.peers.exchanger.Run)
 		run(i.peers.server.Run)
 		run(i.peers.accountant.Run)
+		run(i.balanceLoad)
 	}
 	electorContext, stopElector := context.WithCancel(ctx)
 	defer stopElector()
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -60,6 +60,9 @@
 		platform    *platformer.Platform
 		// customers are those in force, nil where clients are not assigned to customers.
 		customers []platformer.Customer
+		// cores, when set, returns an instance's CPU limit, and processorTime what it has used.
+		cores         func(ip string) float64
+		processorTime func(ip string) time.Duration
 		// memberAddress, when set, returns the address at which instances reach a member.
 		memberAddress func(tracker.Member) string
 	}
@@ -214,13 +217,18 @@
 	if f.noPromotions {
 		s.PromotionAddress = ""
 	}
+	var processorTime func() time.Duration
+	if f.processorTime != nil {
+		s.Cores = f.cores(ip)
+		processorTime = func() time.Duration { return f.processorTime(ip) }
+	}
 	store := (&platform.Store{Address: s.StoreAddress, Network: i.host}).Open()
 	promotions := (&platform.PromotionClient{Address: s.PromotionAddress, Network: i.host, LeaseHolder: s.Name}).Open()
 	logs := logwriter.New(&f.log)
 	started := time.Now().Add(-time.Hour)
 	x := &launcher.Instance{
 		Settings: s, Network: i.host, LogWriter: logs, Clock: func() tracker.Timestamp { return time.Since(started) }, Shutdown: i.shutdown,
-		Reload: i.reload, LoadSettings: i.loadSettings,
+		Reload: i.reload, LoadSettings: i.loadSettings, ProcessorTime: processorTime,
 		Platform: launcher.Platform{
 			Store: store, Promote: promotions.Promote, IsPromotionRefused: func(err error) bool { return errors.Is(err, platform.ErrPromotionRefused) },
 			MemberCodec: platform.LineCodec{}, CallerCodec: platform.LineCodec{},
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -28,6 +28,10 @@
 	metricWaiting        = metricPrefix + "requests-waiting"
 	metricGroups         = metricPrefix + "groups"
 	metricRankings       = metricPrefix + "holder-rankings"
+	metricMoves          = metricPrefix + "connections-moved"
+	metricMovedNow       = metricPrefix + "connections-moved-now"
+	metricReadsMoved     = metricPrefix + "reads-to-kept"
+	metricLoad           = metricPrefix + "load-milli"
 	kindHistogram        = "histogram"
 )
 
@@ -67,6 +71,12 @@
 		reporter.Metric{Name: metricGroups, Kind: reporter.KindGauge, Description: "Groups whose state this instance keeps: those in use or, if few are configured, all."},
 		reporter.Metric{Name: metricRankings, Kind: reporter.KindGauge, Description: "Rankings of instances as holders of connections since the start. It grows with the changes of instances and the groups in use."},
 	)
+	list = append(list,
+		reporter.Metric{Name: metricMoves, Kind: reporter.KindCounter, Description: "Moves of a member's connections to another instance because of this instance's load, and back."},
+		reporter.Metric{Name: metricMovedNow, Kind: reporter.KindGauge, Description: "Members whose connections this instance has handed over now because of its load."},
+		reporter.Metric{Name: metricReadsMoved, Kind: reporter.KindGauge, Description: "Reads since the start that went to a member where a connection of their customer is kept, instead of opening one at the nearest."},
+		reporter.Metric{Name: metricLoad, Kind: reporter.KindGauge, Description: "Used part of the CPU limit in thousandths; 0 where the limit is not known. Alert when it stays above 900 for 10 s."},
+	)
 	for _, n := range ruleNames {
 		list = append(list, reporter.Metric{Name: metricServed + n, Kind: kindHistogram, Description: "Time from reading a statement to its response, by the route's kind."})
 	}
@@ -111,6 +121,19 @@
 		}
 		return int64(i.peers.forwarder.RankingCount())
 	})
+	gauge(metricReadsMoved, func() int64 {
+		if i.peers == nil {
+			return 0
+		}
+		return int64(i.peers.forwarder.ReadsMoved())
+	})
+	gauge(metricLoad, i.loadMilli.Load)
+	gauge(metricMovedNow, func() int64 {
+		if i.peers == nil {
+			return 0
+		}
+		return int64(i.peers.forwarder.MovedCount())
+	})
 	gauge(metricConnections, func() int64 { held, _ := i.connectionLoad(); return held })
 	gauge(metricWaiting, func() int64 { _, waiting := i.connectionLoad(); return waiting })
 }
