--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -77,6 +77,8 @@
 		// Reload receives the signals to check the settings for changes; LoadSettings loads them.
 		Reload       <-chan os.Signal
 		LoadSettings func() (*loader.EdgeSettings, error)
+		// ProcessorTime, when set, returns the processor time that the process has used.
+		ProcessorTime func() time.Duration
 
 		metrics       tally.Scope
 		metricsCloser io.Closer
@@ -91,8 +93,10 @@
 		// applied; only markConfigured closes it.
 		configured chan struct{}
 		draining   atomic.Bool
-		startedAt  tracker.Timestamp
-		stateLog   *logwriter.Logger
+		// loadMilli is the used part of the CPU limit in thousandths, 0 if unknown.
+		loadMilli atomic.Int64
+		startedAt tracker.Timestamp
+		stateLog  *logwriter.Logger
 
 		// backendAdded wakes maintainBackends.
 		backendAdded chan struct{}
@@ -125,7 +129,7 @@
 	i.prepare(ctx)
 	i.stateLog.Log("event", "start", "name", i.Settings.Name, "zone", i.Settings.Zone, "callers", i.Settings.Callers, "cores", i.Settings.Cores)
 
-	exits, running := make(chan error, 9), 0
+	exits, running := make(chan error, 11), 0
 	run := func(component func(context.Context) error) {
 		running++
 		go func() { exits <- component(ctx) }()
@@ -145,6 +149,7 @@
 		run(i.peers.server.Run)
 		run(i.peers.accountant.Run)
 		run(i.requestLoads)
+		run(i.balanceLoad)
 	}
 	electorContext, stopElector := context.WithCancel(ctx)
 	defer stopElector()
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -35,6 +35,10 @@
 	metricRankings       = metricPrefix + "holder-rankings"
 	metricPlaced         = metricPrefix + "reads-placed."
 	metricLoadsRejected  = metricPrefix + "loads-rejected"
+	metricMoves          = metricPrefix + "connections-moved"
+	metricMovedNow       = metricPrefix + "connections-moved-now"
+	metricReadsMoved     = metricPrefix + "reads-to-kept"
+	metricLoad           = metricPrefix + "load-milli"
 	kindHistogram        = "histogram"
 
 	metricLimitPrefix           = metricPrefix + "limit-"
@@ -106,6 +110,12 @@
 		reporter.Metric{Name: metricLimitRefusedAfterWait, Kind: reporter.KindGauge, Description: "Operations since the start refused by a limit after a wait. Alert when it grows faster than limit-refused-at-once: the estimates are wrong, or no accountant replies."},
 		reporter.Metric{Name: metricLimitNotReserved, Kind: reporter.KindGauge, Description: "Refusals by a limit since the start for which no capacity could be reserved within the next 5 s."},
 	)
+	list = append(list,
+		reporter.Metric{Name: metricMoves, Kind: reporter.KindCounter, Description: "Moves of a member's connections to another instance because of this instance's load, and back."},
+		reporter.Metric{Name: metricMovedNow, Kind: reporter.KindGauge, Description: "Members whose connections this instance has handed over now because of its load."},
+		reporter.Metric{Name: metricReadsMoved, Kind: reporter.KindGauge, Description: "Reads since the start that went to a member where a connection of their customer is kept, instead of opening one at the nearest."},
+		reporter.Metric{Name: metricLoad, Kind: reporter.KindGauge, Description: "Used part of the CPU limit in thousandths; 0 where the limit is not known. Alert when it stays above 900 for 10 s."},
+	)
 	for _, n := range ruleNames {
 		list = append(list, reporter.Metric{Name: metricServed + n, Kind: kindHistogram, Description: "Time from reading a statement to its response, by the route's kind."})
 	}
@@ -170,6 +180,19 @@
 	gauge(metricLimitRefusedAtOnce, limitStats(func(s reserver.Stats) int64 { return s.RefusedAtOnce }))
 	gauge(metricLimitRefusedAfterWait, limitStats(func(s reserver.Stats) int64 { return s.RefusedAfterWait }))
 	gauge(metricLimitNotReserved, limitStats(func(s reserver.Stats) int64 { return s.NotReserved }))
+	gauge(metricReadsMoved, func() int64 {
+		if i.peers == nil {
+			return 0
+		}
+		return int64(i.peers.forwarder.ReadsMoved())
+	})
+	gauge(metricLoad, i.loadMilli.Load)
+	gauge(metricMovedNow, func() int64 {
+		if i.peers == nil {
+			return 0
+		}
+		return int64(i.peers.forwarder.MovedCount())
+	})
 	gauge(metricConnections, func() int64 { held, _ := i.connectionLoad(); return held })
 	gauge(metricWaiting, func() int64 { _, waiting := i.connectionLoad(); return waiting })
 }
