Limits: the accountant is kept while it answers, and a fleet that restarts keeps its limits

Cause: the accountant was the first reachable instance by rank, computed anew each time. In a partition three instances became accountant in turn within 2 s. After a restart of all instances a new accountant withheld the limit less all known fallback rates until every instance had reported. What a dead instance might run stayed withheld for as long as peers remember it.

Change: package nominator keeps the accountant while it answers, replaces it after two failed calls or a refused connection by the first candidate that answers a probe, and lets a candidate of higher rank take over after 2 s of reachability. Reports carry the time that the process has been running. All accountants count an equal part of the limit for a process that has run for less than 5 s. Instances that have not synchronized count as not seen; the initial balance is released with their parts; the lost usage of restarted ones is estimated. A death (refused connection, record removed) releases what is withheld while it is observed. A final report that was acknowledged lets the next accountant count the instance at once.

The network stand-in's ErrRefused wraps ECONNREFUSED, as a real dial does.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -43,27 +43,33 @@
 	// Active reports whether customers are configured, Limits returns the limits of all customers.
 	Active func() bool
 	Limits func() map[string]identifier.Limit
-	// CurrentAccountant returns the accountant's address, "" if unknown; self is set if this
-	// instance is the accountant.
-	CurrentAccountant func() (address string, self bool)
+	// Candidates returns the addresses of the instances that may be the accountant, in the order of
+	// their rank; "" is this instance.
+	Candidates func() []string
+	// Removed reports whether an instance's record was removed from the store.
+	Removed func(address string) bool
 	// NoteFailed is called with the address of an instance that did not reply.
 	NoteFailed func(address string)
 	// Log is called with the fields of a log line.
 	Log func(fields ...any)
+	// Count increments a counter, one of those in Counters.
+	Count func(name string)
 
 	mutex sync.Mutex
 	// replied is closed at each reply.
 	replied chan struct{}
 	wake    chan struct{}
-	// accountantAddress is the receiver of the last report; isAccountant is set if this instance
-	// is the accountant. Only Run uses them.
+	// accountantAddress is the accountant's address, "" if it is unknown or isAccountant is set, since
+	// this instance is the accountant. Only Run uses them and selection.
 	accountantAddress string
 	isAccountant      bool
+	selection         selection
 }
 
 // Init initializes the accountant.
 func (a *Accountant) Init() *Accountant {
 	a.replied, a.wake = make(chan struct{}), make(chan struct{}, 1)
+	a.selection.outcomes = make(chan outcome, maxCallsInFlight)
 	return a
 }
 
@@ -80,6 +86,7 @@
 func (a *Accountant) Run(ctx context.Context) error {
 	tick := time.NewTimer(0)
 	defer tick.Stop()
+	defer a.awaitProbes()
 	var last time.Time
 	for {
 		select {
@@ -95,6 +102,9 @@
 		tick.Reset(tickInterval)
 		a.updateAccountant(ctx)
 		due, soon := a.Meter.Due(a.Clock())
+		if a.selection.nominator.Failing() {
+			due, soon = true, true
+		}
 		if !due || !soon && time.Since(last) < limiter.ReportInterval {
 			continue
 		}
@@ -106,73 +116,38 @@
 	}
 }
 
-// updateAccountant reacts to a change of the accountant.
-func (a *Accountant) updateAccountant(ctx context.Context) {
-	address, self := a.CurrentAccountant()
-	if self != a.isAccountant {
-		a.isAccountant = self
-		a.Ledger.Open(a.Clock(), a.Limits())
-		a.Log("event", "accounts-kept", "here", self)
-	}
-	if address != a.accountantAddress {
-		a.sendFinalReport(ctx, a.Meter.SwitchAccountant(a.Clock()))
-		a.accountantAddress = address
-		a.Log("event", "accountant", "address", address)
-	}
-}
-
-// sendFinalReport informs the previous accountant that this instance reports to another one. If it
-// can't be reached, it reserves the instance's fallback rates.
-func (a *Accountant) sendFinalReport(ctx context.Context, last limiter.Report) {
-	if a.accountantAddress == "" {
-		return
-	}
-	if _, ok := a.send(ctx, last); !ok {
-		a.Log("event", "accountant-not-left", "address", a.accountantAddress)
-	}
-}
-
 // report sends one report and processes the reply.
 func (a *Accountant) report(ctx context.Context) {
 	sent := a.Clock()
 	r := a.Meter.NextReport(sent)
-	reply, ok := a.send(ctx, r)
-	if !ok {
-		return
-	}
-	a.Meter.HandleReply(sent, reply)
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	close(a.replied)
-	a.replied = make(chan struct{})
-}
-
-// send sends a report to the accountant, which may be this instance, and returns the reply.
-func (a *Accountant) send(ctx context.Context, r limiter.Report) (limiter.Reply, bool) {
-	switch {
-	case a.isAccountant:
-		return a.Ledger.HandleReport(a.Clock(), r, a.Limit), true
-	case a.accountantAddress == "":
-		return limiter.Reply{}, false
+	if !a.isAccountant && a.accountantAddress == "" {
+		return // the only candidate is draining
 	}
-	var reply *wire.AccountReply
-	err := a.Links.Call(ctx, callTimeout, a.accountantAddress, func(ctx context.Context, l *linker.Link) (err error) {
-		reply, err = wire.NewDRPCNeighboursClient(l.Conn()).Account(ctx, toReport(r))
-		return err
-	})
+	reply, err := a.send(ctx, r)
 	if err != nil {
 		if ctx.Err() == nil {
+			a.Count(CountUnanswered)
 			a.Log("event", "accountant-unanswered", "address", a.accountantAddress, "cause", err)
+			a.selection.nominator.RecordFailure(a.Clock(), a.accountantAddress, refused(err))
 			a.NoteFailed(a.accountantAddress)
 		}
-		return limiter.Reply{}, false
+		return
 	}
-	return fromReply(reply), true
+	a.selection.nominator.RecordAnswer(a.Clock(), a.accountantAddress)
+	a.Meter.HandleReply(sent, reply)
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	close(a.replied)
+	a.replied = make(chan struct{})
 }
 
 // HandleReport answers another instance's report, whether or not this instance considers itself the
-// accountant: accountants that don't agree share the limits.
+// accountant: accountants that don't agree share the limits. A request without an instance is a
+// probe.
 func (a *Accountant) HandleReport(r *wire.AccountRequest) *wire.AccountReply {
+	if r.Instance == "" {
+		return &wire.AccountReply{}
+	}
 	return toReply(a.Ledger.HandleReport(a.Clock(), fromReport(r), a.Limit))
 }
 
--- a/internal/accountant/wire.go
+++ b/internal/accountant/wire.go
@@ -9,7 +9,7 @@
 )
 
 func toReport(r limiter.Report) *wire.AccountRequest {
-	w := &wire.AccountRequest{Instance: r.Instance, Run: r.Incarnation, Number: r.Sequence, New: r.NewAccountant, Leaves: r.Final, UnheardMs: toMillis(r.SincePredecessorAck)}
+	w := &wire.AccountRequest{Instance: r.Instance, Run: r.Incarnation, Number: r.Sequence, New: r.NewAccountant, Leaves: r.Final, UnheardMs: toMillis(r.SincePredecessorAck), UpMs: toMillis(r.UpTime)}
 	for _, s := range r.Usages {
 		x := &wire.Spending{
 			Customer: s.Customer, Before: fromCounts(s.PastUsed), Held: uint32(s.UnusedTokens), Waiting: uint32(s.Waiters), DemandMilli: uint32(s.Demand * rateScale),
@@ -27,7 +27,7 @@
 }
 
 func fromReport(w *wire.AccountRequest) limiter.Report {
-	r := limiter.Report{Instance: w.Instance, Incarnation: w.Run, Sequence: w.Number, NewAccountant: w.New, Final: w.Leaves, SincePredecessorAck: time.Duration(w.UnheardMs) * time.Millisecond}
+	r := limiter.Report{Instance: w.Instance, Incarnation: w.Run, Sequence: w.Number, NewAccountant: w.New, Final: w.Leaves, SincePredecessorAck: time.Duration(w.UnheardMs) * time.Millisecond, UpTime: time.Duration(w.UpMs) * time.Millisecond}
 	for _, s := range w.Spendings {
 		x := limiter.Usage{
 			Customer: s.Customer, Used: toCounts(s.UsedSlots), PastUsed: toCounts(s.Before), UnusedTokens: int(s.Held), Waiters: int(s.Waiting), Demand: float64(s.DemandMilli) / rateScale,
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -75,6 +75,8 @@
 		lastSeen tracker.Timestamp
 		// contacted is set once the peer has sent a request or a reply.
 		contacted bool
+		// removed is set if its record was removed from the store since then.
+		removed bool
 		// failures counts the consecutive failed calls. The first was at failingSince, the last
 		// at failedAt.
 		failures               int
@@ -106,6 +108,28 @@
 	}
 }
 
+// SetRemoved records whether a known peer's record is missing from the store.
+func (d *Discoverer) SetRemoved(name string, removed bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if s, ok := d.peers[name]; ok {
+		s.removed = removed
+	}
+}
+
+// Removed reports whether the record of the peer at an address was removed from the store, and it
+// has not been in contact since.
+func (d *Discoverer) Removed(address string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, s := range d.peers {
+		if s.Address == address {
+			return s.removed
+		}
+	}
+	return false
+}
+
 // RecordListed records a peer listed by another instance. It does not imply that the peer is
 // available.
 func (d *Discoverer) RecordListed(now tracker.Timestamp, p Peer) {
--- a/internal/exchanger/register.go
+++ b/internal/exchanger/register.go
@@ -41,6 +41,7 @@
 		e.mutex.Unlock()
 		return
 	}
+	e.Discoverer.SetRemoved(name, p.Revision == 0)
 	if p.Revision == 0 {
 		return
 	}
--- a/internal/forwarder/holders.go
+++ b/internal/forwarder/holders.go
@@ -124,7 +124,7 @@
 		return
 	}
 	fw.rankings.Add(1)
-	*r = ranking{zone: zone, version: z.version, holders: fw.rank(key, z.instances)}
+	*r = ranking{zone: zone, version: z.version, holders: fw.rank(key, z.instances, maxHoldersTried)}
 }
 
 // zone returns the available instances of a zone. The mutex is held.
--- a/internal/forwarder/placement.go
+++ b/internal/forwarder/placement.go
@@ -26,7 +26,7 @@
 			if len(inZone) == 0 {
 				inZone = zones[fw.Discoverer.Self.Zone]
 			}
-			ranked := fw.rank(m, inZone)
+			ranked := fw.rank(m, inZone, maxHoldersTried)
 			if len(ranked) == 0 {
 				continue
 			}
@@ -39,18 +39,14 @@
 	return list
 }
 
-// PreferredInstance returns the preferred instance for a key, or this one if no other is available.
-func (fw *Forwarder) PreferredInstance(key string, list []discoverer.Peer) discoverer.Peer {
-	ranked := fw.rank(key, list)
-	if len(ranked) == 0 || ranked[0] == "" {
-		return fw.Discoverer.Self
-	}
-	i := slices.IndexFunc(list, func(p discoverer.Peer) bool { return p.Address == ranked[0] })
-	return list[i]
+// RankInstances returns the addresses of instances in the order of preference for a key; "" is this
+// instance, which is omitted while it is draining.
+func (fw *Forwarder) RankInstances(key string, list []discoverer.Peer) []string {
+	return fw.rank(key, list, len(list))
 }
 
-// rank orders instances as holders for a key, without this one while it is draining.
-func (fw *Forwarder) rank(key string, list []discoverer.Peer) holders {
+// rank returns the first limit instances as holders for a key, without this one while it is draining.
+func (fw *Forwarder) rank(key string, list []discoverer.Peer, limit int) holders {
 	var candidates []concentrator.Candidate
 	addresses := map[string]string{}
 	for _, p := range list {
@@ -64,7 +60,7 @@
 		addresses[p.Name] = p.Address
 	}
 	var ranked holders
-	for _, name := range concentrator.RankHolders(key, candidates)[:min(maxHoldersTried, len(candidates))] {
+	for _, name := range concentrator.RankHolders(key, candidates)[:min(limit, len(candidates))] {
 		ranked = append(ranked, addresses[name])
 	}
 	return ranked
--- a/internal/launcher/limits.go
+++ b/internal/launcher/limits.go
@@ -40,14 +40,16 @@
 	run := uint64(time.Now().UnixNano())
 	return (&accountant.Accountant{
 		Meter: &limiter.Meter{
-			Instance: i.Settings.PeerAddress, Incarnation: run,
+			Instance: i.Settings.PeerAddress, Incarnation: run, StartedAt: i.Clock(),
 			Instances:      func() int { return max(1, len(holders())) },
 			ReportExpected: func() bool { return slices.Contains(holders(), i.Settings.PeerAddress) },
 		},
 		Ledger: &limiter.Ledger{Tolerance: i.Settings.LimitTolerance, Incarnation: run, ExpectedInstances: holders},
 		Links:  peers.client, Clock: i.Clock, Limit: i.limit, Active: i.customersEnabled, Limits: i.limits, Log: i.LogWriter.Logger("limits").Log,
-		CurrentAccountant: func() (string, bool) { return i.accountantAddress(peers) },
-		NoteFailed:        func(address string) { peers.exchanger.Discoverer.RecordFailure(i.Clock(), address) },
+		Candidates: func() []string { return i.accountantCandidates(peers) },
+		Removed:    peers.exchanger.Discoverer.Removed,
+		Count:      func(name string) { i.metrics.Counter(metricPrefix + name).Inc(1) },
+		NoteFailed: func(address string) { peers.exchanger.Discoverer.RecordFailure(i.Clock(), address) },
 	}).Init()
 }
 
@@ -104,15 +106,14 @@
 	return x.Limit
 }
 
-// accountantAddress returns the address of the instance that keeps the customers' accounts,
-// or self for this one. Weighted rendezvous hashing over the reachable instances selects it.
-// Instances may disagree: each then gets its part of the limits from its own accountant.
-func (i *Instance) accountantAddress(peers *peerServices) (address string, self bool) {
-	first := peers.forwarder.PreferredInstance(accountantRankKey, peers.exchanger.Discoverer.AllAvailable(i.Clock()))
-	if first.Name == i.Settings.Name {
-		return "", true
-	}
-	return first.Address, false
+// accountantCandidates returns the addresses of the instances that may keep the customers' accounts,
+// in the order of weighted rendezvous hashing; "" is this instance. It includes unavailable
+// instances: package nominator decides by evidence of its own, and both sides of a partition must
+// have the same order.
+func (i *Instance) accountantCandidates(peers *peerServices) []string {
+	return peers.candidateCache.get(i.Clock(), holdersTTL, func() []string {
+		return peers.forwarder.RankInstances(accountantRankKey, peers.exchanger.Discoverer.AllKnown())
+	})
 }
 
 // holderAddresses returns the instances that hold connections to members: those placed near
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oriolegw/oriolegw/internal/accountant"
 	"github.com/oriolegw/oriolegw/internal/dispatcher"
 	"github.com/oriolegw/oriolegw/internal/reporter"
 	"github.com/oriolegw/oriolegw/internal/tracker"
@@ -66,6 +67,12 @@
 		reporter.Metric{Name: metricGroups, Kind: reporter.KindGauge, Description: "Groups whose state this instance keeps: those in use or, if few are configured, all."},
 		reporter.Metric{Name: metricRankings, Kind: reporter.KindGauge, Description: "Rankings of instances as holders of connections since the start. It grows with the changes of instances and the groups in use."},
 	)
+	list = append(list,
+		reporter.Metric{Name: metricPrefix + accountant.CountChanges, Kind: reporter.KindCounter, Description: "Changes of the instance that keeps the customers' accounts, the first choice included. A partition causes one, and so does its end. Alert when it grows by more than 3 in a minute."},
+		reporter.Metric{Name: metricPrefix + accountant.CountUnanswered, Kind: reporter.KindCounter, Description: "Reports to the instance that keeps the customers' accounts that were not answered."},
+		reporter.Metric{Name: metricPrefix + accountant.CountProbeFailed, Kind: reporter.KindCounter, Description: "Failed probes of instances that may keep the customers' accounts, or that don't report to this one."},
+		reporter.Metric{Name: metricPrefix + accountant.CountDeaths, Kind: reporter.KindCounter, Description: "Instances that were found dead, so that no part of the limits is withheld for them any more."},
+	)
 	for _, n := range ruleNames {
 		list = append(list, reporter.Metric{Name: metricServed + n, Kind: kindHistogram, Description: "Time from reading a statement to its response, by the route's kind."})
 	}
--- a/internal/launcher/peers.go
+++ b/internal/launcher/peers.go
@@ -28,6 +28,8 @@
 	accountant *accountant.Accountant
 	// holderCache caches the result of holderAddresses.
 	holderCache cached[[]string]
+	// candidateCache caches the result of accountantCandidates.
+	candidateCache cached[[]string]
 	// ownerRanks caches the instances of this zone by bucket of groups, in the order in which
 	// they acquire its groups. Only the elector's loop uses the map.
 	ownerRanks cached[map[string][]string]
--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -32,20 +31,26 @@
 		mutex          sync.Mutex
 		accounts       map[string]*account
 		reporters      map[string]*reporter
+		// deaths holds when instances that have not reported since were last known to be dead.
+		deaths map[string]Timestamp
 	}
 
 	// reporter is an instance that reports here.
 	reporter struct {
 		incarnation, sequence uint64
 		lastReport            Timestamp
-		// expected is set for an instance that ExpectedInstances lists.
-		expected bool
+		// expected is set for an instance that ExpectedInstances lists, dead for one that is known to
+		// be dead.
+		expected, dead bool
 		// reservedFrom is when the previous accountant starts to reserve the instance's fallback
 		// rates.
 		reservedFrom Timestamp
 		// synced is set once it has reported its usage from before the accounts were opened,
 		// hasLeft once it reports to another accountant.
 		synced, hasLeft bool
+		// fresh is set if its process had run for less than freshPeriod at the last report,
+		// freshAtSync if it had at the report that set synced.
+		fresh, freshAtSync bool
 	}
 
 	// account is one customer's token bucket and usage.
@@ -57,6 +62,12 @@
 		// negative after an overrun.
 		tokens    float64
 		updatedAt Timestamp
+		// released is the part of the initial balance that was added to tokens since openedAt.
+		released float64
+		openedAt Timestamp
+		// inherited counts the operations from before the accounts were opened that instances have
+		// reported.
+		inherited int
 		shares    map[string]*instanceShare
 		// predecessorRates are the fallback rates that the previous accountant assigned.
 		predecessorRates map[*reporter]float64
@@ -101,7 +112,7 @@
 	l.open(now)
 	for name, limit := range limits {
 		if limit.Limited() {
-			l.account(now, name, limit, fleetStatus{})
+			l.account(now, name, limit, l.fleetStatus(now))
 		}
 	}
 }
@@ -136,20 +147,23 @@
 		from.incarnation, from.sequence = r.Incarnation, r.Sequence
 	}
 	from.hasLeft = r.Final
+	from.fresh = r.UpTime > 0 && r.UpTime < freshPeriod
+	delete(l.deaths, r.Instance)
+	firstSync := !from.synced && r.NewAccountant
+	if firstSync {
+		sinceLast = now // nothing was reported here before
+		from.synced, from.freshAtSync = true, from.fresh
+		if r.SincePredecessorAck > 0 {
+			from.reservedFrom = now + silenceTimeout - min(silenceTimeout, r.SincePredecessorAck)
+			l.hasPredecessor = true
+		}
+	}
 	fleet := l.fleetStatus(now)
 	reply := Reply{Incarnation: l.Incarnation}
-	if !from.synced && !r.NewAccountant {
+	if !from.synced {
 		// The instance will resend with its past usage once it sees the new incarnation.
 		return reply
 	}
-	firstSync := !from.synced
-	if firstSync {
-		sinceLast = now // nothing was reported here before
-	}
-	if firstSync && r.SincePredecessorAck > 0 {
-		from.reservedFrom = now + silenceTimeout - min(silenceTimeout, r.SincePredecessorAck)
-		l.hasPredecessor = true
-	}
 	for _, s := range r.Usages {
 		limit := limitOf(s.Customer)
 		if !limit.Limited() {
@@ -164,11 +178,13 @@
 		}
 		if r.NewAccountant && !duplicate {
 			a.addPastUsage(now, s.PastUsed, sinceLast)
+			if firstSync {
+				a.inherited += sumCounts(s.PastUsed) + sumCounts(s.Used)
+			}
 		}
 		a.consumeReported(now, s.Used, sinceLast-silenceTimeout)
 		reply.Grants = append(reply.Grants, a.grant(now, r.Instance, from, s, l.Tolerance, fleet, len(l.reporters)))
 	}
-	from.synced = from.synced || r.NewAccountant
 	if r.Final {
 		l.instanceLeft(r.Instance)
 	}
@@ -198,7 +214,7 @@
 func (l *Ledger) account(now Timestamp, customer string, limit identifier.Limit, fleet fleetStatus) *account {
 	a, ok := l.accounts[customer]
 	if !ok {
-		a = &account{tokens: initialBurstFraction * l.Tolerance.burst(limit), updatedAt: now, shares: map[string]*instanceShare{}, predecessorRates: map[*reporter]float64{}}
+		a = &account{updatedAt: now, openedAt: now, shares: map[string]*instanceShare{}, predecessorRates: map[*reporter]float64{}}
 		l.accounts[customer] = a
 	}
 	a.limit = limit
@@ -215,11 +231,12 @@
 			s.assumedUsed, s.assumedAt = s.assumedUsed+s.leased, now
 			s.leased = 0
 		}
-		if now-s.lastReport > reporterExpiry && !slices.Contains(fleet.silent, name) {
+		if _, silent := fleet.silent[name]; now-s.lastReport > reporterExpiry && !silent {
 			delete(a.shares, name)
 		}
 	}
 	unreserved := 1 - a.reservedFraction(now, fleet)
+	a.releaseInitial(now, unreserved, t)
 	a.tokens = min(unreserved*t.burst(a.limit), a.tokens+unreserved*t.rate(a.limit)*(now-a.updatedAt).Seconds())
 	a.updatedAt = now
 }
@@ -260,7 +277,7 @@
 func (a *account) available(now Timestamp, t Tolerance, fleet fleetStatus) float64 {
 	leased := a.totalLeased()
 	maxTokens := t.leaseLimit(a.limit) * (1 - a.reservedFraction(now, fleet))
-	return min(a.tokens, maxTokens-float64(a.used.sum(now))) - leased
+	return min(a.tokens, maxTokens-float64(a.used.sum(now))-a.lostUsage(now, fleet)) - leased
 }
 
 // currentDemand returns the instance's demand. That of an unreachable instance doesn't decay.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -137,7 +137,10 @@
 		// last received a report, or 0 without one. That accountant reserves the instance's
 		// fallback rates once it has missed reports for long enough.
 		SincePredecessorAck time.Duration
-		Usages              []Usage
+		// UpTime is how long the instance's process has been running, 0 if unknown. It has no
+		// fallback rate that was assigned before.
+		UpTime time.Duration
+		Usages []Usage
 	}
 
 	// Reply is the accountant's reply to a report.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -95,7 +95,7 @@
 func (f *fleet) restart(n int) {
 	x := f.nodes[n]
 	*x = node{incarnation: x.incarnation + 1, isolated: x.isolated}
-	x.meter = &limiter.Meter{Instance: fmt.Sprint("i", n), Incarnation: x.incarnation, Instances: func() int { return len(f.nodes) }, ReportExpected: func() bool { return true }}
+	x.meter = &limiter.Meter{Instance: fmt.Sprint("i", n), Incarnation: x.incarnation, StartedAt: f.now, Instances: func() int { return len(f.nodes) }, ReportExpected: func() bool { return true }}
 	if n == f.accountant {
 		f.accounts = f.newLedger()
 	}
--- a/internal/limiter/meter.go
+++ b/internal/limiter/meter.go
@@ -41,6 +41,8 @@
 		// Instance is this instance's address, Incarnation identifies its process incarnation.
 		Instance    string
 		Incarnation uint64
+		// StartedAt is when the process started, 0 if unknown.
+		StartedAt Timestamp
 		// Instances returns how many instances run operations, at least 1.
 		Instances func() int
 		// ReportExpected reports whether the accountant expects reports from this instance.
@@ -151,7 +153,7 @@
 		return m.resend(now)
 	}
 	m.sequence++
-	r := Report{Instance: m.Instance, Incarnation: m.Incarnation, Sequence: m.sequence, NewAccountant: m.accountantIncarnation == 0, SincePredecessorAck: m.sincePredecessorAck(now)}
+	r := Report{Instance: m.Instance, Incarnation: m.Incarnation, Sequence: m.sequence, NewAccountant: m.accountantIncarnation == 0, SincePredecessorAck: m.sincePredecessorAck(now), UpTime: m.upTime(now)}
 	for name, c := range m.customers {
 		inactive := c.inactive(now)
 		if !inactive && c.unreported.sum(now) == 0 && c.waiters == 0 && !(r.NewAccountant && (c.grantedAt != 0 || c.reported.sum(now) > 0)) {
@@ -183,10 +185,27 @@
 	return max(1, now-m.predecessorAcked)
 }
 
+// upTime returns how long the process has been running, 0 if unknown.
+func (m *Meter) upTime(now Timestamp) time.Duration {
+	if m.StartedAt == 0 {
+		return 0
+	}
+	return max(1, now-m.StartedAt)
+}
+
+// HandleFinalReply records that the previous accountant has acknowledged the final report. It
+// reserves this instance's fallback rates from then on, so the new one need not wait for it to
+// notice the silence.
+func (m *Meter) HandleFinalReply(now Timestamp) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.predecessorAcked = min(m.predecessorAcked, now-silenceTimeout)
+}
+
 // resend returns the unacknowledged report with its slots and ages updated to now.
 func (m *Meter) resend(now Timestamp) Report {
 	r := *m.pending
-	r.SincePredecessorAck = m.sincePredecessorAck(now)
+	r.SincePredecessorAck, r.UpTime = m.sincePredecessorAck(now), m.upTime(now)
 	r.Usages = slices.Clone(r.Usages)
 	for i := range r.Usages {
 		s := &r.Usages[i]
--- a/internal/standin/netsimulator/netsimulator.go
+++ b/internal/standin/netsimulator/netsimulator.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -54,8 +55,9 @@
 var (
 	_ networker.Network = (*Host)(nil)
 
-	// ErrRefused is returned by Dial when nothing listens on the address.
-	ErrRefused = errors.New("connection refused")
+	// ErrRefused is returned by Dial when nothing listens on the address. It wraps the error of the
+	// operating system, by which instances tell a dead peer from one that is cut off.
+	ErrRefused = errors.Wrap(syscall.ECONNREFUSED, "nothing listens")
 )
 
 // New returns an empty network; seed initializes the random source of Jitter.
