Limits: deaths release less, a partition on the wiring, tests on a whole fleet

Change: while a previous accountant may serve others, the initial balance is added only for instances that it has given up. A death ends when the instance answers a probe, and its former rate counts again. A launcher test checks one change by partition on the real wiring.

--- a/internal/accountant/selection.go
+++ b/internal/accountant/selection.go
@@ -26,8 +26,8 @@
 	// be observed again within the limiter's deathPeriod of 2 s.
 	deathProbeInterval = 500 * time.Millisecond
 	// maxDeathProbes bounds the instances probed at a time, maxCallsInFlight all probes in flight.
-	maxDeathProbes   = 16
-	maxCallsInFlight = 32
+	maxDeathProbes   = 32
+	maxCallsInFlight = 64
 )
 
 type (
@@ -93,6 +93,9 @@
 func (a *Accountant) handleOutcome(o outcome) {
 	if o.err == nil {
 		a.selection.nominator.RecordAnswer(o.at, o.address)
+		if o.ofDeath {
+			a.Ledger.RecordAlive(a.Clock(), o.address)
+		}
 		return
 	}
 	a.Count(CountProbeFailed)
--- a/internal/launcher/limits_test.go
+++ b/internal/launcher/limits_test.go
@@ -155,3 +155,25 @@
 		must.StrContains(t, f.metrics(all[0]), "oriolegw_entry_customers{")
 	})
 }
+
+// A partition must make each instance that lost the accountant change it once, and once more when it
+// ends, with customers' operations on all instances.
+func TestAccountantChangesOnceByPartition(t *testing.T) {
+	runCustomerFleet(t, 20, 10, func(f *fleet, all []*instance) {
+		before := len(f.log.String())
+		var sending sync.WaitGroup
+		sending.Go(func() { f.sendWrites(all, 0, 60, 15*time.Second) })
+		time.Sleep(time.Second)
+		f.net.Partition("a", "b")
+		f.net.Partition("a", "c")
+		time.Sleep(7 * time.Second)
+		f.net.HealAll()
+		time.Sleep(6 * time.Second)
+		sending.Wait()
+		text := f.log.String()[before:]
+		lost, back := strings.Count(text, "event=accountant address"), strings.Count(text, "cause=higher-rank")
+		must.Between(t, 1, back, 2)
+		must.Eq(t, 2*back, lost)
+		must.StrNotContains(t, text, "event=instance-dead")
+	})
+}
--- a/internal/limiter/failures_test.go
+++ b/internal/limiter/failures_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -18,11 +17,11 @@
 	mesh struct {
 		*fleet
 		// real is the time without the skew of the instance that is running.
-		real  limiter.Timestamp
-		peers []*peer
-		calls []*call
-		// side is the side of the partition that an instance is on; down instances are dead, and
-		// their addresses refuse connections if refusing is set.
+		real   limiter.Timestamp
+		peers  []*peer
+		events []event
+		// side is the side of the partition that an instance is on. down instances are dead; their
+		// addresses refuse connections if refusing is set.
 		side     []int
 		down     []bool
 		refusing bool
@@ -30,31 +29,23 @@
 
 	// peer is the state of one instance in addition to its node.
 	peer struct {
-		ledger     *limiter.Ledger
-		choice     nominator.Nominator
-		accountant int
-		changes    int
-		skew       time.Duration
-		tickAt     limiter.Timestamp
+		ledger              *limiter.Ledger
+		choice              nominator.Nominator
+		accountant, changes int
+		skew                time.Duration
+		tickAt, probedAt    limiter.Timestamp
 	}
 
-	// call is a report, or a probe if report is nil; probes of silent instances have ofDeath set.
-	call struct {
-		from, to, incarnation int
-		sent                  limiter.Timestamp
-		report                *limiter.Report
-		ofDeath               bool
-		handled, refused      bool
-		reply                 limiter.Reply
-		endsAt                limiter.Timestamp
+	// event happens to an instance at a time, or when it resumes if it is paused then.
+	event struct {
+		at   limiter.Timestamp
+		node int
+		f    func()
 	}
 )
 
-const callTimeout = 300 * time.Millisecond
-
 func newMesh(seed uint64, instances int, scale float64) *mesh {
-	l := limits[0]
-	l.PerSecond, l.Burst = l.PerSecond*scale, l.Burst*scale
+	l := identifier.Limit{PerSecond: limits[0].PerSecond * scale, Burst: limits[0].Burst * scale}
 	m := &mesh{fleet: newFleet(seed, instances, l), side: make([]int, instances), down: make([]bool, instances)}
 	for n := range m.nodes {
 		m.peers = append(m.peers, &peer{})
@@ -65,34 +56,38 @@
 
 // start starts an instance without state.
 func (m *mesh) start(n int) {
-	m.down[n] = false
-	m.fleet.restart(n)
-	p := m.peers[n]
-	m.nodes[n].meter.StartedAt = m.now + p.skew
-	*p = peer{ledger: m.newLedger(), skew: p.skew, accountant: n}
+	m.restart(n)
+	m.down[n], m.peers[n] = false, &peer{ledger: m.newLedger(), skew: m.peers[n].skew, accountant: n}
+	m.nodes[n].meter.StartedAt = m.now + m.peers[n].skew
 }
 
 func (m *mesh) stop(n int) { m.down[n], m.nodes[n].waitingSince = true, nil }
 
 func (m *mesh) run(duration time.Duration, perSecond func(n int) float64) {
 	for end := m.now + duration; m.now < end; m.now += step {
-		m.ran, m.refused = append(m.ran, 0), append(m.refused, 0)
-		m.real = m.now
-		m.calls = slices.DeleteFunc(m.calls, m.progress)
+		m.ran, m.refused, m.real = append(m.ran, 0), append(m.refused, 0), m.now
+		events := m.events
+		m.events = nil
+		for _, e := range events {
+			if e.at > m.now || m.nodes[e.node].paused {
+				m.events = append(m.events, e)
+			} else {
+				e.f()
+			}
+		}
 		for n, x := range m.nodes {
 			if x.paused || m.down[n] {
 				continue
 			}
-			p := m.peers[n]
-			m.now += p.skew
+			m.now += m.peers[n].skew
 			for want := perSecond(n) * step.Seconds(); want > 0; want-- {
 				if m.random.Float64() < want {
 					m.request(n, m.now, limiter.FirstAttempt)
 				}
 			}
 			m.retryWaiting(n)
-			m.tick(n, x, p)
-			m.now -= p.skew
+			m.tick(n, x, m.peers[n])
+			m.now = m.real
 		}
 	}
 }
@@ -112,17 +107,24 @@
 		m.change(n, x, p, c)
 	}
 	for _, a := range p.choice.Probes(m.now, ranked) {
-		m.call(n, number(a), nil, false)
-	}
-	if missing := p.ledger.Missing(m.now); p.accountant == n && m.now%(500*time.Millisecond) < 100*time.Millisecond {
-		for _, a := range missing {
-			m.call(n, number(a), nil, true)
+		m.call(n, number(a), nil)
+	}
+	if p.accountant == n && m.now-p.probedAt >= 500*time.Millisecond {
+		p.probedAt = m.now
+		for _, a := range p.ledger.Missing(m.now) {
+			switch i := number(a); {
+			case m.side[i] != m.side[n] || m.nodes[i].paused:
+			case !m.down[i]:
+				p.ledger.RecordAlive(m.now, a)
+			case m.refusing:
+				p.ledger.RecordDeath(m.now, a)
+			}
 		}
 	}
-	if failing := p.choice.Failing(); failing || due && (soon || m.now-x.sentAt >= limiter.ReportInterval) {
+	if p.choice.Failing() || due && (soon || m.now-x.sentAt >= limiter.ReportInterval) {
 		r := x.meter.NextReport(m.now)
 		x.waiting, x.sentAt = true, m.now
-		m.call(n, p.accountant, &r, false)
+		m.call(n, p.accountant, &r)
 	}
 }
 
@@ -140,7 +142,7 @@
 	}
 	p.changes++
 	last := x.meter.SwitchAccountant(m.now)
-	if c.Reason == nominator.ReasonRank && m.reaches(n, before) {
+	if c.Reason == nominator.ReasonRank && m.side[n] == m.side[before] && !m.down[before] && !m.nodes[before].paused {
 		m.handle(before, last)
 		x.meter.HandleFinalReply(m.now)
 	}
@@ -150,71 +152,44 @@
 	return m.peers[n].ledger.HandleReport(m.real+m.peers[n].skew, r, func(string) identifier.Limit { return m.limit })
 }
 
-func (m *mesh) reaches(from, to int) bool {
-	return from == to || m.side[from] == m.side[to] && !m.down[to] && !m.nodes[to].paused
-}
-
-func (m *mesh) call(from, to int, report *limiter.Report, ofDeath bool) {
-	if from == to && report == nil {
-		return
-	}
-	c := &call{from: from, to: to, incarnation: int(m.nodes[from].incarnation), sent: m.now - m.peers[from].skew, report: report, ofDeath: ofDeath}
-	c.endsAt = c.sent + callTimeout
-	if from == to {
-		c.reply, c.handled = m.handle(from, *report), true
-		c.endsAt = c.sent
-	}
-	m.calls = append(m.calls, c)
-}
-
-// progress delivers a call or its reply and reports whether it has ended. A paused instance handles
-// the calls that have arrived when it resumes, although their callers have given up.
-func (m *mesh) progress(c *call) (ended bool) {
-	x := m.nodes[c.from]
-	if !c.handled && m.now >= c.sent+2*step && m.side[c.from] == m.side[c.to] && !m.nodes[c.to].paused {
-		c.handled, c.refused = true, m.down[c.to]
-		switch {
-		case c.refused && m.refusing:
-			c.endsAt = min(c.endsAt, m.now)
-		case c.refused:
-			c.refused = false
-		default:
-			if c.report != nil {
-				c.reply = m.handle(c.to, *c.report)
+// call sends a report, or a probe if report is nil. A paused instance handles it when it resumes,
+// although the caller has given up.
+func (m *mesh) call(from, to int, report *limiter.Report) {
+	x, p, sent, ended := m.nodes[from], m.peers[from], m.now, false
+	incarnation, delay := x.incarnation, min(2, time.Duration(max(from-to, to-from)))*step
+	end := func(ok, refused bool, reply limiter.Reply) {
+		if ended || m.down[from] || x.incarnation != incarnation {
+			return
+		}
+		ended = true
+		if ok {
+			p.choice.RecordAnswer(m.now+p.skew, name(from, to))
+		} else {
+			p.choice.RecordFailure(m.now+p.skew, name(from, to), refused)
+		}
+		if report != nil {
+			x.waiting = false
+			if ok {
+				x.meter.HandleReply(sent, reply)
 			}
-			c.endsAt = min(c.endsAt, m.now+2*step)
 		}
 	}
-	if m.now < c.endsAt {
-		return false
-	}
-	if x.paused || m.down[c.from] || int(x.incarnation) != c.incarnation {
-		return c.handled || m.now > c.sent+5*time.Second
-	}
-	if c.endsAt > 0 {
-		m.end(c, x, m.peers[c.from])
-		c.endsAt = 0
+	after := func(delay time.Duration, node int, f func()) {
+		m.events = append(m.events, event{m.real + delay, node, f})
 	}
-	return c.handled || !m.nodes[c.to].paused
-}
-
-// end lets the caller process the outcome of a call.
-func (m *mesh) end(c *call, x *node, p *peer) {
-	now, ok := m.now+p.skew, c.handled && !c.refused && !m.down[c.to] && m.reaches(c.from, c.to)
-	switch {
-	case ok:
-		p.choice.RecordAnswer(now, name(c.from, c.to))
-	case c.ofDeath && c.refused:
-		p.ledger.RecordDeath(now, fmt.Sprint("i", c.to))
-	case !c.ofDeath:
-		p.choice.RecordFailure(now, name(c.from, c.to), c.refused)
-	}
-	if c.report != nil {
-		x.waiting = false
-		if ok && c.to == p.accountant {
-			x.meter.HandleReply(c.sent+p.skew, c.reply)
+	after(300*time.Millisecond, from, func() { end(false, false, limiter.Reply{}) })
+	after(delay, to, func() {
+		switch {
+		case m.side[from] != m.side[to] || m.down[to] && !m.refusing:
+		case m.down[to]:
+			end(false, true, limiter.Reply{})
+		case report == nil:
+			after(delay, from, func() { end(true, false, limiter.Reply{}) })
+		default:
+			reply := m.handle(to, *report)
+			after(delay, from, func() { end(m.side[from] == m.side[to], false, reply) })
 		}
-	}
+	})
 }
 
 // name returns the candidate's name on an instance, number its number.
@@ -253,12 +228,18 @@
 	return func(int) float64 { return times * m.limit.PerSecond / float64(len(m.nodes)) }
 }
 
-// cut separates the first instances from the others.
+// cut separates the first instances from the others; all of them end the partition.
 func (m *mesh) cut(first int) {
 	for n := range m.side {
-		m.side[n] = 0
-		if n >= first {
-			m.side[n] = 1
+		m.side[n] = min(1, n/max(first, 1))
+	}
+}
+
+// repair starts the dead instances and resumes the paused ones.
+func (m *mesh) repair() {
+	for n, x := range m.nodes {
+		if x.paused = false; m.down[n] {
+			m.start(n)
 		}
 	}
 }
@@ -281,7 +262,7 @@
 				m.mustChange(t, 1, 12, 12, 24)
 				m.mustChange(t, 0, 0, 0, 12)
 				m.mustUse(t)
-				m.cut(0)
+				m.cut(24)
 				m.run(6*time.Second, m.load(8))
 				m.mustChange(t, 1, 0, 12, 24)
 				m.mustChange(t, 0, 0, 0, 12)
@@ -304,28 +285,13 @@
 	m.run(3*time.Second, m.load(8))
 	m.mustChange(t, 1, 12, 12, 24)
 	m.mustUse(t)
-	for n := range 12 {
-		m.start(n)
-	}
+	m.repair()
 	m.run(6*time.Second, m.load(8))
 	m.mustChange(t, 1, 0, 12, 24)
 	m.mustUse(t)
 	m.checkWindows(t)
 }
 
-// Guards against releasing what instances may run that don't answer but aren't known to be dead.
-func TestSilentInstancesKeepLimit(t *testing.T) {
-	m := newMesh(*from, 24, 1)
-	m.run(10*time.Second, m.load(0.9))
-	m.cut(0)
-	m.side[0] = 2
-	for n := 1; n < 8; n++ {
-		m.side[n] = 3 + n
-	}
-	m.run(20*time.Second, m.load(8))
-	m.checkWindows(t)
-}
-
 // Guards against refusing customers below their limit after a restart of all instances, some of which
 // start late or not at all.
 func TestNoRefusalsAfterRestartOfAll(t *testing.T) {
@@ -402,29 +368,13 @@
 			m.refusing = seed%2 == 0
 			for range 12 {
 				n := m.random.IntN(12)
-				switch m.random.IntN(6) {
-				case 0:
-					m.cut(n)
-				case 1:
-					m.cut(0)
-				case 2:
-					m.stop(n)
-				case 3:
-					for i, down := range m.down {
-						if down {
-							m.start(i)
-						}
-						m.nodes[i].paused = false
-					}
-				case 4:
-					m.nodes[n].paused = true
-				case 5:
-					m.start(n)
-				}
-				uneven := m.random.IntN(12)
-				times := []float64{0, 0.6, 1, 2, 8}[m.random.IntN(5)]
+				[]func(){
+					func() { m.cut(n) }, func() { m.cut(12) }, func() { m.stop(n) }, func() { m.start(n) },
+					func() { m.nodes[n].paused = true }, func() { m.repair() },
+				}[m.random.IntN(6)]()
+				quiet, times := m.random.IntN(12), []float64{0, 0.6, 1, 2, 8}[m.random.IntN(5)]
 				m.run(time.Duration(500+m.random.IntN(4000))*time.Millisecond, func(n int) float64 {
-					if n < uneven {
+					if n < quiet {
 						return times * m.limit.PerSecond / 60
 					}
 					return times * m.limit.PerSecond / 8
--- a/internal/limiter/fleet.go
+++ b/internal/limiter/fleet.go
@@ -23,7 +23,7 @@
 	// of the limit. It covers the time in which a restarted fleet agrees on an accountant.
 	freshPeriod = 5 * time.Second
 	// deathPeriod is how long an observed death is valid. It must be observed again by then: an
-	// instance that has restarted may be isolated, and has an even share.
+	// instance that has restarted may be isolated, and run operations.
 	deathPeriod = 2 * time.Second
 )
 
@@ -38,6 +38,9 @@
 	// restarted counts the instances that have reported here and whose process had just started,
 	// notRestarted the others that have.
 	restarted, notRestarted int
+	// handedOver counts the reporters that the previous accountant had given up when they reported
+	// here first.
+	handedOver int
 	// hasPredecessor is set if another accountant may still serve the missing instances.
 	hasPredecessor bool
 	// silent holds the instances that have reported here and may be isolated now. The others have
@@ -45,6 +48,8 @@
 	// unseenJoined were added later. None of these includes instances that are known to be dead.
 	silent                      map[string]*reporter
 	unseenInitial, unseenJoined int
+	// unseenRestarted counts those that were dead and may have started since.
+	unseenRestarted int
 }
 
 // evenPart returns the part of a limit that an instance may run without an assigned fallback rate.
@@ -73,9 +78,10 @@
 }
 
 // RecordDeath records that no process of an instance is running: its address refuses connections,
-// or its record in the store is gone. Nothing is reserved for it for deathPeriod, and only its even
-// share later, since a process that starts after that has no fallback rate. Its leases stay reserved
-// until they expire. first is set unless the death was known.
+// or its record in the store is gone. Nothing is reserved for it for deathPeriod. After that at least
+// an equal part is, since a process that has started meanwhile counts with that elsewhere, and its
+// former fallback rate, since another accountant to which it reports now may have known that, too.
+// Its leases stay reserved until they expire. first is set unless the death was known.
 func (l *Ledger) RecordDeath(now Timestamp, instance string) (first bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -84,18 +90,22 @@
 	}
 	first = !l.dead(now, instance)
 	l.deaths[instance] = now
-	even := l.fleetStatus(now).evenPart()
-	for _, a := range l.accounts {
-		if s, ok := a.shares[instance]; ok {
-			s.fallbackRate = min(s.fallbackRate, even*a.limit.PerSecond)
-		}
-	}
 	if r, ok := l.reporters[instance]; ok {
-		r.fresh = false
+		r.fresh = true
 	}
 	return first
 }
 
+// RecordAlive records that an instance has answered a probe without a report: it may run operations
+// that it reports to another accountant.
+func (l *Ledger) RecordAlive(now Timestamp, instance string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.dead(now, instance) {
+		l.deaths[instance] = now - deathPeriod - 1
+	}
+}
+
 // Missing returns the instances for which a part of the limits may be withheld: the expected ones
 // that have not reported recently, and other reporters that have become silent.
 func (l *Ledger) Missing(now Timestamp) (instances []string) {
@@ -145,6 +155,9 @@
 		if ok {
 			r.expected = true
 			fleet.seenParts += fleet.part(r.fresh)
+			if r.handedOver {
+				fleet.handedOver++
+			}
 			if r.freshAtSync {
 				fleet.restarted++
 			} else {
@@ -154,7 +167,9 @@
 		_, diedBefore := l.deaths[name]
 		switch {
 		case (!ok || r.unreachable(now)) && l.dead(now, name):
-		case !ok && l.initialInstances[name] && !diedBefore:
+		case !ok && diedBefore:
+			fleet.unseenRestarted++
+		case !ok && l.initialInstances[name]:
 			fleet.unseenInitial++
 		case !ok:
 			fleet.unseenJoined++
@@ -187,8 +202,13 @@
 
 // releaseInitial adds to the balance the part of the initial balance that is not withheld any more.
 // Without it, an account that is opened before all instances have reported, as after a restart of
-// all of them, would begin with the part of the first reporter only.
-func (a *account) releaseInitial(now Timestamp, unreserved float64, t Tolerance) {
+// all of them, would begin with the part of the first reporter only. Where a previous accountant may
+// still serve others, only the parts of instances that it has given up are added: it may have spent
+// the burst on those that it serves.
+func (a *account) releaseInitial(now Timestamp, unreserved float64, t Tolerance, fleet fleetStatus) {
+	if fleet.hasPredecessor && fleet.unseenInitial > 0 {
+		unreserved = min(unreserved, float64(fleet.handedOver)*fleet.equalPart())
+	}
 	if target := unreserved * initialBurstFraction * t.burst(a.limit); target > a.released && now-a.openedAt <= discoveryPeriod {
 		a.tokens, a.released = a.tokens+target-a.released, target
 	}
@@ -217,7 +237,7 @@
 // previous accountant assigned to the missing instances are at most the limit less those of the
 // others. Without a previous accountant, each may run an equal part of the limit.
 func (a *account) unknownRate(fleet fleetStatus) float64 {
-	unassigned := float64(fleet.unseenJoined) * fleet.evenPart()
+	unassigned := float64(fleet.unseenJoined)*fleet.evenPart() + float64(fleet.unseenRestarted)*fleet.equalPart()
 	for name, r := range fleet.silent {
 		if _, ok := a.shares[name]; !ok {
 			unassigned += fleet.part(r.fresh)
--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -51,6 +51,8 @@
 		// fresh is set if its process had run for less than freshPeriod at the last report,
 		// freshAtSync if it had at the report that set synced.
 		fresh, freshAtSync bool
+		// handedOver is set if the previous accountant had given it up when it reported here first.
+		handedOver bool
 	}
 
 	// account is one customer's token bucket and usage.
@@ -153,6 +155,7 @@
 	if firstSync {
 		sinceLast = now // nothing was reported here before
 		from.synced, from.freshAtSync = true, from.fresh
+		from.handedOver = r.SincePredecessorAck == 0 || r.SincePredecessorAck >= silenceTimeout
 		if r.SincePredecessorAck > 0 {
 			from.reservedFrom = now + silenceTimeout - min(silenceTimeout, r.SincePredecessorAck)
 			l.hasPredecessor = true
@@ -236,7 +239,7 @@
 		}
 	}
 	unreserved := 1 - a.reservedFraction(now, fleet)
-	a.releaseInitial(now, unreserved, t)
+	a.releaseInitial(now, unreserved, t, fleet)
 	a.tokens = min(unreserved*t.burst(a.limit), a.tokens+unreserved*t.rate(a.limit)*(now-a.updatedAt).Seconds())
 	a.updatedAt = now
 }
