Limits: accounts are opened anew after the accountant was paused

Change: 2 s without any report open the accounts anew, as those of a successor. Leases need the instances' past usage again, and what is not accounted for stays withheld.

--- a/internal/limiter/fleet.go
+++ b/internal/limiter/fleet.go
@@ -19,6 +19,9 @@
 	// discoveryPeriod is the time in which a new accountant learns which instances were running
 	// operations when it took over.
 	discoveryPeriod = 5 * time.Second
+	// pauseTimeout is the time without any report after which an accountant was paused. It exceeds
+	// idleReportInterval by scheduling delays on a busy machine.
+	pauseTimeout = 2 * time.Second
 	// freshPeriod is how long after the start of its process an instance counts with an equal part
 	// of the limit. It covers the time in which a restarted fleet agrees on an accountant.
 	freshPeriod = 5 * time.Second
@@ -77,6 +80,22 @@
 	return s.fallbackRate
 }
 
+// openAfterPause opens the accounts if there are none, and anew after a time without any report. All
+// expected instances report more often, this one included, so this process was paused meanwhile.
+// Reports that arrived during the pause would make instances appear to report that have another
+// accountant by now, and the balance would have been refilled beside that one's. The earlier accounts
+// count as those of a predecessor.
+func (l *Ledger) openAfterPause(now Timestamp) {
+	switch {
+	case l.accounts == nil:
+		l.open(now)
+	case now-l.handledAt > pauseTimeout:
+		l.open(now)
+		l.hasPredecessor = true
+	}
+	l.handledAt = now
+}
+
 // RecordDeath records that no process of an instance is running: its address refuses connections,
 // or its record in the store is gone. Nothing is reserved for it for deathPeriod. After that at least
 // an equal part is, since a process that has started meanwhile counts with that elsewhere, and its
--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -28,9 +28,11 @@
 		// hasPredecessor is set if an instance has reported to an earlier accountant, which may
 		// still serve others.
 		hasPredecessor bool
-		mutex          sync.Mutex
-		accounts       map[string]*account
-		reporters      map[string]*reporter
+		// handledAt is when the last report was handled.
+		handledAt Timestamp
+		mutex     sync.Mutex
+		accounts  map[string]*account
+		reporters map[string]*reporter
 		// deaths holds when instances that have not reported since were last known to be dead.
 		deaths map[string]Timestamp
 	}
@@ -122,7 +124,7 @@
 // open replaces all accounts by empty ones.
 func (l *Ledger) open(now Timestamp) {
 	l.accounts, l.reporters, l.initialInstances, l.openedAt = map[string]*account{}, map[string]*reporter{}, map[string]bool{}, now
-	l.hasPredecessor = false
+	l.hasPredecessor, l.handledAt = false, now
 	l.Incarnation++
 }
 
@@ -131,9 +133,7 @@
 func (l *Ledger) HandleReport(now Timestamp, r Report, limitOf func(customer string) identifier.Limit) Reply {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.accounts == nil {
-		l.open(now)
-	}
+	l.openAfterPause(now)
 	from, ok := l.reporters[r.Instance]
 	if !ok {
 		from = &reporter{}
