--- a/internal/accountant/wire_test.go
+++ b/internal/accountant/wire_test.go
@@ -11,7 +11,7 @@
 
 func TestReportsRoundTrip(t *testing.T) {
 	for _, used := range [][]int{nil, {3}, {2, 0, 1}} {
-		want := limiter.Report{Instance: "i", Incarnation: 7, Sequence: 8, NewAccountant: true, Final: true, SincePredecessorAck: time.Second, Usages: []limiter.Usage{{
+		want := limiter.Report{Instance: "i", Incarnation: 7, Sequence: 8, NewAccountant: true, Final: true, SincePredecessorAck: time.Second, UpTime: time.Minute, Usages: []limiter.Usage{{
 			Customer: "north", Used: used, PastUsed: []int{1, 0}, UnusedTokens: 4, Waiters: 5, Demand: 6.5, WaitersByClass: limiter.Counts{0, 2, 3}, DemandByClass: limiter.Rates{6, 0, 0.5}, Reserved: 9, FallbackRate: 0.25, HasFallbackRate: true,
 		}}}
 		got, invalid := fromReport(toReport(want))
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oriolegw/oriolegw/internal/accountant"
 	"github.com/oriolegw/oriolegw/internal/balancer"
 	"github.com/oriolegw/oriolegw/internal/dispatcher"
 	"github.com/oriolegw/oriolegw/internal/forecaster"
@@ -116,6 +117,12 @@
 		reporter.Metric{Name: metricReadsMoved, Kind: reporter.KindGauge, Description: "Reads since the start that went to a member where a connection of their customer is kept, instead of opening one at the nearest."},
 		reporter.Metric{Name: metricLoad, Kind: reporter.KindGauge, Description: "Used part of the CPU limit in thousandths; 0 where the limit is not known. Alert when it stays above 900 for 10 s."},
 	)
+	list = append(list,
+		reporter.Metric{Name: metricPrefix + accountant.CountChanges, Kind: reporter.KindCounter, Description: "Changes of the instance that keeps the customers' accounts, the first choice included. A partition causes one, and so does its end. Alert when it grows by more than 3 in a minute."},
+		reporter.Metric{Name: metricPrefix + accountant.CountUnanswered, Kind: reporter.KindCounter, Description: "Reports to the instance that keeps the customers' accounts that were not answered."},
+		reporter.Metric{Name: metricPrefix + accountant.CountProbeFailed, Kind: reporter.KindCounter, Description: "Failed probes of instances that may keep the customers' accounts, or that don't report to this one."},
+		reporter.Metric{Name: metricPrefix + accountant.CountDeaths, Kind: reporter.KindCounter, Description: "Instances that were found dead, so that no part of the limits is withheld for them any more."},
+	)
 	for _, n := range ruleNames {
 		list = append(list, reporter.Metric{Name: metricServed + n, Kind: kindHistogram, Description: "Time from reading a statement to its response, by the route's kind."})
 	}
