Limits: upper bound under faults with admission by class, log fields

Cause: the upper bound was shown only for the decisions of the meter, not for requests that wait in the reserver. The line of an instance that was told a refusal by another had fields that it could not know.

Change: TestUpperBoundUnderFaults plays message loss, restarts, pauses and changes of the accountant. Fields of the refusal are written only where they are known.

--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -60,13 +60,16 @@
 	Cause    string
 }
 
-// LogFields returns what explains the refusal, for a log line.
+// LogFields returns what explains the refusal, for a log line; nothing if Balance is nil.
 func (e *LimitError) LogFields() []any {
-	fields := []any{"reserved", e.Reserved, "limit-waited-ms", e.Waited.Milliseconds()}
-	if b := e.Balance; b != nil {
-		fields = append(fields, "per-second", b.PerSecond, "burst", b.Burst, "used-here", b.Used, "leased-here", b.Leased, "withheld", b.Withheld, "cause", b.Cause)
+	b := e.Balance
+	if b == nil {
+		return nil
+	}
+	return []any{
+		"reserved", e.Reserved, "limit-waited-ms", e.Waited.Milliseconds(), "per-second", b.PerSecond, "burst", b.Burst,
+		"used-here", b.Used, "leased-here", b.Leased, "withheld", b.Withheld, "cause", b.Cause,
 	}
-	return fields
 }
 
 // Error implements error.
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -1,6 +1,7 @@
 package reserver_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -20,6 +21,7 @@
 )
 
 var (
+	seeds     = flag.Int("seeds", 12, "number of simulation seeds")
 	tolerance = limiter.Tolerance{Window: window, Overage: 0.1, Slack: 20}
 	limits    = []identifier.Limit{{PerSecond: 117, Burst: 117}, {PerSecond: 20, Burst: 20}, {PerSecond: 3, Burst: 3}}
 	// waits are how long requests of each class may wait: 0.8 of objectives of 400, 800 and 2,000 ms.
@@ -431,3 +433,34 @@
 	f.run(2*time.Second, 2*allowed(limits[0]))
 	must.GreaterEq(t, 0.95*2*limits[0].PerSecond, float64(sum(f.ran)-raised))
 }
+
+// Guards against exceeding the limit when admission by class and reservations meet lost messages,
+// restarts, pauses and accountant failovers.
+func TestUpperBoundUnderFaults(t *testing.T) {
+	for seed := range uint64(*seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			f := newFleet(seed, 8+int(seed%3)*8, limits[seed%uint64(len(limits))])
+			f.loss = 0.02
+			for range 8 {
+				x := f.nodes[f.random.IntN(len(f.nodes))]
+				switch f.random.IntN(5) {
+				case 0:
+					f.restart(f.random.IntN(len(f.nodes)))
+				case 1:
+					x.paused = true
+				case 2:
+					x.paused = false
+				case 3:
+					f.accountantDown = true
+				case 4:
+					f.accountantDown, f.accounts = false, f.newLedger()
+					for _, x := range f.nodes {
+						_ = x.meter.SwitchAccountant(f.now)
+					}
+				}
+				f.run(time.Duration(500+f.random.IntN(3000))*time.Millisecond, []float64{0, 0.6, 1, 2, 5, 8}[f.random.IntN(6)]*allowed(f.limit))
+			}
+			f.checkUpperBound(t, 0)
+		})
+	}
+}
