Retry times of lower classes: by the drain rate of the class

Cause: the expected wait of a lower class was computed from the drain rate of all classes and an assumed share, without the more urgent requests that overtake it.

Change: the drain rate is measured by class, too, and gives the expected wait. A request is refused only if the rate of all classes also says so.

--- a/internal/forecaster/forecaster.go
+++ b/internal/forecaster/forecaster.go
@@ -83,36 +83,42 @@
 	Queue struct {
 		// Ahead is the number of requests that are served before the new one.
 		Ahead int
-		// ClassAhead is the number of those that have the same class, and Share the part of the
-		// drain rate that its class gets even if more urgent requests wait; 0 is none.
-		ClassAhead int
-		Share      float64
 		// Rate is the drain rate in requests per second; 0 is unknown.
 		Rate float64
+		// ClassAhead and ClassRate are the same for the requests of its class, where more urgent
+		// ones may overtake it; ClassRate is 0 if unknown or if none do.
+		ClassAhead int
+		ClassRate  float64
 	}
 )
 
 // Wait returns the expected wait in the queue, and false if the drain rate is unknown.
 func (q Queue) Wait() (time.Duration, bool) {
-	if q.Rate <= 0 {
-		return 0, false
+	if q.ClassRate > 0 {
+		return drainTime(q.ClassAhead, q.ClassRate), true
 	}
-	seconds := float64(q.Ahead) / q.Rate
-	if q.Share > 0 {
-		seconds = min(seconds, float64(q.ClassAhead)/(q.Share*q.Rate))
+	return drainTime(q.Ahead, q.Rate), q.Rate > 0
+}
+
+// drainTime returns how long a number of requests takes to leave a queue.
+func drainTime(requests int, rate float64) time.Duration {
+	if rate <= 0 {
+		return 0
 	}
-	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second)), true
+	return time.Duration(min(float64(requests)/rate, math.MaxInt32) * float64(time.Second))
 }
 
 // Decide decides on a request that would join a queue. It handles overload: a request is refused
-// only if it can't start before its deadline, since a late answer is still useful.
+// only if it can't start before its deadline, since a late answer is still useful. What more urgent
+// classes leave to its class can double within a second, so the rate of the class alone refuses
+// nothing.
 func Decide(r Request, q Queue) Decision {
 	wait, known := q.Wait()
-	start := r.Now.Add(wait)
+	start, earliest := r.Now.Add(wait), r.Now.Add(min(wait, drainTime(q.Ahead, q.Rate)))
 	switch {
 	case !known:
 		return Decision{Verdict: Keep}
-	case start.After(r.Deadline):
+	case earliest.After(r.Deadline):
 		return Decision{Verdict: Refuse, Cause: CauseQueue, RetryAfter: wait, Ahead: q.Ahead, Rate: q.Rate}
 	case !r.LatestStart.IsZero() && start.After(r.LatestStart):
 		return Decision{Verdict: KeepLate}
--- a/internal/lender/charge.go
+++ b/internal/lender/charge.go
@@ -129,6 +129,7 @@
 	if x.class != unmeasuredClass {
 		m := p.member(c.Member)
 		m.shares.Charge(x.class, x.estimate, m.waitingClasses())
+		m.classDrain(x.class).RecordStart(time.Now())
 	}
 }
 
--- a/internal/lender/forecast.go
+++ b/internal/lender/forecast.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/forecaster"
-	"github.com/oriolegw/oriolegw/internal/scheduler"
 )
 
 // WaitError rejects a request with a latency objective that gets no connection. It wraps
@@ -99,8 +98,12 @@
 // about the time after it.
 func (m *memberPool) noteReachable() {
 	if m.outage.Down(time.Now()) {
-		m.drain = forecaster.DrainRate{}
-		m.drain.SetWaiting(time.Now(), m.queued)
+		now := time.Now()
+		m.drain, m.classDrains = forecaster.DrainRate{}, nil
+		m.drain.SetWaiting(now, m.queued)
+		for class, n := range m.queuedByClass {
+			m.classDrain(class).SetWaiting(now, n)
+		}
 	}
 	m.outage.RecordSuccess()
 	m.notedDown = false
@@ -156,12 +159,19 @@
 // unknown unless that of all members is.
 func (p *Pool) queue(w *waiter, ids []string, ahead []*waiter, now time.Time) forecaster.Queue {
 	var q forecaster.Queue
+	classKnown := p.severalClasses()
 	for _, id := range ids {
-		rate := p.member(id).drain.PerSecond(now)
+		m := p.member(id)
+		rate, classRate := m.drain.PerSecond(now), m.classDrain(w.class()).PerSecond(now)
 		if rate == 0 {
 			return forecaster.Queue{}
 		}
 		q.Rate += rate
+		q.ClassRate += classRate
+		classKnown = classKnown && classRate > 0
+	}
+	if !classKnown {
+		q.ClassRate = 0
 	}
 	for _, x := range ahead {
 		if slices.ContainsFunc(x.members, func(id string) bool { return slices.Contains(ids, id) }) {
@@ -171,27 +181,20 @@
 			}
 		}
 	}
-	if q.ClassAhead < q.Ahead {
-		q.Share = p.classShare(w, ids)
-	}
 	return q
 }
 
-// classShare returns the part of the drain rate that a class gets while more urgent ones wait. The
-// share is one of slot time, so classes with long statements drain more slowly.
-func (p *Pool) classShare(w *waiter, ids []string) float64 {
-	classes := []int{w.class()}
-	for _, id := range ids {
-		classes = append(classes, p.member(id).waitingClasses()...)
-	}
-	slices.Sort(classes)
-	classes = slices.Compact(classes)
-	share := scheduler.LowerShare(len(classes) - 1)
-	urgent, own := p.fairQueue(classes[0]).cost.Estimate(0), p.fairQueue(w.class()).cost.Estimate(0)
-	if urgent > 0 && own > 0 {
-		share *= float64(urgent) / float64(own)
+// classDrain returns the drain rate of a class.
+func (m *memberPool) classDrain(class int) *forecaster.DrainRate {
+	d, ok := m.classDrains[class]
+	if !ok {
+		if m.classDrains == nil {
+			m.classDrains = map[int]*forecaster.DrainRate{}
+		}
+		d = &forecaster.DrainRate{}
+		m.classDrains[class] = d
 	}
-	return share
+	return d
 }
 
 // reconsider decides again on a waiting request: a path that has failed since, or a primary that
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -188,9 +188,11 @@
 		// number of requests that wait for one.
 		drain  forecaster.DrainRate
 		queued int
-		// queuedByClass counts the waiting requests with an objective by class, shares divides the
-		// slot time among classes, and meter measures it.
+		// queuedByClass counts the waiting requests with an objective by class, classDrains are the
+		// rates at which these get connections, shares divides the slot time among classes, and
+		// meter measures it.
 		queuedByClass map[int]int
+		classDrains   map[int]*forecaster.DrainRate
 		shares        scheduler.ClassShares
 		meter         *slotMeter
 	}
--- a/internal/lender/queue.go
+++ b/internal/lender/queue.go
@@ -100,6 +100,7 @@
 		m.queuedByClass = map[int]int{}
 	}
 	m.queuedByClass[class] += by
+	m.classDrain(class).SetWaiting(time.Now(), m.queuedByClass[class])
 	if m.queuedByClass[class] <= 0 {
 		delete(m.queuedByClass, class)
 	}
