--- a/internal/launcher/backend.go
+++ b/internal/launcher/backend.go
@@ -120,7 +120,7 @@
 // again within lender.MaintenanceInterval. The proof is renewed if it is wanted.
 func (b *backend) maintain(now time.Time, proofWanted bool) bool {
 	b.Pool.Maintain(now)
-	b.recordWaits()
+	b.recordLoad()
 	noPrimary := b.Group.Primary() == ""
 	if noPrimary && now.Sub(b.primarySearchedAt) >= primarySearchInterval {
 		b.primarySearchedAt = now
@@ -135,13 +135,18 @@
 	return noPrimary || b.Pool.Active()
 }
 
-// recordWaits records how long requests wait for this instance's own connections, so that reads go to
-// other members. Those of other instances report it with each loan.
-func (b *backend) recordWaits() {
-	if _, _, waiting, _ := b.Pool.Stats(); waiting == 0 {
-		return
-	}
+// recordLoad records how long requests wait for this instance's own connections, so that reads go to
+// other members, and the load of members whose connections this instance holds for all. The waits at
+// other instances come with each loan.
+func (b *backend) recordLoad() {
+	_, _, waiting, _ := b.Pool.Stats()
 	for _, id := range b.Group.IDs() {
+		if statements, all := b.Pool.HeldStatements(id); all {
+			b.Group.ObserveHeld(b.clock(), id, statements)
+		}
+		if waiting == 0 {
+			continue
+		}
 		if waits, queued := b.Pool.Drain(id); queued > 0 && len(waits) > 0 {
 			b.Group.RecordWait(b.clock(), id, waits[len(waits)-1])
 		}
--- a/internal/lender/drain.go
+++ b/internal/lender/drain.go
@@ -58,3 +58,17 @@
 	}
 	return waits, queued
 }
+
+// HeldStatements returns the number of connections to a member that are lent for single statements, and
+// whether this instance holds the connections of all instances to it.
+func (p *Pool) HeldStatements(member string) (statements int, all bool) {
+	if p.HolderCount == nil || p.HolderCount(p.Group.Name, member) != 1 || p.heldElsewhere(member) {
+		return 0, false
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if m := p.members[member]; m != nil {
+		statements = m.shortLoans
+	}
+	return statements, true
+}
--- a/internal/tracker/group.go
+++ b/internal/tracker/group.go
@@ -186,6 +186,7 @@
 	}
 	m.lastPosition, m.failed = s.Received, false
 	m.load.observe(requested, s.Busy, m.Slots)
+	m.load.held = false
 	if !s.Primary {
 		if g.primary == id && s.Term >= g.term {
 			g.term = s.Term
--- a/internal/tracker/load.go
+++ b/internal/tracker/load.go
@@ -71,6 +71,8 @@
 	// memberLoad is what is known about a member's load.
 	memberLoad struct {
 		MemberLoad
+		// held is set if Busy counts loans, in the place of status replies.
+		held bool
 		// ownAverage is the average number of own statements in flight, which Busy includes.
 		ownAverage float64
 		// service is the average service time of serviceSamples own statements, the last at
@@ -129,6 +131,18 @@
 	return l.service
 }
 
+// ObserveHeld records how many statements run on the connections to a member if one instance holds those
+// of all. It counts only while no status reply gives the load, as after the loss of the supervisor: a loan
+// lasts longer than the statement, by the network time of the borrower.
+func (g *Group) ObserveHeld(now Timestamp, id string, statements int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if m, ok := g.members[id]; ok && (m.load.held || !m.load.fresh(now)) {
+		m.load.observe(now, statements, m.Slots)
+		m.load.held = true
+	}
+}
+
 // AddRemoteLoad records a load that another instance observed, with its time converted to the local
 // clock. A load that is not newer, or from before a restart of a member, is ignored. It returns an
 // error for an invalid load.
@@ -144,13 +158,13 @@
 	case l.At > now:
 		return errLoadFromFuture
 	}
-	if at := g.observeRestarts(now); at != 0 && l.At <= at || l.At <= m.load.At {
+	if at := g.observeRestarts(now); at != 0 && l.At <= at || l.At <= m.load.At && !m.load.held {
 		return nil
 	}
 	if l.Service == 0 {
 		l.Service = m.load.Service
 	}
-	m.load.MemberLoad = l
+	m.load.MemberLoad, m.load.held = l, false
 	return nil
 }
 
