Limits: a restarted accountant learns that it has a predecessor

Change: an instance whose accountant has opened its accounts anew tells it of a predecessor, which reserves nothing any more.

--- a/internal/limiter/meter.go
+++ b/internal/limiter/meter.go
@@ -232,8 +232,10 @@
 	m.pending, m.lastAcked = nil, max(sent, m.unackedSince)
 	if pastReported || m.accountantIncarnation == r.Incarnation {
 		m.accountantIncarnation = r.Incarnation
-	} else {
-		m.accountantIncarnation = 0
+	} else if m.accountantIncarnation != 0 {
+		// The accountant's accounts were opened anew. Without a predecessor, it would take the
+		// fallback rates of instances that it can't reach for equal parts.
+		m.accountantIncarnation, m.predecessorAcked = 0, sent-silenceTimeout
 	}
 	for _, g := range r.Grants {
 		c, ok := m.customers[g.Customer]
