Limits: restarted instances count once in what a predecessor leaves to others

Cause: what instances may run that were dead and have started again was withheld beside the rest that the previous accountant's books leave to all others.

Change: the larger of both is withheld.

--- a/internal/limiter/fleet.go
+++ b/internal/limiter/fleet.go
@@ -256,7 +256,7 @@
 // previous accountant assigned to the missing instances are at most the limit less those of the
 // others. Without a previous accountant, each may run an equal part of the limit.
 func (a *account) unknownRate(fleet fleetStatus) float64 {
-	unassigned := float64(fleet.unseenJoined)*fleet.evenPart() + float64(fleet.unseenRestarted)*fleet.equalPart()
+	unassigned, restarted := float64(fleet.unseenJoined)*fleet.evenPart(), float64(fleet.unseenRestarted)*fleet.equalPart()
 	for name, r := range fleet.silent {
 		if _, ok := a.shares[name]; !ok {
 			unassigned += fleet.part(r.fresh)
@@ -265,9 +265,12 @@
 	var inherited float64
 	switch {
 	case fleet.hasPredecessor && fleet.unseenInitial > 0:
-		inherited = max(float64(fleet.unseenInitial)*fleet.evenPart()*a.limit.PerSecond, a.limit.PerSecond-a.predecessorReservedRate(fleet))
+		// What the previous accountant's books leave to others includes those that have restarted.
+		inherited = max((float64(fleet.unseenInitial)*fleet.evenPart()+restarted)*a.limit.PerSecond, a.limit.PerSecond-a.predecessorReservedRate(fleet))
 	case fleet.unseenInitial > 0:
-		inherited = float64(fleet.unseenInitial) / float64(fleet.expected) * a.limit.PerSecond
+		inherited = (float64(fleet.unseenInitial)*fleet.equalPart() + restarted) * a.limit.PerSecond
+	default:
+		inherited = restarted * a.limit.PerSecond
 	}
 	return min(a.limit.PerSecond, unassigned*a.limit.PerSecond+inherited)
 }
