Restart of all instances: a borrower keeps its place at the holder

Cause: a borrower asked its holder again every 200 ms, each time behind later requests. With 384 callers in the first 0.4 s, up to 6 statements waited for 0.6 of their timeout and were refused, while later ones were served.

Change: once the holder has answered that no connection became free, the next attempt lasts to the deadline, as long as the member stays eligible. The first attempt still ends after 200 ms, so that a holder that does not answer is found as soon as before. The replays' counter of refused openings is set before the pools run (data race in the tests, found with -race).

--- a/internal/forwarder/holders.go
+++ b/internal/forwarder/holders.go
@@ -21,8 +21,8 @@
 	maxRankedMembers = 32
 	// maxHoldersTried is how many holders are tried before the instance opens its own connection.
 	maxHoldersTried = 4
-	// attemptTimeout bounds one attempt to borrow; the members are then chosen again, since the
-	// primary may have changed.
+	// attemptTimeout bounds the first attempt to borrow, and is the interval at which later ones check
+	// that the member is still eligible, since the primary may have changed.
 	attemptTimeout = 200 * time.Millisecond
 	// holderBackoff is how long an unreachable holder is skipped.
 	holderBackoff = time.Second
@@ -213,7 +213,7 @@
 		return nil, lender.ErrUseLocal
 	}
 	fw.countRequest("")
-	until := r.Deadline
+	until, wait := r.Deadline, attemptTimeout
 	for {
 		members := r.EligibleMembers()
 		if time.Now().After(until) || ctx.Err() != nil {
@@ -223,19 +223,49 @@
 			return nil, lender.ErrNoConnection
 		}
 		if len(members) > 0 {
-			r.Deadline = time.Now().Add(min(attemptTimeout, time.Until(until)))
+			r.Deadline = time.Now().Add(min(wait, time.Until(until)))
 			if !r.StatusQuery {
 				members = fw.preferKept(r.Customer, members)
 			}
-			conn, err := fw.borrowFromHolders(ctx, group, members, r)
+			attemptCtx, end := ctx, context.CancelFunc(func() {})
+			if wait > attemptTimeout {
+				attemptCtx, end = whileEligible(ctx, r.EligibleMembers, members[0])
+			}
+			conn, err := fw.borrowFromHolders(attemptCtx, group, members, r)
+			end()
 			if !errors.Is(err, lender.ErrNoConnection) {
 				return conn, err
 			}
+			// The holder has answered, so that its queue may be waited for. With short attempts,
+			// requests would join the queue again and again behind later ones.
+			wait = time.Until(until)
 		}
 		time.Sleep(retryDelay)
 	}
 }
 
+// whileEligible returns a context that ends when a member is no longer eligible, which is checked
+// every attemptTimeout. The caller calls end.
+func whileEligible(ctx context.Context, eligible func() []string, member string) (attempt context.Context, end context.CancelFunc) {
+	attempt, end = context.WithCancel(ctx)
+	go func() {
+		t := time.NewTicker(attemptTimeout)
+		defer t.Stop()
+		for {
+			select {
+			case <-attempt.Done():
+				return
+			case <-t.C:
+				if !slices.Contains(eligible(), member) {
+					end()
+					return
+				}
+			}
+		}
+	}()
+	return attempt, end
+}
+
 func (fw *Forwarder) placement(group string) concentrator.Placement {
 	fw.mutex.Lock()
 	defer fw.mutex.Unlock()
--- a/internal/launcher/restart_test.go
+++ b/internal/launcher/restart_test.go
@@ -21,8 +21,8 @@
 }
 
 // restartAll restarts all instances within 0.1 s, the first one only after late. In the 0.4 s after each one's start, callers
-// connect to it every 50 ms and send one statement.
-func (f *fleet) restartAll(instances int, late time.Duration) restartReplay {
+// connect to it at even intervals and send one statement.
+func (f *fleet) restartAll(instances, callersEach int, late time.Duration) restartReplay {
 	zones := []string{"a", "b", "c"}
 	var all []*instance
 	for n := range instances {
@@ -46,8 +46,8 @@
 			ip := fmt.Sprintf("10.5.0.%d", n+1)
 			f.net.Revive(ip)
 			f.start(ip, zones[n%3])
-			for k := range 8 {
-				time.Sleep(50 * time.Millisecond)
+			for k := range callersEach {
+				time.Sleep(400 * time.Millisecond / time.Duration(callersEach))
 				callers.Go(func() {
 					begin := time.Now()
 					reply := f.firstStatement(ip, fmt.Sprintf("s%d-%d", n, k), customerKey((n+k)%16))
@@ -97,14 +97,15 @@
 	}
 }
 
-// replayRestart restarts 24 instances of a fleet with 16 customers; the first one follows late.
-func replayRestart(t *testing.T, late time.Duration) {
+// replayRestart restarts 24 instances of a fleet with 16 customers, with callersEach callers of each; the
+// first one follows late.
+func replayRestart(t *testing.T, callersEach int, late time.Duration) {
 	runFleet(t, func(f *fleet) {
 		for n := range 16 {
 			f.customers = append(f.customers, platformer.Customer{Name: fmt.Sprint("c", n), Keys: []string{customerKey(n)}, PerSecond: 1000, Burst: 1000})
 		}
 		f.configure()
-		r := f.restartAll(24, late)
+		r := f.restartAll(24, callersEach, late)
 		f.t.Log("first statements:", r.served, "served,", r.refused, "refused, median", r.waits[len(r.waits)/2], "longest", r.waits[len(r.waits)-1])
 		must.Eq(f.t, 0, r.refused)
 	})
@@ -112,8 +113,12 @@
 
 // Sessions that arrive in the first 0.4 s after a restart of all instances must be served although
 // no instance knows the configuration yet.
-func TestSessionsDuringRestartOfAll(t *testing.T) { replayRestart(t, 0) }
+func TestSessionsDuringRestartOfAll(t *testing.T) { replayRestart(t, 8, 0) }
 
 // An instance that holds connections for others, or reads the store for them, starts later than they
 // do: their callers must be served nevertheless.
-func TestSessionsWhileOneInstanceStartsLate(t *testing.T) { replayRestart(t, 300*time.Millisecond) }
+func TestSessionsWhileOneInstanceStartsLate(t *testing.T) { replayRestart(t, 8, 300*time.Millisecond) }
+
+// More requests wait at a holder than it serves within one attempt of their instances: none must lose
+// its place to later ones until its time is over.
+func TestBacklogDuringRestartOfAll(t *testing.T) { replayRestart(t, 16, 0) }
--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,8 @@
 	net   *netsimulator.Net
 	group *groupsimulator.Group
 	pools []*lender.Pool
+	// refused counts the openings that the members refused or did not answer.
+	refused atomic.Int64
 }
 
 // runPools runs a test with a group whose members accept few connections, and n pools.
@@ -57,6 +60,11 @@
 			p := &lender.Pool{
 				Group: g, Network: s.net.Host(fmt.Sprintf("10.8.0.%d", i+1), "a"), Codec: platform.LineCodec{},
 				ClientName: "test", Clock: func() tracker.Timestamp { return time.Since(begin) + time.Hour },
+				NoteOpened: func(_ string, err error) {
+					if err != nil {
+						s.refused.Add(1)
+					}
+				},
 			}
 			if holders > 0 {
 				p.HolderCount = func(string, string) int { return holders }
--- a/internal/lender/replay_test.go
+++ b/internal/lender/replay_test.go
@@ -55,11 +55,6 @@
 	group := &groupsimulator.Group{MaxConnections: 66, Slots: 6, MaxQueued: 64, HandshakeTime: 12 * time.Millisecond}
 	runSharedPools(t, group, 1, 1, func(t *testing.T, s *testGroup) {
 		p := s.pools[0]
-		p.NoteOpened = func(_ string, err error) {
-			if err != nil {
-				r.refused++
-			}
-		}
 		p.Configure(66, directory(78))
 		random := rand.New(rand.NewPCG(seed, 1))
 		var mutex sync.Mutex
@@ -91,7 +86,7 @@
 		}
 		running.Wait()
 		_, _, _, opened := p.Stats()
-		r.opened = opened - before
+		r.opened, r.refused = opened-before, int(s.refused.Load())
 		slices.Sort(r.waits)
 	})
 	return r
@@ -122,11 +117,6 @@
 	group := &groupsimulator.Group{MaxConnections: 66, Slots: 6, MaxQueued: 64, HandshakeTime: 12 * time.Millisecond}
 	runSharedPools(t, group, 1, 1, func(t *testing.T, s *testGroup) {
 		p := s.pools[0]
-		p.NoteOpened = func(_ string, err error) {
-			if err != nil {
-				r.refused++
-			}
-		}
 		host := s.net.Host("10.8.9.9", "a")
 		m, _ := p.Group.Member("g-1")
 		var old []*lender.Conn
@@ -162,7 +152,7 @@
 		}
 		running.Wait()
 		_, _, _, opened := p.Stats()
-		r.opened = opened - before
+		r.opened, r.refused = opened-before, int(s.refused.Load())
 		slices.Sort(r.waits)
 	})
 	return r
--- a/internal/lender/zones_test.go
+++ b/internal/lender/zones_test.go
@@ -23,13 +23,6 @@
 		begin := time.Now()
 		before := 0
 		for zone, p := range s.pools {
-			p.NoteOpened = func(_ string, err error) {
-				mutex.Lock()
-				defer mutex.Unlock()
-				if err != nil && time.Since(begin) > duration/4 {
-					r.refused++
-				}
-			}
 			p.Configure(66, directory(customers))
 			running.Go(func() {
 				random := rand.New(rand.NewPCG(1, uint64(zone)))
@@ -70,6 +63,7 @@
 			r.opened += n
 		}
 		r.opened -= before
+		r.refused = int(s.refused.Load())
 		slices.Sort(r.waits)
 	})
 	return r
