--- a/internal/accountant/selection.go
+++ b/internal/accountant/selection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"syscall"
 	"time"
 
@@ -28,6 +29,8 @@
 	// maxDeathProbes bounds the instances probed at a time, maxCallsInFlight all probes in flight.
 	maxDeathProbes   = 32
 	maxCallsInFlight = 64
+	// maxMissingLogged bounds the addresses in a log line.
+	maxMissingLogged = 8
 )
 
 type (
@@ -41,6 +44,8 @@
 		// next round.
 		deathsProbedAt tracker.Timestamp
 		nextMissing    int
+		// missing is the number of silent instances at the last round.
+		missing int
 	}
 
 	// outcome is the result of a probe. ofDeath is set if it was sent to a silent instance.
@@ -166,6 +171,10 @@
 	}
 	a.selection.deathsProbedAt = now
 	missing := a.Ledger.Missing(now)
+	if len(missing) != a.selection.missing {
+		a.selection.missing = len(missing)
+		a.Log("event", "reporters-missing", "missing", len(missing), "addresses", strings.Join(missing[:min(maxMissingLogged, len(missing))], ","))
+	}
 	for i := range min(maxDeathProbes, len(missing)) {
 		address := missing[(a.selection.nextMissing+i)%len(missing)]
 		switch {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -26,6 +26,10 @@
 //
 //	leased per second, all sides + fallback rates of isolated instances <= rate + burst / window
 //
+// A process that has just started can't have a fallback rate from before. All accounts count an equal
+// part of the limit for it, so that accountants which don't hear each other agree on the parts after a
+// restart of all instances. Nothing is reserved for instances that are known to be dead.
+//
 // Within the window, a token bucket spreads the leases, so that a customer above its limit is
 // served evenly instead of in one burst per window.
 package limiter
