--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -26,6 +26,10 @@
 //
 //	leased per second, all sides + fallback rates of isolated instances <= rate + burst / window
 //
+// A process that has just started can't have a fallback rate from before. All accounts count an equal
+// part of the limit for it, so that accountants which don't hear each other agree on the parts after a
+// restart of all instances. Nothing is reserved for instances that are known to be dead.
+//
 // Within the window, a token bucket spreads the leases. It is refilled at the pace: the largest
 // constant rate that keeps every window, up to one window ahead, within the limit. So a burst
 // causes no gap one window later. Tokens of a throttled customer go to the waiting operations of
