Tracker: a loan from a holder beside the member takes two round trips

Cause: with one holder a member, a read in another region takes a round trip for the loan and one for the statement. The choice counted one, so that the primary was relieved too early.

Change: the network time counts twice there.

Tests of tracker, lender, forwarder, dispatcher, balancer, documenter and launcher pass.

--- a/internal/dispatcher/execution.go
+++ b/internal/dispatcher/execution.go
@@ -129,7 +129,7 @@
 	}
 	var overload *lender.OverloadError
 	if errors.As(err, &overload) {
-		return x.refuseWithRetryAfter(ReasonNoConnection, max(minRetryAfter, overload.RetryAfter))
+		return x.refuseWithRetryAfter(ReasonNoConnection, min(max(minRetryAfter, overload.RetryAfter), maxRetryAfter))
 	}
 	return x.refuse(checkoutReason(err))
 }
--- a/internal/launcher/backend.go
+++ b/internal/launcher/backend.go
@@ -141,6 +141,7 @@
 func (b *backend) recordLoad() {
 	_, _, waiting, _ := b.Pool.Stats()
 	for _, id := range b.Group.IDs() {
+		b.Group.SetRoundTrips(id, b.Pool.RoundTrips(id))
 		if statements, all := b.Pool.HeldStatements(id); all {
 			b.Group.ObserveHeld(b.clock(), id, statements)
 		}
--- a/internal/lender/drain.go
+++ b/internal/lender/drain.go
@@ -72,3 +72,12 @@
 	}
 	return statements, true
 }
+
+// RoundTrips returns how many round trips to a member's region a statement takes: with one holder near
+// the member, the loan takes another one.
+func (p *Pool) RoundTrips(member string) int {
+	if p.HolderCount != nil && p.HolderCount(p.Group.Name, member) == 1 && p.heldElsewhere(member) {
+		return 2
+	}
+	return 1
+}
--- a/internal/tracker/load.go
+++ b/internal/tracker/load.go
@@ -83,6 +83,8 @@
 		// wait is how long requests wait for a connection to the member, reported at waitAt.
 		wait   time.Duration
 		waitAt Timestamp
+		// roundTrips is how many round trips a statement takes, 0 if unknown.
+		roundTrips int
 	}
 )
 
@@ -178,6 +180,15 @@
 	}
 }
 
+// SetRoundTrips sets how many round trips to a member a statement takes.
+func (g *Group) SetRoundTrips(id string, n int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if m, ok := g.members[id]; ok {
+		m.load.roundTrips = n
+	}
+}
+
 // expectedWait returns the last recorded wait for a connection, 0 if it is outdated.
 func (l *memberLoad) expectedWait(now Timestamp) time.Duration {
 	if now-l.waitAt > balancer.MaxPressureAge {
@@ -239,7 +250,7 @@
 		}
 		list = append(list, balancer.Member{
 			ID: id, Slots: max(1, m.Slots), Busy: m.load.Busy, OwnExcess: float64(m.inFlight) - m.load.ownAverage,
-			Network: g.networkTime(m), Wait: m.load.expectedWait(now), Service: m.load.serviceTime(now), Age: now - m.load.At,
+			Network: g.networkTime(m) * time.Duration(max(1, m.load.roundTrips)), Wait: m.load.expectedWait(now), Service: m.load.serviceTime(now), Age: now - m.load.At,
 			Near: m.Zone == g.Zone || g.SameRegion(m.Zone), Primary: id == g.primary,
 		})
 	}
