Affected operations: counted by customer, class, kind and cause

Refusals were counted by reason only, and late statements not at all, so operators could not see which customers and classes a lack of capacity affects.

Measured: go test ./internal/tabulator ./internal/dispatcher: ok.

--- a/internal/dispatcher/execution.go
+++ b/internal/dispatcher/execution.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/tabulator"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
@@ -125,11 +126,15 @@
 		if report := x.session.server.CountLimited; report != nil {
 			report(limit.Customer)
 		}
-		return x.refuseWithRetryAfter(ReasonOverLimit, limit.RetryAfter, limit.LogFields()...)
+		detail := ""
+		if limit.Balance != nil {
+			detail = limit.Balance.Cause
+		}
+		return x.refuseWithRetryAfter(ReasonOverLimit, detail, limit.RetryAfter, limit.LogFields()...)
 	}
 	var overload *lender.OverloadError
 	if errors.As(err, &overload) {
-		return x.refuseWithRetryAfter(ReasonNoConnection, max(minRetryAfter, overload.RetryAfter))
+		return x.refuseWithRetryAfter(ReasonNoConnection, detailHolderQueue, max(minRetryAfter, overload.RetryAfter))
 	}
 	var wait *lender.WaitError
 	if !errors.As(err, &wait) {
@@ -142,7 +147,7 @@
 	if wait.RetryAfter <= 0 {
 		retryAfter = x.retryAfter()
 	}
-	return x.refuseWithRetryAfter(checkoutReason(err), retryAfter, "wait", wait.Cause, "left-ms", time.Until(x.queueDeadline()).Milliseconds(),
+	return x.refuseWithRetryAfter(checkoutReason(err), string(wait.Cause), retryAfter, "wait", wait.Cause, "left-ms", time.Until(x.queueDeadline()).Milliseconds(),
 		"ahead", wait.Ahead, "per-second", int(wait.Rate), "outage-ms", wait.Outage.Milliseconds())
 }
 
@@ -163,12 +168,15 @@
 
 // refuse answers that the statement has not run, with a retry hint.
 func (x *execution) refuse(reason Reason) messenger.Reply {
-	return x.refuseWithRetryAfter(reason, x.retryAfter())
+	return x.refuseWithRetryAfter(reason, "", x.retryAfter())
 }
 
-func (x *execution) refuseWithRetryAfter(reason Reason, retryAfter time.Duration, fields ...any) messenger.Reply {
+// refuseWithRetryAfter answers that the statement has not run. detail says what decided it, for the
+// counts; it is "" if only the reason is known.
+func (x *execution) refuseWithRetryAfter(reason Reason, detail string, retryAfter time.Duration, fields ...any) messenger.Reply {
 	s := x.session
 	s.server.countRefused(reason)
+	x.recordAffected(tabulator.Refused, refusedCause(reason, detail))
 	s.server.logDecision("statement", append([]any{
 		"id", x.statement.ID, "outcome", "refused", "reason", reason, "again-ms", retryAfter.Milliseconds(),
 		"customer", x.customer, "group", x.route.Group, "primary", x.backend.Group.Primary(), "tries", x.attempts, "waited-ms", x.checkoutWait.Milliseconds(), "ms", x.elapsedMillis(),
@@ -183,6 +191,7 @@
 func (x *execution) abort(reason Reason) messenger.Reply {
 	s := x.session
 	s.server.countRefused(reason)
+	x.recordAffected(tabulator.Refused, refusedCause(reason, ""))
 	member := ""
 	if s.tx != nil && s.tx.conn != nil {
 		member = s.tx.conn.Member
@@ -196,6 +205,7 @@
 func (x *execution) outcomeUnknown(member string, cause error) messenger.Reply {
 	s := x.session
 	s.server.countRefused(ReasonOutcomeUnknown)
+	x.recordAffected(tabulator.Refused, refusedCause(ReasonOutcomeUnknown, ""))
 	s.server.logDecision("statement", "id", x.statement.ID, "outcome", "unknown", "reason", ReasonOutcomeUnknown, "group", x.route.Group, "member", member, "cause", cause, "ms", x.elapsedMillis())
 	return s.reply(messenger.CodeOutcomeUnknown, "no answer from the primary")
 }
@@ -207,10 +217,15 @@
 	s := x.session
 	if r.Code != messenger.CodeNone {
 		s.server.countRefused(reasonForCode(r.Code))
+		x.recordAffected(tabulator.Refused, refusedCause(reasonForCode(r.Code), ""))
 		s.server.logDecision("statement", "id", x.statement.ID, "outcome", "failed", "reason", reasonForCode(r.Code),
 			"group", x.route.Group, "member", member, "detail", r.Detail, "ms", x.elapsedMillis())
 	}
-	s.server.recordServed(x.route, time.Since(x.start))
+	took := time.Since(x.start)
+	s.server.recordServed(x.route, took)
+	if r.Code == messenger.CodeNone {
+		x.recordDelay(took)
+	}
 	s.server.LogServed("id", x.statement.ID, "customer", x.customer, "group", x.route.Group, "member", member, "need", x.minPosition, "tries", x.attempts,
 		"outcome", r.Code, "waited-ms", x.checkoutWait.Milliseconds(), "ms", x.elapsedMillis())
 	r.State = s.state
--- a/internal/dispatcher/reasons.go
+++ b/internal/dispatcher/reasons.go
@@ -48,7 +48,7 @@
 	{ReasonUnknownKey, "The configuration in force assigns the caller's key to no customer, or the caller presents none. Nothing was sent.", "version in the line; part=belief event=configuration: when that version came; oriolegwctl customers."},
 	{ReasonKeyUncertain, "The caller's key is unknown here, but this instance may have missed a newer configuration, since neither the store nor an instance that reads it has answered recently. Nothing was sent.", "part=belief event=dependency-lost dependency=store of the instance; part=peers."},
 	{ReasonKeyRevoked, "The caller's key was revoked, or assigned to another customer, while its transaction was open; it was rolled back.", "version in the line; part=belief event=configuration."},
-	{ReasonOverLimit, "The customer has run as many operations as its limit allows, over all instances. Nothing was sent; the reply says when to retry.", "customer in the line; oriolegwctl customers: limit, use and what is left."},
+	{ReasonOverLimit, "The customer has run as many operations as its limit allows, over all instances. Nothing was sent; the reply says when to retry.", "customer in the line; oriolegwctl limits: limit, use, what is withheld and why; docs/OPERATIONS.md, \"A customer is refused below its limit\"."},
 	{reasonForCode(messenger.CodeUnknownDatabase), "No route of the configuration in force has the database's name.", "version in the line; part=belief event=configuration."},
 	{reasonForCode(messenger.CodeBusy), "The member had no capacity to run it.", "part=duty event=observed: busy."},
 	{reasonForCode(messenger.CodeBehind), "The replica's log did not hold the position that the read requires.", "need in the line; lag-ms in part=duty event=observed."},
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -15,6 +15,7 @@
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/networker"
+	"github.com/oriolegw/oriolegw/internal/tabulator"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
@@ -78,6 +79,9 @@
 		// connection, with the cause.
 		CountWaitRefused func(cause forecaster.Cause)
 		RecordServed     func(r tracker.Route, took time.Duration)
+		// RecordAffected, when set, is called for each refused, aborted or late statement and each
+		// that waited.
+		RecordAffected func(k tabulator.Key)
 		// RecordRead, when set, is called for each read that a replica may serve.
 		RecordRead func(group string)
 
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -11,6 +11,7 @@
 	"github.com/oriolegw/oriolegw/internal/identifier"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/messenger"
+	"github.com/oriolegw/oriolegw/internal/tabulator"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
@@ -105,6 +106,7 @@
 // refusal.
 func (s *session) refuse(part, id string, code messenger.Code, reason Reason, detail string, fields ...any) messenger.Reply {
 	s.server.countRefused(reason)
+	s.server.recordAffected(tabulator.Key{Class: tabulator.ClassUnknown, Kind: tabulator.Refused, Cause: refusedCause(reason, "")})
 	s.server.logDecision(part, append([]any{"id", id, "outcome", "refused", "reason", reason, "database", s.database, "caller", s.net.RemoteAddr(), "detail", detail}, fields...)...)
 	return s.reply(code, detail)
 }
@@ -182,6 +184,7 @@
 		return
 	}
 	s.server.countRefused(ReasonIdleInTransaction)
+	s.server.recordAffected(tabulator.Key{Customer: s.tx.customer, Class: s.tx.route.Priority, Kind: tabulator.Refused, Cause: refusedCause(ReasonIdleInTransaction, "")})
 	s.server.logDecision("transaction", "outcome", "aborted", "reason", ReasonIdleInTransaction, "database", s.database, "member", s.tx.conn.Member)
 	s.failTransaction()
 }
