Limits page and oriolegwctl limits

A refusal below the limit could only be explained by the log lines of the instance that refused: no page showed the pace, what is withheld and for which instances, what waits or is reserved, or what the next refused caller is told.

GET /limits at the metrics address shows them with the counts of affected operations; ?customer=NAME selects one. oriolegwctl limits asks all instances at the same time and merges their pages. An instance that does not answer, answers nonsense or does not know the customer is named, and the rest is shown with exit code 1. An instance that is given by two addresses counts once. The ledger and the reserver get read-only accessors. entry.served-late and entry.served-after-wait count over all customers.

--- a/cmd/oriolegwctl/main.go
+++ b/cmd/oriolegwctl/main.go
@@ -67,6 +67,7 @@
 	{"explain", "[-log FILE] ID", "explain the outcome of a request from the logs of entry instances", prepareExplain},
 	{"report", "[-o FILE] LOG...", "write an HTML report with plots and tables from the logs of entry instances", prepareReport},
 	{"customers", "-instances ADDRESS,ADDRESS [-customer NAME]", "show customers of entry instances on the hosting platform: rate limit, usage, connections, refusals", prepareCustomers},
+	{"limits", "-instances ADDRESS,ADDRESS [CUSTOMER]", "show which customers are affected most by limits and overload, or the schedule of one customer", prepareLimits},
 	{"verifier", "", "read a password from standard input and print its verifier for the document", prepareVerifier},
 }
 
--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/identifier"
@@ -14,6 +15,7 @@
 	"github.com/oriolegw/oriolegw/internal/linker/wire"
 	"github.com/oriolegw/oriolegw/internal/reserver"
 	"github.com/oriolegw/oriolegw/internal/sleeper"
+	"github.com/oriolegw/oriolegw/internal/tabulator"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
@@ -56,6 +58,9 @@
 	Log func(fields ...any)
 	// Count increments a counter, one of those in Counters.
 	Count func(name string)
+	// Tabulator counts the operations that a limit refuses or delays, and what is withheld. Init
+	// sets one if it is nil.
+	Tabulator *tabulator.Tabulator
 
 	wake chan struct{}
 	// accountantAddress is the accountant's address, "" if it is unknown or isAccountant is set, since
@@ -63,11 +68,18 @@
 	accountantAddress string
 	isAccountant      bool
 	selection         selection
+	// keepsAccounts is isAccountant for other goroutines.
+	keepsAccounts atomic.Bool
+	// withheldAt is when Run last counted what is withheld.
+	withheldAt tracker.Timestamp
 }
 
 // Init initializes the accountant.
 func (a *Accountant) Init() *Accountant {
 	a.wake = make(chan struct{}, 1)
+	if a.Tabulator == nil {
+		a.Tabulator = &tabulator.Tabulator{}
+	}
 	a.selection.outcomes = make(chan outcome, maxCallsInFlight)
 	return a
 }
@@ -100,6 +112,7 @@
 		}
 		tick.Reset(tickInterval)
 		a.updateAccountant(ctx)
+		a.recordWithheld(a.Clock())
 		// Also without a reply: the fallback rate admits waiting operations.
 		a.Reserver.Advance(a.Clock(), a.Limit)
 		if in, ok := a.Meter.NextRequest(a.Clock()); ok {
@@ -179,8 +192,12 @@
 		}
 	}
 	if t.Outcome == reserver.Admitted {
+		if t.Decided() != nil && a.Clock()-now >= minCountedWait {
+			a.Tabulator.Add(now, tabulator.Key{Customer: r.Customer, Class: r.Priority, Kind: tabulator.LeaseWaited, Cause: causeLimit}, 1)
+		}
 		return nil
 	}
+	a.Tabulator.Add(a.Clock(), tabulator.Key{Customer: r.Customer, Class: r.Priority, Kind: tabulator.Limited, Cause: limitedCause(t.Refusal)}, 1)
 	err := &lender.LimitError{Customer: r.Customer, RetryAfter: t.Refusal.RetryAfter, Waited: t.Refusal.Waited, Reserved: t.Refusal.Reserved}
 	if t.Refusal.Known {
 		b := t.Refusal.Balance
--- a/internal/accountant/selection.go
+++ b/internal/accountant/selection.go
@@ -140,6 +140,7 @@
 	a.accountantAddress = c.Address
 	if self := c.Address == ""; self != a.isAccountant {
 		a.isAccountant = self
+		a.keepsAccounts.Store(self)
 		a.Ledger.Open(a.Clock(), a.Limits())
 		a.Log("event", "accounts-kept", "here", self)
 	}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -24,6 +24,7 @@
 	"github.com/oriolegw/oriolegw/internal/networker"
 	"github.com/oriolegw/oriolegw/internal/reporter"
 	"github.com/oriolegw/oriolegw/internal/storer"
+	"github.com/oriolegw/oriolegw/internal/tabulator"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 	"github.com/oriolegw/oriolegw/internal/watcher"
 	"github.com/uber-go/tally/v4"
@@ -83,6 +84,8 @@
 		metrics       tally.Scope
 		metricsCloser io.Closer
 		latencies     map[tracker.Rule]tally.Histogram
+		// affected counts the operations that a lack of capacity refuses, delays or makes late.
+		affected tabulator.Tabulator
 		// limitRefusals counts the operations refused because a customer was over its limit.
 		limitRefusals customerCounter
 		// placements counts the decisions where reads go, by balancer.Outcome.
@@ -201,6 +204,7 @@
 		Count:            func(name string) { i.metrics.Counter(metricPrefix + name).Inc(1) },
 		CountRefused:     func(r dispatcher.Reason) { i.metrics.Counter(metricRefused + string(r)).Inc(1) },
 		CountLimited:     i.limitRefusals.add,
+		RecordAffected:   i.recordAffected,
 		CountWaitRefused: func(cause forecaster.Cause) { i.metrics.Counter(metricWaitRefused + string(cause)).Inc(1) },
 		CountRetried:     func(r dispatcher.Reason) { i.metrics.Counter(metricRetried + string(r)).Inc(1) },
 		RecordServed:     func(r tracker.Route, took time.Duration) { i.latencies[r.Rule].RecordDuration(took) },
--- a/internal/launcher/limits.go
+++ b/internal/launcher/limits.go
@@ -45,7 +45,7 @@
 		ReportExpected: func() bool { return slices.Contains(holders(), i.Settings.PeerAddress) },
 	}
 	return (&accountant.Accountant{
-		Meter: meter, Reserver: &reserver.Reserver{Meter: meter},
+		Meter: meter, Reserver: &reserver.Reserver{Meter: meter}, Tabulator: &i.affected,
 		Ledger: &limiter.Ledger{Tolerance: i.Settings.LimitTolerance, Incarnation: run, ExpectedInstances: holders},
 		Links:  peers.client, Clock: i.Clock, Limit: i.limit, Active: i.customersEnabled, Limits: i.limits, Log: i.LogWriter.Logger("limits").Log,
 		Candidates: func() []string { return i.accountantCandidates(peers) },
--- a/internal/launcher/limits_test.go
+++ b/internal/launcher/limits_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/oriolegw/oriolegw/internal/accountant"
 	"github.com/oriolegw/oriolegw/internal/standin/platformer"
+	"github.com/oriolegw/oriolegw/internal/tabulator"
 	"github.com/shoenig/test/must"
 )
 
@@ -161,6 +162,61 @@
 	})
 }
 
+// The limits pages of all instances must show a refused customer's account, the causes and the
+// retry times, and an unknown customer as such.
+func TestLimitsPage(t *testing.T) {
+	runCustomerFleet(t, 20, 10, func(f *fleet, all []*instance) {
+		f.sendWrites(all, 0, 60, 3*time.Second)
+		var pages []accountant.LimitsPage
+		var rows [][]tabulator.Row
+		for _, i := range all {
+			p, err := accountant.DecodeLimits([]byte(f.page(i, accountant.PathLimits+"?customer=c0")))
+			must.NoError(t, err)
+			pages, rows = append(pages, p), append(rows, p.Affected)
+		}
+		limits := accountant.MergeLimits(pages...)
+		must.Len(t, 1, limits)
+		must.Len(t, 1, limits[0].Accounts)
+		must.Between(t, 30, limits[0].Accounts[0].Used, 90)
+		must.Positive(t, limits[0].Accounts[0].Pace)
+		summary := tabulator.Summarize(tabulator.Merge(rows...))
+		must.Len(t, 1, summary)
+		must.Positive(t, summary[0].Refused)
+		must.True(t, strings.HasPrefix(summary[0].Cause, "over-limit/"), must.Sprint(summary))
+		must.StrContains(t, f.page(all[0], accountant.PathLimits+"?customer=nobody"), `unknown customer "nobody"`)
+		must.StrContains(t, f.metrics(all[0]), "oriolegw_entry_served_late{")
+	})
+}
+
+// While a partition lasts, the limits pages must show how much of a limit is withheld, and for which
+// instances; otherwise operators can't explain refusals below the limit.
+func TestLimitsPageShowsWithheldPart(t *testing.T) {
+	runCustomerFleet(t, 20, 10, func(f *fleet, all []*instance) {
+		f.sendWrites(all, 0, 12, time.Second)
+		f.net.Partition("a", "b")
+		f.net.Partition("a", "c")
+		time.Sleep(5 * time.Second)
+		silent, withheld := map[string]bool{}, 0.0
+		for _, i := range all {
+			p, err := accountant.DecodeLimits([]byte(f.page(i, accountant.PathLimits+"?customer=c0")))
+			must.NoError(t, err)
+			for _, a := range accountant.MergeLimits(p)[0].Accounts {
+				must.Positive(t, a.Withheld)
+				for _, s := range a.SilentInstances {
+					silent[s] = true
+				}
+			}
+			for _, r := range p.Affected {
+				if r.Kind == tabulator.Withheld {
+					withheld += r.LastMinute
+				}
+			}
+		}
+		must.MapNotEmpty(t, silent)
+		must.Positive(t, withheld)
+	})
+}
+
 // A partition must make each instance that lost the accountant change it once, and once more when it
 // ends, with customers' operations on all instances.
 func TestAccountantChangesOnceByPartition(t *testing.T) {
--- a/internal/launcher/metrics.go
+++ b/internal/launcher/metrics.go
@@ -40,6 +40,8 @@
 	metricMovedNow       = metricPrefix + "connections-moved-now"
 	metricReadsMoved     = metricPrefix + "reads-to-kept"
 	metricLoad           = metricPrefix + "load-milli"
+	metricWaited         = metricPrefix + "served-after-wait"
+	metricLate           = metricPrefix + "served-late"
 	kindHistogram        = "histogram"
 
 	metricLimitPrefix           = metricPrefix + "limit-"
@@ -104,6 +106,10 @@
 		reporter.Metric{Name: metricPrefix + forwarder.CountLoanElsewhere, Kind: reporter.KindCounter, Description: "Loans for a member other than the best one, since the queue for that one was too long."},
 		reporter.Metric{Name: metricPrefix + forwarder.CountPressureRejected, Kind: reporter.KindCounter, Description: "Invalid queue lengths in replies of instances that hold connections. Alert when it grows for a minute; event=holder-queue-rejected names the instance."},
 	)
+	list = append(list,
+		reporter.Metric{Name: metricWaited, Kind: reporter.KindCounter, Description: "Statements served after a wait of 50 ms or more for a connection or their customer's limit. oriolegwctl limits shows the customers."},
+		reporter.Metric{Name: metricLate, Kind: reporter.KindCounter, Description: "Statements served after the latency objective of their route. oriolegwctl limits shows the customers and causes. Alert when it grows by a tenth of the statements for 10 s."},
+	)
 	list = append(list,
 		reporter.Metric{Name: metricLimitWaited, Kind: reporter.KindGauge, Description: "Operations since the start that waited for a lease of their customer's limit."},
 		reporter.Metric{Name: metricLimitReservationsUsed, Kind: reporter.KindGauge, Description: "Operations since the start that used capacity reserved for a retry."},
@@ -159,12 +165,7 @@
 	}
 	gauge(metricCallers, func() int64 { return int64(i.server.SessionCount()) })
 	gauge(metricDropped, i.LogWriter.Dropped)
-	gauge(metricVersion, func() int64 {
-		if c := i.configuration.Load(); c != nil {
-			return c.Version
-		}
-		return 0
-	})
+	gauge(metricVersion, i.configurationVersion)
 	gauge(metricCustomers, func() int64 { n, _ := i.countCustomers(); return n })
 	gauge(metricKeys, func() int64 { _, n := i.countCustomers(); return n })
 	gauge(metricGroups, func() int64 { return int64(i.backendCount()) })
--- a/internal/launcher/pages.go
+++ b/internal/launcher/pages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -26,7 +27,7 @@
 	})
 }
 
-// metricsMux serves the customers' page at its path and the metrics at all others.
+// metricsMux serves the pages of customers and limits at their paths and the metrics at all others.
 func (i *Instance) metricsMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", i.metricsHandler())
@@ -34,6 +35,15 @@
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(accountant.EncodeStates(i.customerStates()))
 	})
+	mux.HandleFunc("GET "+accountant.PathLimits, func(w http.ResponseWriter, r *http.Request) {
+		page, customer := i.limitsPage(), r.URL.Query().Get(accountant.ParameterCustomer)
+		if customer != "" && !page.Select(customer) {
+			http.Error(w, fmt.Sprintf("unknown customer %q in configuration version %d", customer, i.configurationVersion()), http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(accountant.EncodeLimits(page))
+	})
 	return mux
 }
 
--- a/internal/limiter/ledger_test.go
+++ b/internal/limiter/ledger_test.go
@@ -82,3 +82,23 @@
 	l.report("a", limiter.Usage{PastUsed: []int{7, 3}})
 	must.Eq(t, 10.0, l.balance().Used)
 }
+
+// Guards against a withheld part whose cause operators can't see: an instance that has stopped
+// reporting, and one that has never reported.
+func TestWithheldByCause(t *testing.T) {
+	l := newTestLedger(limits[1], "a", "b", "unseen")
+	l.report("a", limiter.Usage{Demand: 10})
+	l.report("b", limiter.Usage{Demand: 10})
+	l.now += 2 * time.Second
+	l.report("a", limiter.Usage{Demand: 10})
+	s := l.ledger.Schedules(l.now)
+	must.Len(t, 1, s)
+	w := s[0].Withheld
+	must.Eq(t, []limiter.Withheld{w}, l.ledger.Withheld(l.now))
+	must.Eq(t, []string{"b"}, w.SilentInstances)
+	must.Eq(t, 1, w.UnseenInstances)
+	must.Positive(t, w.Silent)
+	must.Positive(t, w.Unseen)
+	must.Eq(t, w.Fraction, w.Silent+w.Unseen)
+	must.Positive(t, s[0].Pace)
+}
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -464,3 +464,18 @@
 		})
 	}
 }
+
+// Guards against an operators' page that changes reservations, or that shows another retry time than
+// the next refused caller is told.
+func TestSchedulesShowNextRetryTime(t *testing.T) {
+	f, _ := overload(1, 8, limits[1], 8)
+	x := f.nodes[2]
+	list := x.reserver.Schedules(f.now)
+	must.Len(t, 1, list)
+	must.Eq(t, list, x.reserver.Schedules(f.now))
+	must.Positive(t, sum(list[0].Reserved[:]))
+	must.GreaterEq(t, 0, list[0].NextDue)
+	refused := x.reserver.Request(f.now, "c", f.limit, reserver.Operation{Class: 2, LatestStart: f.now})
+	must.Eq(t, reserver.Refused, refused.Outcome)
+	must.Between(t, list[0].RetryAfter[2], refused.Refusal.RetryAfter, list[0].RetryAfter[2]+time.Millisecond)
+}
