oriolegwctl explain: why a limit refused

A refusal by a limit was printed without a meaning of its fields, and if another instance had refused, without that instance's line, which has the cause.

The explanation finds the deciding line by customer, group and retry time, says what its fields and cause mean, and includes part=limits lines as context.

Measured: go test ./internal/explainer: ok.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -41,6 +41,8 @@
 		Request, Context []Line
 		// Reasons has the reasons in the request's lines.
 		Reasons []dispatcher.ReasonText
+		// Limits explains each refusal by a customer's limit.
+		Limits []string
 	}
 )
 
@@ -54,13 +56,16 @@
 		return nil, err
 	}
 	x := &Explanation{}
-	subjects := map[string]bool{}
+	subjects, limited := map[string]bool{}, map[string]bool{}
 	for _, l := range lines {
 		if l.Fields["id"] != id {
 			continue
 		}
 		x.Request = append(x.Request, l)
 		subjects[l.Fields["group"]], subjects[l.Fields["member"]], subjects[l.Fields["primary"]] = true, true, true
+		if l.Fields["reason"] == string(dispatcher.ReasonOverLimit) {
+			limited[l.Fields["customer"]] = true
+		}
 		for _, r := range dispatcher.Reasons {
 			if string(r.Reason) == l.Fields["reason"] && !slices.Contains(x.Reasons, r) {
 				x.Reasons = append(x.Reasons, r)
@@ -73,10 +78,15 @@
 	delete(subjects, "")
 	from, to := x.Request[0].Time.Add(-contextBefore), x.Request[len(x.Request)-1].Time.Add(contextAfter)
 	for _, l := range lines {
-		if l.Time.After(from) && l.Time.Before(to) && l.isContext(subjects) {
+		if l.Time.After(from) && l.Time.Before(to) && (l.isContext(subjects) || l.isLimitContext(limited)) {
 			x.Context = append(x.Context, l)
 		}
 	}
+	for _, l := range x.Request {
+		if l.Fields["reason"] == string(dispatcher.ReasonOverLimit) {
+			x.Limits = append(x.Limits, explainLimit(l, decidingLine(l, x.Context)))
+		}
+	}
 	return x, nil
 }
 
@@ -140,6 +150,9 @@
 	for _, r := range e.Reasons {
 		fmt.Fprintf(w, "  %s: %s See: %s\n", r.Reason, r.Text, r.LogHint)
 	}
+	for _, text := range e.Limits {
+		fmt.Fprintln(w, "  "+text)
+	}
 	fmt.Fprintln(w, "Related events of its group and members:")
 	for _, l := range e.Context {
 		fmt.Fprintln(w, "  "+l.Text)
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -36,3 +36,31 @@
 	_, err = explainer.Explain(strings.NewReader(log), "none")
 	must.ErrorIs(t, err, explainer.ErrRequestNotFound)
 }
+
+const limitLog = `
+entry-1 ts=2026-12-02T10:00:00.000Z part=request of=statement id=1 outcome=refused reason=over-limit again-ms=180 customer=c3 group=g reserved=true limit-waited-ms=0 per-second=22 burst=22 used-here=14 leased-here=0 withheld=0.125 cause=withheld
+entry-1 ts=2026-12-02T10:00:20.000Z part=request of=statement id=2 outcome=refused reason=over-limit again-ms=180 customer=c3 group=g
+entry-2 ts=2026-12-02T10:00:19.990Z part=peers event=over-limit customer=c4 group=g class=2 again-ms=180 reserved=true limit-waited-ms=0 per-second=9 burst=9 used-here=3 leased-here=0 withheld=0 cause=window
+entry-2 ts=2026-12-02T10:00:19.900Z part=peers event=over-limit customer=c3 group=g class=2 again-ms=180 reserved=false limit-waited-ms=0 per-second=22 burst=22 used-here=14 leased-here=1 withheld=0 cause=pace
+entry-2 ts=2026-12-02T10:00:21.000Z part=limits event=accountant-unanswered address=10.0.0.1:1 cause=timeout
+entry-1 ts=2026-12-02T10:00:40.000Z part=request of=statement id=3 outcome=refused reason=over-limit again-ms=90 customer=c3 group=g
+`
+
+// Guards against a refusal below the limit that cannot be explained: by the instance itself, by
+// another instance whose line has the cause, and without any line that says the cause.
+func TestExplainLimit(t *testing.T) {
+	for id, want := range map[string]string{
+		"1": "12.5% of the limit was withheld for silent instances. Cause withheld: ",
+		"2": "instance entry-2 had run 14 operations in the last 6 s and held 1 unused leases. Cause pace: ",
+		"3": "No line says what decided it",
+	} {
+		x, err := explainer.Explain(strings.NewReader(limitLog), id)
+		must.NoError(t, err)
+		must.Len(t, 1, x.Limits)
+		must.StrContains(t, x.Limits[0], want)
+	}
+	x, err := explainer.Explain(strings.NewReader(limitLog), "2")
+	must.NoError(t, err)
+	must.Len(t, 2, x.Context)
+	must.Eq(t, "accountant-unanswered", x.Context[1].Fields["event"])
+}
