--- a/cmd/oriolegwctl/limits.go
+++ b/cmd/oriolegwctl/limits.go
@@ -75,7 +75,11 @@
 	if err != nil {
 		return accountant.LimitsPage{}, err
 	}
-	return accountant.DecodeLimits(body)
+	p, err := accountant.DecodeLimits(body)
+	if err == nil && customer != "" && !p.Select(customer) {
+		return p, errors.Errorf("unknown customer %q", customer)
+	}
+	return p, err
 }
 
 // collectLimits returns the usable pages, and prints why others are not. An instance that is given
@@ -133,9 +137,15 @@
 	}
 	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "customer\tper-second\tpace\tused-6s\tleased\twithheld\trefused-1m\tlate-1m\twaited-1m\trefused\tcause")
-	affected := 0
+	affected, withheldOnly := 0, 0
 	for _, s := range tabulator.Summarize(rows) {
 		c, ok := byName[s.Customer]
+		if !s.Affected() {
+			if s.Withheld > 0 {
+				withheldOnly++
+			}
+			continue
+		}
 		if ok {
 			affected++
 		}
@@ -151,7 +161,7 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%.0f\t%.0f\t%.0f\t%.0f\t%s\n", orNone(s.Customer), limit, pace, used, leased, withheld, s.Refused, s.Late, s.Waited, s.RefusedTotal, orNone(s.Cause))
 	}
 	_ = w.Flush()
-	fmt.Fprintf(t.out, "%d other customers are not affected\n", len(limits)-affected)
+	fmt.Fprintf(t.out, "%d other customers are not affected; a part of the limit was withheld for %d of them in the last minute\n", len(limits)-affected, withheldOnly)
 }
 
 // greatestDemand returns the greatest demand in a customer's accounts: in a partition, the account
--- a/cmd/oriolegwctl/limits_test.go
+++ b/cmd/oriolegwctl/limits_test.go
@@ -44,6 +44,8 @@
 	ct.expect(exitOK, "due in 80 ms", "limits", "-instances", both, "north")
 	ct.expect(exitOK, "2      refused   over-limit/pace  9            11\n", "limits", "-instances", both, "north")
 	ct.expect(exitOK, "north     22          26.4  96       4       12.5%     9           0        0          11       over-limit/pace\n1 other customers are not affected", "limits", "-instances", both)
+	quiet := servePage(t, accountant.LimitsPage{Instance: "entry-3", Limits: []accountant.LimitState{{Customer: "east", PerSecond: 1}}, Affected: []tabulator.Row{{Key: tabulator.Key{Customer: "east", Kind: tabulator.Withheld, Cause: "silent-instances"}, LastMinute: 3}}})
+	ct.expect(exitOK, "cause\n1 other customers are not affected; a part of the limit was withheld for 1 of them", "limits", "-instances", quiet)
 	ct.expect(exitOK, "none of these instances keeps it", "limits", "-instances", holder, "north")
 	ct.expect(exitOK, "the same instance as", "limits", "-instances", holder+","+holder, "north")
 	ct.expect(exitUsage, "at most one customer", "limits", "-instances", both, "north", "south")
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -51,7 +51,7 @@
 func TestExplainLimit(t *testing.T) {
 	for id, want := range map[string]string{
 		"1": "12.5% of the limit was withheld for silent instances. Cause withheld: ",
-		"2": "instance entry-2 had run 14 operations in the last 6 s and held 1 unused leases. Cause pace: ",
+		"2": "The nearest line of another instance with this customer, group and retry time says: Of its limit of 22 per second and a burst of 22, instance entry-2 had run 14 operations in the last 6 s and held 1 unused leases. Cause pace: ",
 		"3": "No line says what decided it",
 	} {
 		x, err := explainer.Explain(strings.NewReader(limitLog), id)
--- a/internal/explainer/limit.go
+++ b/internal/explainer/limit.go
@@ -66,6 +66,9 @@
 	if f["cause"] == "" {
 		return text + "No line says what decided it: the instance that refused had no reply of an accountant, or its lines (part=peers event=over-limit) are not in this log."
 	}
+	if refusal.Fields["cause"] == "" {
+		text += "The nearest line of another instance with this customer, group and retry time says: "
+	}
 	text += fmt.Sprintf("Of its limit of %s per second and a burst of %s, instance %s had run %s operations in the last %d s and held %s unused leases. ",
 		f["per-second"], f["burst"], orUnknown(deciding.InstanceName()), f["used-here"], limiterWindowSeconds, f["leased-here"])
 	if withheld, err := strconv.ParseFloat(f["withheld"], 64); err == nil && withheld > 0 {
--- a/internal/tabulator/summary.go
+++ b/internal/tabulator/summary.go
@@ -24,6 +24,12 @@
 	Cause string
 }
 
+// Affected reports whether operations were refused, late or waited. What is withheld alone affects
+// none.
+func (s Summary) Affected() bool {
+	return s.Refused > 0 || s.Late > 0 || s.Waited > 0 || s.RefusedTotal > 0
+}
+
 // Summarize sums rows by customer, the most affected first: by refused and late operations, then by
 // those that waited, then by what is withheld.
 func Summarize(rows []Row) []Summary {
