Limits: refusals without an accountant's reply are explained, too

The line of an instance that had no reply of an accountant had neither the limit nor the usage, though the instance knows both. It has them now, with cause=no-accountant-reply.

Measured: go test ./internal/accountant ./internal/explainer ./internal/lender ./internal/dispatcher: ok.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -199,10 +199,11 @@
 	}
 	a.Tabulator.Add(a.Clock(), tabulator.Key{Customer: r.Customer, Class: r.Priority, Kind: tabulator.Limited, Cause: limitedCause(t.Refusal)}, 1)
 	err := &lender.LimitError{Customer: r.Customer, RetryAfter: t.Refusal.RetryAfter, Waited: t.Refusal.Waited, Reserved: t.Refusal.Reserved}
-	if t.Refusal.Known {
-		b := t.Refusal.Balance
-		err.Balance = &lender.LimitBalance{PerSecond: limit.PerSecond, Burst: limit.Burst, Used: b.Used, Leased: b.Leased, Withheld: b.Withheld, Cause: b.Cause.String()}
+	b := t.Refusal.Balance
+	if !t.Refusal.Known {
+		b = a.Meter.Supply(a.Clock(), r.Customer, limit).Balance
 	}
+	err.Balance = &lender.LimitBalance{PerSecond: limit.PerSecond, Burst: limit.Burst, Used: b.Used, Leased: b.Leased, Withheld: b.Withheld, Cause: limitedCause(t.Refusal)}
 	return err
 }
 
--- a/internal/accountant/affected.go
+++ b/internal/accountant/affected.go
@@ -17,17 +17,19 @@
 	// time, since a paused process withholds nothing.
 	withheldInterval = time.Second
 
-	// The causes of counts. causeUnanswered is that of a refusal without a reply of an accountant.
-	causeLimit      = "limit"
-	causeUnanswered = "no-accountant-reply"
-	causeSilent     = "silent-instances"
-	causeUnseen     = "unseen-instances"
+	// CauseUnanswered is the cause of a refusal if no accountant has told this instance a rate. It
+	// is a stable name in log lines and counts.
+	CauseUnanswered = "no-accountant-reply"
+	// The causes of the other counts.
+	causeLimit  = "limit"
+	causeSilent = "silent-instances"
+	causeUnseen = "unseen-instances"
 )
 
 // limitedCause returns the cause of a refusal by a limit.
 func limitedCause(r reserver.Refusal) string {
 	if !r.Known {
-		return causeUnanswered
+		return CauseUnanswered
 	}
 	return r.Balance.Cause.String()
 }
--- a/internal/explainer/limit.go
+++ b/internal/explainer/limit.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/oriolegw/oriolegw/internal/accountant"
 	"github.com/oriolegw/oriolegw/internal/limiter"
 )
 
@@ -18,10 +19,11 @@
 
 // causeTexts explain the causes of refusals by a limit.
 var causeTexts = map[string]string{
-	limiter.CauseNone.String():            "no accountant has answered a request for this operation yet, so the instance went by its last lease or by its fallback rate; see part=limits event=accountant-unanswered.",
+	limiter.CauseNone.String():            "the accountant has not been asked for this operation, or has not answered, so the instance went by its last lease or its fallback rate; see part=limits event=accountant-unanswered.",
 	limiter.CausePace.String():            "the limit was used evenly and its refill rate did not suffice for all that was requested.",
 	limiter.CauseWindow.String():          "the operations of the last 5 s had used up the limit.",
 	limiter.CauseWithheld.String():        "it would have been admitted without the part of the limit that was withheld for instances that did not report; see part=limits event=instance-dead and the silent instances in oriolegwctl limits.",
+	accountant.CauseUnanswered:            "no accountant has answered this instance since it began to count the customer, or one of an earlier version has; see part=limits event=accountant-unanswered.",
 	limiter.CauseLeasedElsewhere.String(): "other instances held leases that were unused or not reported yet.",
 }
 
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -44,7 +44,7 @@
 	Reserved   bool
 	// Waited is how long the operation waited for its admission.
 	Waited time.Duration
-	// Balance explains the refusal; nil if another instance refused, or no accountant has replied.
+	// Balance explains the refusal; nil if another instance refused.
 	Balance *LimitBalance
 }
 
