--- a/internal/lender/evict.go
+++ b/internal/lender/evict.go
@@ -21,7 +21,7 @@
 	// slot of the member that are left otherwise. They are for reconnects after a restart of all
 	// instances, while the member still holds the old connections: with fewer than two for each slot,
 	// customers wait for places.
-	customerIdleFraction, roomPerSlot = 0.5, 3
+	customerIdleFraction, roomPerSlot = 0.5, 2.5
 	// soleHolderFraction is the fraction of a member's connections that an instance may open if it
 	// holds them for all instances. The rest is for the failover controller and for instances that
 	// can't reach the holder.
@@ -143,7 +143,7 @@
 func idleQuota(connections, slots, holders int) int {
 	kept := customerIdleFraction * float64(connections)
 	if slots > 0 {
-		kept = max(kept, float64(connections-roomPerSlot*slots))
+		kept = max(kept, float64(connections)-roomPerSlot*float64(slots))
 	}
 	return max(1, int(kept/float64(max(1, holders))))
 }
