--- a/internal/limiter/fleet.go
+++ b/internal/limiter/fleet.go
@@ -265,7 +265,7 @@
 	var inherited float64
 	switch {
 	case fleet.hasPredecessor && fleet.unseenInitial > 0:
-		// What the previous accountant's books leave to others includes those that have restarted.
+		// The rest of the limit covers the instances that have restarted, too.
 		inherited = max((float64(fleet.unseenInitial)*fleet.evenPart()+restarted)*a.limit.PerSecond, a.limit.PerSecond-a.predecessorReservedRate(fleet))
 	case fleet.unseenInitial > 0:
 		inherited = (float64(fleet.unseenInitial)*fleet.equalPart() + restarted) * a.limit.PerSecond
