--- a/internal/lender/forecast_test.go
+++ b/internal/lender/forecast_test.go
@@ -31,8 +31,8 @@
 	err           error
 }
 
-// replay sends a read to the members each arrivalInterval and returns the outcomes by arrival.
-func replay(t *testing.T, p *lender.Pool, duration time.Duration, members func() []string) []outcome {
+// replayReads sends a read to the members each arrivalInterval and returns the outcomes by arrival.
+func replayReads(t *testing.T, p *lender.Pool, duration time.Duration, members func() []string) []outcome {
 	t.Helper()
 	begin := time.Now()
 	list := make([]outcome, duration/arrivalInterval)
@@ -87,7 +87,7 @@
 			time.Sleep(7 * time.Second)
 			s.net.HealAll()
 		})
-		list := replay(t, s.pools[0], 12*time.Second, primary)
+		list := replayReads(t, s.pools[0], 12*time.Second, primary)
 		restored.Wait()
 		must.SliceEmpty(t, waitsOfRefused(list, 0, time.Second))
 		waits := waitsOfRefused(list, time.Second, 8*time.Second)
@@ -110,7 +110,7 @@
 			p, begin := s.pools[0], time.Now()
 			p.Group.ClearPrimary("g-1")
 			must.Eq(t, "", p.Group.Primary())
-			list := replay(t, p, 3*time.Second, func() []string {
+			list := replayReads(t, p, 3*time.Second, func() []string {
 				if time.Since(begin) < failover {
 					return nil
 				}
@@ -131,10 +131,10 @@
 // and against refusing others.
 func TestSlowMember(t *testing.T) {
 	runPoolsWith(t, &groupsimulator.Group{MaxConnections: 8, Slots: 2, MaxQueued: 64}, 1, func(t *testing.T, s *testGroup) {
-		list := replay(t, s.pools[0], 6*time.Second, primary)
+		list := replayReads(t, s.pools[0], 6*time.Second, primary)
 		must.SliceEmpty(t, waitsOfRefused(list, 2*time.Second, 6*time.Second)) // 100 requests per second for 2 slots of 20 ms
 		s.group.StatementTime = 80 * time.Millisecond
-		list = replay(t, s.pools[0], 6*time.Second, primary)
+		list = replayReads(t, s.pools[0], 6*time.Second, primary)
 		waits := waitsOfRefused(list, 2*time.Second, 6*time.Second)
 		t.Logf("refused %d, median wait %v", len(waits), waits[len(waits)/2])
 		must.LessEq(t, replayTimeout/10, waits[len(waits)/2])
--- a/internal/lender/plan.go
+++ b/internal/lender/plan.go
@@ -55,8 +55,12 @@
 		return maxConcurrentOpenings
 	case perCustomer:
 		return max(1, int(math.Ceil(openingSlotFraction*float64(slots)))/holders)
+	case slots < holders:
+		// An opening occupies a slot for a part of its duration only, most of which is network
+		// latency. One at a time would delay the holders' first connections.
+		return maxConcurrentOpenings
 	default:
-		return min(maxConcurrentOpenings, max(1, slots/holders))
+		return min(maxConcurrentOpenings, slots/holders)
 	}
 }
 
