Limits: floor of less urgent classes, whole window for all classes

Cause: a class with waiting operations got less than 0.05 of the pace while class 0 alone exceeded the limit: its operations were refused because class 0 waited ahead of them, and the floor started anew with each admission. Less urgent classes could use less of the window than the most urgent one, which cost up to 0.01 of the limit.

Change: one operation of each class may always wait, and the floor moves on by one operation. The window is the same for all classes; the reserve of tokens stays.

Tests: TestMostUrgentClassLeavesFloor failed before (100 of 140 operations). TestHopelessRequestsAreRefusedAtOnce fails without the estimate in mayWait, which no other test noticed.

--- a/internal/limiter/division.go
+++ b/internal/limiter/division.go
@@ -62,7 +62,7 @@
 	urgent, several := a.urgentClass(now)
 	shared := available
 	if several {
-		maxTokens := t.sharedLimit(a.limit) * (1 - a.reservedFraction(now, fleet))
+		maxTokens := t.leaseLimit(a.limit) * (1 - a.reservedFraction(now, fleet))
 		shared = min(a.tokens-a.reserve, maxTokens-float64(a.used.sum(now))) - a.totalLeased()
 	}
 	var elsewhere Counts
--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -242,11 +242,7 @@
 
 // pace returns the refill rate of the account per second, from a time ahead on.
 func (a *account) pace(now Timestamp, t Tolerance, fleet fleetStatus, ahead time.Duration) float64 {
-	allowed := t.leaseLimit(a.limit)
-	if _, several := a.urgentClass(now); several {
-		allowed = t.sharedLimit(a.limit)
-	}
-	return max(0, a.used.pace(now, allowed*(1-a.reservedFraction(now, fleet))-a.totalLeased(), ahead))
+	return max(0, a.used.pace(now, t.leaseLimit(a.limit)*(1-a.reservedFraction(now, fleet))-a.totalLeased(), ahead))
 }
 
 // consume records operations as run now.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -43,10 +43,8 @@
 const (
 	// excessLeaseFraction is the fraction of the tolerated excess that an account may lease.
 	excessLeaseFraction = 0.25
-	// sharedExcessFraction replaces it for all but the most urgent class of a customer that uses
-	// several: the rest of the window is left for bursts of the most urgent class.
-	sharedExcessFraction = 0.2
-	// urgentReserveFraction is the largest fraction of the balance that is left for these bursts.
+	// urgentReserveFraction is the largest fraction of the balance that is left for bursts of the
+	// most urgent class, if a customer uses several.
 	// The reserve is urgentReserveDeviations standard deviations of the class's demand of a second.
 	urgentReserveFraction   = 0.5
 	urgentReserveDeviations = 3
@@ -215,12 +213,6 @@
 	return max(1, l.PerSecond*t.Window.Seconds()+l.Burst+excessLeaseFraction*t.excess(l))
 }
 
-// sharedLimit returns how many operations of less urgent classes may make an account lease in a
-// window.
-func (t Tolerance) sharedLimit(l identifier.Limit) float64 {
-	return max(1, l.PerSecond*t.Window.Seconds()+l.Burst+sharedExcessFraction*t.excess(l))
-}
-
 // burst returns the maximum balance of an account.
 func (t Tolerance) burst(l identifier.Limit) float64 {
 	return max(1, l.Burst+excessBurstFraction*t.excess(l))
--- a/internal/reserver/queue.go
+++ b/internal/reserver/queue.go
@@ -32,10 +32,12 @@
 	// rounding allows for a pace that was rounded down on the wire.
 	rounding = 1.01
 	// minFloorFraction is the fraction of the rate at which a less urgent class is admitted before
-	// more urgent ones.
-	minFloorFraction = 0.05
-	// probeTime is the time whose share of the pace may always wait, at least one operation: so
-	// tokens are used although an estimate is wrong, or those with reservations don't return.
+	// more urgent ones. It exceeds the 0.05 that the class must get, because each of these admissions
+	// still waits for the next token.
+	minFloorFraction = 0.06
+	// probeTime is the time whose share of the pace may always wait, and at least one operation of
+	// each class: so tokens are used although an estimate is wrong, or those with reservations don't
+	// return, and each class uses its floor.
 	probeTime = 100 * time.Millisecond
 )
 
@@ -46,7 +48,7 @@
 		// waiting is in order of arrival.
 		waiting []*Ticket
 		slots   [limiter.Classes]slots
-		// floorAt is when a less urgent class may go before more urgent ones.
+		// floorAt is when a less urgent class may go before more urgent ones, 0 before it first waits.
 		floorAt [limiter.Classes]limiter.Timestamp
 	}
 
@@ -73,13 +75,16 @@
 		// All instances admit the class before less urgent ones.
 		return true
 	}
-	ahead := 0
+	ahead, same := 0, 0
 	for _, w := range q.waiting {
+		if w != t && w.Class == t.Class {
+			same++
+		}
 		if w != t && (w.Class <= t.Class || w.reserved && t.Class > 0) {
 			ahead++
 		}
 	}
-	if ahead < max(1, int(s.Rate*probeTime.Seconds())) {
+	if same == 0 || ahead < int(s.Rate*probeTime.Seconds()) {
 		return true
 	}
 	divided, rate := limiter.DividePace(s.Rate, s.Demand), s.Rate
@@ -169,10 +174,12 @@
 	}
 }
 
-// admitted removes an admitted request.
-func (q *queue) admitted(t *Ticket) {
+// admitted removes an admitted request and moves the floor of its class by one operation.
+func (q *queue) admitted(now limiter.Timestamp, t *Ticket, s limiter.Supply) {
 	q.remove(t)
-	q.floorAt[t.Class] = 0
+	if every := interval(minFloorFraction * s.Rate); s.Rate > 0 {
+		q.floorAt[t.Class] = min(now, max(q.floorAt[t.Class], now-every)) + every
+	}
 }
 
 func (q *queue) remove(t *Ticket) {
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -211,7 +211,7 @@
 		if decision, _ := r.Meter.DecideClass(now, customer, q.limit, t.Class, limiter.AfterReply); decision != limiter.Admit {
 			break
 		}
-		q.admitted(t)
+		q.admitted(now, t, s)
 		t.decide(Admitted)
 	}
 	r.refuseIf(now, q, s, func(t *Ticket) bool {
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -26,7 +26,7 @@
 	limits    = []identifier.Limit{{PerSecond: 117, Burst: 117}, {PerSecond: 20, Burst: 20}, {PerSecond: 3, Burst: 3}}
 	// waits are how long requests of each class may wait: 0.8 of objectives of 400, 800 and 2,000 ms.
 	waits = []time.Duration{320 * time.Millisecond, 640 * time.Millisecond, 1600 * time.Millisecond}
-	// mix is the share of each class in the demand.
+	// mix is the usual fleet.mix.
 	mix = []float64{1.0 / 16, 4.0 / 16, 11.0 / 16}
 )
 
@@ -42,6 +42,8 @@
 		// accountantDown and loss are faults: no replies, and the probability that a message is lost.
 		accountantDown bool
 		loss           float64
+		// mix is the share of each class in the demand.
+		mix []float64
 		// ran and asked count admitted and requested operations by step.
 		ran, asked []int
 		// arrived, admitted and refused count by class; retried and retriedAdmitted count retries
@@ -51,6 +53,8 @@
 		// retryAfters counts refusals by their retry delay, unreserved those without a reservation.
 		retryAfters map[time.Duration]int
 		unreserved  int
+		// atOnce counts requests that were refused without a wait.
+		atOnce int
 	}
 
 	node struct {
@@ -72,7 +76,7 @@
 )
 
 func newFleet(seed uint64, nodes int, limit identifier.Limit) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), now: time.Hour, limit: limit, events: map[limiter.Timestamp][]func(){}, retryAfters: map[time.Duration]int{}}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), now: time.Hour, limit: limit, events: map[limiter.Timestamp][]func(){}, retryAfters: map[time.Duration]int{}, mix: mix}
 	for n := range nodes {
 		f.nodes = append(f.nodes, &node{})
 		f.restart(n)
@@ -115,7 +119,7 @@
 			event()
 		}
 		delete(f.events, f.now)
-		for class, share := range mix {
+		for class, share := range f.mix {
 			for want := perSecond * share * step.Seconds(); want > 0; want-- {
 				if f.random.Float64() < want {
 					f.request(f.random.IntN(len(f.nodes)), class, 0, false)
@@ -179,6 +183,9 @@
 		if !r.Refusal.Reserved {
 			f.unreserved++
 		}
+		if r.Refusal.Waited == 0 {
+			f.atOnce++
+		}
 		if r.attempt < maxRetries {
 			f.after(r.Refusal.RetryAfter+f.latency(), func() { f.request(n, r.Class, r.attempt+1, r.Refusal.Reserved) })
 		}
@@ -357,6 +364,22 @@
 	}
 }
 
+// Guards against requests that wait although they can't be admitted in time.
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	f, _ := overload(1, 8, limits[0], 8)
+	must.GreaterEq(t, 0.95*float64(sum(f.refused[:])), float64(f.atOnce))
+}
+
+// Guards against starvation of the least urgent class by a most urgent one that exceeds the limit
+// alone.
+func TestMostUrgentClassLeavesFloor(t *testing.T) {
+	f := newFleet(1, 8, limits[0])
+	f.mix = []float64{0.75, 0, 0.25}
+	f.run(20*time.Second, 4*allowed(f.limit))
+	must.GreaterEq(t, 0.05*allowed(f.limit)*20, float64(f.admitted[2]))
+	must.GreaterEq(t, 0.8*allowed(f.limit)*20, float64(f.admitted[0]))
+}
+
 // Guards against leases and usage that are lost with a report or its reply.
 func TestReportsAndRepliesLost(t *testing.T) {
 	for _, lost := range []float64{0.02, 0.2} {
