--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -536,7 +536,7 @@
 // noticeably less than it.
 func TestNoGapAfterBurst(t *testing.T) {
 	for _, l := range limits[:2] {
-		for _, nodes := range []int{8, 24, 71} {
+		for _, nodes := range []int{1, 8, 24, 71} {
 			t.Run(fmt.Sprint(l.PerSecond, " per second, ", nodes, " instances"), func(t *testing.T) {
 				f := newFleet(*from, nodes, l)
 				f.run(10*time.Second, func(int) float64 { return 0 })
