oriolegwctl limits: unknown customer and no answer are told apart

Without a usable page the error named both as possible causes. It now says to how many of the instances the customer is unknown, or that none gave a usable answer.

Measured: go test ./cmd/oriolegwctl ./internal/accountant, and ./internal/launcher -run TestLimitsPage: ok.

--- a/cmd/oriolegwctl/limits.go
+++ b/cmd/oriolegwctl/limits.go
@@ -36,10 +36,12 @@
 			return usageError{"expected at most one customer"}
 		}
 		customer := strings.Join(arguments, "")
-		pages, failed := t.collectLimits(t.fetchAllLimits(ctx, strings.Split(*instances, ","), customer))
-		if err := t.printLimits(pages, customer); err != nil {
-			return err
+		answers := t.fetchAllLimits(ctx, strings.Split(*instances, ","), customer)
+		pages, failed := t.collectLimits(answers)
+		if len(pages) == 0 {
+			return noPageError(answers, customer)
 		}
+		t.printLimits(pages, customer)
 		if failed > 0 {
 			return errors.Errorf("%d instances gave no usable answer: counts are too low, and accounts may be missing", failed)
 		}
@@ -77,7 +79,7 @@
 	}
 	p, err := accountant.DecodeLimits(body)
 	if err == nil && customer != "" && !p.Select(customer) {
-		return p, errors.Errorf("unknown customer %q", customer)
+		return p, errors.Errorf("%s %q", accountant.UnknownCustomer, customer)
 	}
 	return p, err
 }
@@ -103,13 +105,22 @@
 	return pages, failed
 }
 
-func (t *terminal) printLimits(pages []accountant.LimitsPage, customer string) error {
-	if len(pages) == 0 {
-		if customer != "" {
-			return errors.Errorf("no instance knows customer %q, or none answered", customer)
+// noPageError returns why there is no usable page: the customer is unknown to all instances that
+// have answered, or none has.
+func noPageError(answers []answer, customer string) error {
+	unknown := 0
+	for _, a := range answers {
+		if strings.Contains(a.err.Error(), accountant.UnknownCustomer) {
+			unknown++
 		}
-		return errors.New("no instance answered")
 	}
+	if unknown == 0 {
+		return errors.Errorf("none of %d instances gave a usable answer", len(answers))
+	}
+	return errors.Errorf("customer %q is unknown to the %d of %d instances that gave a usable answer", customer, unknown, len(answers))
+}
+
+func (t *terminal) printLimits(pages []accountant.LimitsPage, customer string) {
 	var lists [][]tabulator.Row
 	for _, p := range pages {
 		lists = append(lists, p.Affected)
@@ -117,7 +128,7 @@
 	limits, rows := accountant.MergeLimits(pages...), tabulator.Merge(lists...)
 	if customer == "" {
 		t.printMostAffected(limits, rows)
-		return nil
+		return
 	}
 	if len(limits) == 0 {
 		fmt.Fprintf(t.out, "customer %s is not in the configuration in force of these instances\n", customer)
@@ -126,7 +137,6 @@
 		t.printSchedule(c)
 	}
 	t.printAffected(rows)
-	return nil
 }
 
 // printMostAffected prints a line for each affected customer, the most affected first.
--- a/cmd/oriolegwctl/limits_test.go
+++ b/cmd/oriolegwctl/limits_test.go
@@ -55,19 +55,21 @@
 // Guards against an instance that is down, doesn't know the customer or answers nonsense and hides
 // what the others say.
 func TestLimitsWithFaultyInstances(t *testing.T) {
+	const noneUsable = "none of 1 instances gave a usable answer"
 	good := servePage(t, accountant.LimitsPage{Instance: "entry-2", Affected: affected("north", 2)})
 	unknown := serveText(t, http.StatusNotFound, []byte(`unknown customer "north" in configuration version 7`))
-	for name, c := range map[string]struct{ address, output string }{
-		"down":             {"127.0.0.1:1", "127.0.0.1:1: no usable answer: "},
-		"unknown customer": {unknown, `unknown customer "north" in configuration version 7`},
-		"metrics":          {serveText(t, http.StatusOK, []byte("oriolegw_entry_customers 3")), "not a limits page"},
-		"invalid values":   {serveText(t, http.StatusOK, []byte(`{"instance": "x", "limits": [{"customer": "north", "burst": -1}]}`)), `invalid values of customer "north"`},
+	for name, c := range map[string]struct{ address, output, alone string }{
+		"down":             {"127.0.0.1:1", "127.0.0.1:1: no usable answer: ", noneUsable},
+		"unknown customer": {unknown, `unknown customer "north" in configuration version 7`, `customer "north" is unknown to the 1 of 1 instances`},
+		"other customer":   {servePage(t, accountant.LimitsPage{Instance: "x"}), `unknown customer "north"`, `customer "north" is unknown to the 1 of 1 instances`},
+		"metrics":          {serveText(t, http.StatusOK, []byte("oriolegw_entry_customers 3")), "not a limits page", noneUsable},
+		"invalid values":   {serveText(t, http.StatusOK, []byte(`{"instance": "x", "limits": [{"customer": "north", "burst": -1}]}`)), `invalid values of customer "north"`, noneUsable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ct := newCLITest(t)
 			ct.expect(exitFailed, c.output, "limits", "-instances", c.address+","+good, "north")
 			ct.expect(exitFailed, "refused   over-limit/pace  2 ", "limits", "-instances", c.address+","+good, "north")
-			ct.expect(exitFailed, `no instance knows customer "north", or none answered`, "limits", "-instances", c.address, "north")
+			ct.expect(exitFailed, c.alone, "limits", "-instances", c.address, "north")
 		})
 	}
 }
--- a/internal/accountant/limits.go
+++ b/internal/accountant/limits.go
@@ -18,6 +18,8 @@
 	// operations are affected; the query parameter ParameterCustomer selects one customer.
 	PathLimits        = "/limits"
 	ParameterCustomer = "customer"
+	// UnknownCustomer begins the answer if the customer is not in the configuration in force.
+	UnknownCustomer = "unknown customer"
 
 	// maxPageClasses and maxPageValue bound the values of a page that is decoded.
 	maxPageClasses = 100
--- a/internal/launcher/pages.go
+++ b/internal/launcher/pages.go
@@ -38,7 +38,7 @@
 	mux.HandleFunc("GET "+accountant.PathLimits, func(w http.ResponseWriter, r *http.Request) {
 		page, customer := i.limitsPage(), r.URL.Query().Get(accountant.ParameterCustomer)
 		if customer != "" && !page.Select(customer) {
-			http.Error(w, fmt.Sprintf("unknown customer %q in configuration version %d", customer, i.configurationVersion()), http.StatusNotFound)
+			http.Error(w, fmt.Sprintf(accountant.UnknownCustomer+" %q in configuration version %d", customer, i.configurationVersion()), http.StatusNotFound)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
