--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -68,7 +69,7 @@
 	}
 	return []any{
 		"reserved", e.Reserved, "limit-waited-ms", e.Waited.Milliseconds(), "per-second", b.PerSecond, "burst", b.Burst,
-		"used-here", b.Used, "leased-here", b.Leased, "withheld", b.Withheld, "cause", b.Cause,
+		"used-here", b.Used, "leased-here", b.Leased, "withheld", math.Round(1000*b.Withheld) / 1000, "cause", b.Cause,
 	}
 }
 
