Comments: restore reasons and numbers behind constants and rules

Change: those that the old comments held and that fit today's values and rules are stated again, in one or two sentences each. Figures of the environment (times of members and the network) are those of the old comments and were not measured again.

Tests not run.

--- a/internal/admitter/limit.go
+++ b/internal/admitter/limit.go
@@ -14,7 +14,7 @@
 	maxWindowDuration = 500 * time.Millisecond
 	// The limit is kept while the latency is between these multiples of the baseline. The
 	// gap is the hysteresis that keeps a target at its capacity, where a request waits for
-	// one slot, from oscillating.
+	// one slot, from oscillating. The latency of such a target is 1.5 to 2 times that without load.
 	increaseBelowRatio = 1.5
 	decreaseAboveRatio = 2.0
 	// latencyTolerance is added to both bounds, so that jitter of very small latencies
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -12,10 +12,13 @@
 	// maxWait bounds the wait for a connection, whatever the deadline: a caller that times
 	// out and retries must not compete with its own earlier request.
 	maxWait = 2 * time.Second
-	// maxQueuedPerCustomer bounds the waiting requests of one customer.
+	// maxQueuedPerCustomer bounds the waiting requests of one customer. At 20 connections and 5 ms
+	// per request, 128 requests are 32 ms of the group's work.
 	maxQueuedPerCustomer = 128
 	// transactionDivisor: transactions may hold 1/transactionDivisor of the connections, so
-	// that idle ones can't block short requests.
+	// that idle ones can't block short requests. With half of them, the other connections are
+	// returned within milliseconds; with more, two idle transactions would block an instance with a
+	// small share.
 	transactionDivisor = 2
 	// initialCostEstimate is the estimated cost of a class before its first request ended.
 	initialCostEstimate = 5 * time.Millisecond
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -26,7 +26,8 @@
 	ledgerPrefix  = "oriolegw/shares/"
 	processPrefix = "oriolegw/processes/"
 
-	// LeaseDuration is the duration of a process's lease, renewed every keepAliveInterval.
+	// LeaseDuration is the duration of a process's lease, renewed every keepAliveInterval. At 1,800
+	// instances, the renewals are 180 writes per second.
 	LeaseDuration     = 30 * time.Second
 	keepAliveInterval = 10 * time.Second
 	// refreshInterval is how often an unchanged ledger is read, shortageInterval how often
@@ -48,7 +49,8 @@
 	// keepAliveInterval to register again.
 	missingTimeout = 20 * time.Second
 	// idleTimeout is how long a connection must be unused before it is returned. It is
-	// longer than usual swings of load.
+	// longer than usual swings of load. Load varies within seconds, and a share that followed it
+	// would need a store call for each change.
 	idleTimeout = 30 * time.Second
 	// defaultBudget is the budget of a group whose configuration sets none.
 	defaultBudget = 20
--- a/internal/allocator/decide.go
+++ b/internal/allocator/decide.go
@@ -27,7 +27,9 @@
 // desiredConnections returns how many connections to hold. Without load: one per member and a
 // spare, at most the fair share Budget/(Holders+1), which leaves a share for the next instance.
 // Under load: the fair share, then growth by half of what is free beyond a share, reversed when
-// less than a share is free. Connections unused for idleTimeout are released.
+// less than a share is free. Connections unused for idleTimeout are released. The spare leaves
+// enough connections to replace a primary that hangs with one of them, without the store. Growth by
+// half leaves some for another instance under load at the same time.
 func desiredConnections(p shareState) int {
 	fairShare := max(1, p.Budget/(p.Holders+1))
 	base := min(p.Members+1, fairShare)
--- a/internal/concentrator/concentrator.go
+++ b/internal/concentrator/concentrator.go
@@ -17,7 +17,8 @@
 const (
 	// minConnectionsPerHolder is the number of a member's connections per holder and customer below
 	// which fewer holders are used, restoreConnectionsPerHolder the number that restores more
-	// holders. The hysteresis avoids flapping when few instances come and go.
+	// holders. The hysteresis avoids flapping when few instances come and go. With less than one
+	// connection each, instances would take connections from each other all the time.
 	minConnectionsPerHolder, restoreConnectionsPerHolder = 1.0, 1.3
 )
 
--- a/internal/detector/evidence.go
+++ b/internal/detector/evidence.go
@@ -50,7 +50,8 @@
 		missed, known := g.missesHeartbeats(now, i)
 		switch {
 		case known && !missed:
-			// The replica follows a primary that this instance cannot reach.
+			// The replica follows a primary that this instance cannot reach. Without this rule, an
+			// instance that starts behind a partition would replace a healthy primary.
 			g.leaderlessSince = time.Time{}
 			return EvidenceNone
 		case m.Failures >= minFailures:
@@ -66,7 +67,8 @@
 		return EvidenceNone
 	}
 	shownAt := nthNewest(statusTimes, g.view.Service.Quorum())
-	// Restarts the wait for each term, so that a running promotion is not overtaken.
+	// Restarts the wait for each term, so that a running promotion is not overtaken. Otherwise the
+	// wait of the previous term would count, and promoters would overtake each other.
 	if term := g.view.Term(); g.leaderlessSince.IsZero() || g.leaderlessTerm != term {
 		g.leaderlessSince, g.leaderlessTerm = shownAt, term
 	}
--- a/internal/detector/slice.go
+++ b/internal/detector/slice.go
@@ -26,10 +26,10 @@
 	// leaderlessTimeout lets a running promotion finish before another one starts.
 	leaderlessTimeout = 700 * time.Millisecond
 	// heartbeatTimeout is how long a replica may miss the primary's heartbeats before it counts as
-	// partitioned from it.
+	// partitioned from it. The primary sends one every 200 ms.
 	heartbeatTimeout = 700 * time.Millisecond
 	// isolationTimeout is how long a majority of the replicas must miss heartbeats. It exceeds the
-	// time to reopen a replication stream.
+	// time to reopen a replication stream, about 100 ms.
 	isolationTimeout = 400 * time.Millisecond
 	// maxReportAge is how long observations and reports count.
 	maxReportAge = 2 * time.Second
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -1,5 +1,8 @@
 // Package discoverer keeps the list of peer instances and selects the ones to contact. It
 // does no I/O and reads no clock; callers pass observations and timestamps.
+//
+// An instance that restarts while the store rejects it knows no peers. Unless others keep
+// contacting it, it stays isolated although its neighbours have the state.
 package discoverer
 
 import (
@@ -17,7 +20,8 @@
 	// maxFailures is how many consecutive failed calls make a peer unavailable. A single
 	// failure may only be a stale connection.
 	maxFailures = 2
-	// unavailablePeriod is how long a peer is unavailable after its last failure.
+	// unavailablePeriod is how long a peer is unavailable after its last failure. An instance that
+	// was killed is back within seconds.
 	unavailablePeriod = 5 * time.Second
 	// peerRetention is how long a failing peer is kept after it was last seen.
 	peerRetention = 2 * time.Minute
@@ -28,7 +32,7 @@
 	maxPeersNearZone, maxPeersRemoteZone = 1024, 8
 	// unlimitedPeers is the number of peers up to which all are kept.
 	unlimitedPeers = 256
-	// maxPeersInReply bounds the peers listed in a reply.
+	// maxPeersInReply bounds the peers listed in a reply. Each takes about 40 bytes.
 	maxPeersInReply = 32
 	// monitoredPeers is how many peers an instance contacts regularly. More than one, so that
 	// instances that fail together are still monitored.
--- a/internal/dispatcher/access.go
+++ b/internal/dispatcher/access.go
@@ -10,7 +10,8 @@
 
 const (
 	// revokedKeyGraceFraction is the fraction of Server.MaxConfigurationDelay for which an open
-	// transaction may continue after its caller's key was revoked.
+	// transaction may continue after its caller's key was revoked. Most transactions end within it
+	// by themselves; the rest of the time is for the change to reach this instance.
 	revokedKeyGraceFraction = 0.2
 	// uncertainKeyRetryAfter is the retry hint for a key that a configuration not yet
 	// received may contain.
--- a/internal/dispatcher/execution.go
+++ b/internal/dispatcher/execution.go
@@ -23,10 +23,11 @@
 	// rest is left for the member's work and the network.
 	startFraction, transactionStartFraction = 0.8, 0.5
 	// readAttemptFraction is the fraction of a read's timeout after which another member
-	// is tried.
+	// is tried. Reads usually take at most a third of it.
 	readAttemptFraction = 0.35
 	// minBusyBackoff is the first backoff of a statement that a member refused for lack of
-	// capacity. It doubles with each refusal, up to maxBusyBackoff.
+	// capacity. It doubles with each refusal, up to maxBusyBackoff. The first backoff is about the
+	// time until one of the member's slots is free.
 	minBusyBackoff = 10 * time.Millisecond
 	maxBusyBackoff = 160 * time.Millisecond
 	// beginTimeout bounds opening a transaction at a member, which takes no execution slot
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -28,12 +28,14 @@
 	shutdownPollInterval = 100 * time.Millisecond
 	// defaultTransactionIdleTimeout applies until a configuration sets the limit.
 	defaultTransactionIdleTimeout = 3 * time.Second
-	// minRetryAfter is the smallest retry hint, before the part for queued statements.
+	// minRetryAfter is the smallest retry hint, before the part for queued statements. It is about
+	// the time of a few statements.
 	minRetryAfter = 50 * time.Millisecond
 	// failoverRetryAfter is the retry hint while the group has no primary: about the
 	// duration of a promotion.
 	failoverRetryAfter = time.Second
-	// maxRetryAfter leaves callers time for another attempt within their own timeout.
+	// maxRetryAfter leaves callers time for another attempt within their own timeout. It is half of
+	// the shortest timeout, 6 s, of callers with a retry left.
 	maxRetryAfter = 3 * time.Second
 )
 
--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -13,34 +13,42 @@
 // A member under load responds late and must not be taken for a failed one.
 const (
 	// refusedTimeout is how long new connections must be refused before the primary counts as
-	// crashed.
+	// crashed. The host of a crashed process refuses at once.
 	refusedTimeout = 200 * time.Millisecond
-	// silenceTimeout is how long the primary must be unresponsive before it is replaced.
+	// silenceTimeout is how long the primary must be unresponsive before it is replaced. A status
+	// request occupies a slot, so a slow member with a full queue may take half a second to reply.
+	// A primary that is only slow is replaced without harm: the change needs no proof that it is
+	// dead.
 	silenceTimeout = 800 * time.Millisecond
 	// stallTimeout is how long no replica may follow the primary's log. Its commits are not
-	// acknowledged meanwhile.
+	// acknowledged meanwhile. Replicas usually receive an entry within one network trip.
 	stallTimeout = 1200 * time.Millisecond
 	// leaderlessTimeout is how long a group must lack a primary. It exceeds the time of a
-	// promotion ordered by another instance.
+	// promotion ordered by another instance. Such a promotion takes 300 to 1,000 ms.
 	leaderlessTimeout = 2 * time.Second
 	// overloadTimeout is how long the primary must be overloaded, so that short bursts do not
 	// change it.
 	overloadTimeout = 800 * time.Millisecond
-	// longQueueFactor is the number of statements per slot at which a queue counts as long.
+	// longQueueFactor is the number of statements per slot at which a queue counts as long. At
+	// three, a statement waits twice as long as it runs.
 	longQueueFactor = 3
-	// nearlyFullRatio is the share of a member's connections in use at which it is nearly full.
+	// nearlyFullRatio is the share of a member's connections in use at which it is nearly full. The
+	// rest are connections that are being replaced.
 	nearlyFullRatio = 0.9
 	// minRebalanceInterval separates changes made only to balance load, since each rolls back open
-	// transactions. It grows up to maxRebalanceInterval while they do not help.
+	// transactions. It grows up to maxRebalanceInterval while they do not help. A group that is
+	// soon overloaded again, as when all members lack slots, is not helped by them.
 	minRebalanceInterval = 8 * time.Second
 	maxRebalanceInterval = 2 * time.Minute
 	// laggingRebalanceInterval replaces minRebalanceInterval when a lagging replica can be
-	// promoted, since the old primary then serves reads instead.
+	// promoted, since the old primary then serves reads instead. Otherwise one member would serve
+	// all reads in the meantime.
 	laggingRebalanceInterval = 2500 * time.Millisecond
 	// deadConnectionTimeout is how long members keep the connections of hosts that failed without
 	// closing them. These may exhaust the connection limits when this instance starts.
 	deadConnectionTimeout = 3500 * time.Millisecond
-	// laggingThreshold is the replication lag at which a replica is too stale for most reads.
+	// laggingThreshold is the replication lag at which a replica is too stale for most reads. Routes
+	// with a staleness bound usually allow 1.5 to 2.5 s.
 	laggingThreshold = time.Second
 	// stalePauseTimeout is how long a replica stays paused without a change in progress before it
 	// is resumed.
--- a/internal/elector/departed.go
+++ b/internal/elector/departed.go
@@ -14,7 +14,9 @@
 
 // lastPrimaryComplete reports whether the last primary, demoted or not, still holds every
 // acknowledged commit: all members respond, none has seen a newer term, and it has not
-// restarted.
+// restarted. Without this rule, a group whose candidate restarted during a change would lack a
+// primary permanently, since only a primary can show that nothing of the candidate's former
+// incarnation is missing.
 func (sv *Supervisor) lastPrimaryComplete() bool {
 	found := false
 	for id, m := range sv.members {
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -18,8 +18,8 @@
 const (
 	// OwnershipPrefix is the store's key prefix of ownership records.
 	OwnershipPrefix = "oriolegw/duty/"
-	// leaseTTL bounds how long a group lacks an owner after a crash. It allows for several
-	// renewals.
+	// leaseTTL bounds how long a group lacks an owner after a crash. It allows for three
+	// attempts to renew the lease.
 	leaseTTL           = 2500 * time.Millisecond
 	leaseRenewInterval = 700 * time.Millisecond
 	// leaseSafetyMargin is kept at the end of the lease for requests in flight.
@@ -91,7 +91,7 @@
 		record storer.Pair
 		held   bool
 		// invalid is set while the record cannot be parsed or names no owner. The group then counts
-		// as vacant.
+		// as vacant; otherwise no instance would ever acquire it.
 		invalid bool
 		// promotionUnanswered is set while a promotion sent with the newest fencing token may still
 		// be executed.
--- a/internal/elector/member_state.go
+++ b/internal/elector/member_state.go
@@ -63,7 +63,8 @@
 }
 
 // markBusy handles a member without a free slot. It is alive, but its last status says nothing
-// about its current log position and must not be used as a proof.
+// about its current log position and must not be used as a proof. A proof from an old status would
+// lack commits acknowledged since, and reads would return old data.
 func (m *memberState) markBusy(now tracker.Timestamp) {
 	m.Answered, m.Refused, m.ConnectionsExhausted, m.FailedSince = true, false, false, 0
 	if m.OverloadedSince == 0 {
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -12,16 +12,19 @@
 )
 
 const (
-	// promotionTimeout bounds the wait for a promoted member to report itself as primary.
+	// promotionTimeout bounds the wait for a promoted member to report itself as primary. A
+	// promotion takes 300 to 1,000 ms.
 	promotionTimeout = 4 * time.Second
 	// promotionPollInterval is the delay between status polls of the promoted member.
 	promotionPollInterval = 40 * time.Millisecond
-	// minRemainingLease is the lease time that must remain to begin a change of the primary.
+	// minRemainingLease is the lease time that must remain to begin a change of the primary. It
+	// covers the status requests and the first order of the change.
 	minRemainingLease = time.Second
 	// lateCommandWindow is how long a member may still execute a command that went unanswered.
+	// Members execute commands up to 12 s late.
 	lateCommandWindow = 13 * time.Second
 	// catchUpTimeout bounds the wait for a candidate to reach the log of the demoted primary. No
-	// writes are accepted meanwhile.
+	// writes are accepted meanwhile. Catching up takes a few network trips.
 	catchUpTimeout = 300 * time.Millisecond
 	// fencingDelay is the wait after a promotion order for the current primary. The platform
 	// executes that order late; if the primary has been demoted by then, it is promoted again and
@@ -66,6 +69,11 @@
 // A responsive primary is demoted first, so that nothing more is acknowledged and a caught-up
 // replica is complete. Otherwise every replica is read, and the one with the furthest log is
 // promoted.
+//
+// A commit is acknowledged once a replica has received it, so all acknowledged commits are on the
+// replica with the furthest log once none receives any more. Pausing all replicas but the candidate
+// while the primary continues would not interrupt writes, but a replica that joins meanwhile could
+// acknowledge a commit that has not reached the candidate, and the commit would be lost.
 func (sv *Supervisor) changePrimary(ctx context.Context, v View, reason Reason) (string, error) {
 	c, err := sv.plan(v, reason)
 	if err != nil {
@@ -152,7 +160,7 @@
 }
 
 // restoreOldPrimary makes the demoted primary the candidate again: it holds every acknowledged
-// commit.
+// commit. Otherwise the group would lack a primary until that is detected.
 func (sv *Supervisor) restoreOldPrimary(c *primaryChange, cause error) {
 	sv.Log("event", "nobody-caught-up", "group", sv.Group.Name, "need", c.oldPrimary.Status.Received, "cause", cause)
 	c.candidate, sv.restoredAt = c.oldPrimary, sv.Clock()
@@ -319,7 +327,8 @@
 
 // fencePendingPromotion prevents late execution of an earlier promotion order, by naming the
 // current primary under a new fencing token. The token takes effect even if the platform
-// refuses the order.
+// refuses the order. Otherwise the earlier order could be executed seconds later, when the replicas
+// have continued without the member that it names.
 func (sv *Supervisor) fencePendingPromotion(ctx context.Context) {
 	p := sv.members[sv.primary]
 	if p == nil || !p.Answered || !p.Status.Primary || !sv.Holds(minRemainingLease) {
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -15,7 +15,7 @@
 
 const (
 	// pollInterval is the period of polling the primary, and every member while the group is
-	// unhealthy.
+	// unhealthy. Each poll occupies a slot for a moment.
 	pollInterval = 200 * time.Millisecond
 	// healthyReplicaInterval is the period of polling replicas in a healthy group.
 	healthyReplicaInterval = 800 * time.Millisecond
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -45,7 +45,7 @@
 	// peerListRounds is every how many checks the contacted peers are asked for lists of peers.
 	peerListRounds = 80
 	// unresponsiveAfter is how long a peer must fail to answer before it is contacted only
-	// every unresponsiveInterval.
+	// every unresponsiveInterval. Hosts are replaced, and the old ones never return.
 	unresponsiveAfter    = 5 * time.Second
 	unresponsiveInterval = 2 * time.Second
 	// firstContactFanout is how many not yet contacted peers an instance contacts at a time
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	// dialTimeout bounds opening a stream to a peer: three round trips between regions.
+	// dialTimeout bounds opening a stream to a peer: three round trips between regions. Each takes
+	// 16 ms, and the rest is for scheduling delays on a busy machine.
 	dialTimeout = 150 * time.Millisecond
 	// replyGrace is added to the time that the peer may wait for a connection, to cover the
 	// round trip and the admission check.
--- a/internal/forwarder/holders.go
+++ b/internal/forwarder/holders.go
@@ -21,12 +21,15 @@
 	holdersTTL = 500 * time.Millisecond
 	// maxRankedMembers bounds the cached rankings of a group, whose members may be replaced.
 	maxRankedMembers = 32
-	// maxHoldersTried is how many holders are tried before the instance opens its own connection.
+	// maxHoldersTried is how many holders are tried before the instance opens its own connection. A
+	// partition may separate the instance from half of the holders in a zone.
 	maxHoldersTried = 4
 	// attemptTimeout bounds the first attempt to borrow, and is the interval at which later ones check
 	// that the member is still eligible, since the primary may have changed.
 	attemptTimeout = 200 * time.Millisecond
-	// holderBackoff is how long an unreachable holder is skipped.
+	// holderBackoff is how long an unreachable holder is skipped. A partition may hide a whole
+	// zone: if each statement tried its holders, it would use up the time in which another member
+	// could have replied.
 	holderBackoff = time.Second
 	// failureTTL is how long failures of holders are remembered.
 	failureTTL = 30 * time.Second
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -112,7 +112,8 @@
 		return err
 	}
 	var ending atomic.Bool
-	// Clears the previous user's deadlines, which may have passed.
+	// Clears the previous user's deadlines, which may have passed. With them, the first write of a
+	// loan would fail.
 	_ = conn.NetConn().SetDeadline(time.Time{})
 	balance := fw.Codec.NewInFlightCounter()
 	copied := make(chan error, 1)
--- a/internal/lender/conn.go
+++ b/internal/lender/conn.go
@@ -21,7 +21,7 @@
 
 const (
 	// maxPreparedStatements is the number of prepared statements on a connection above which it is
-	// reset, to bound the member's memory.
+	// reset, to bound the member's memory. Callers usually use only a few distinct statements.
 	maxPreparedStatements = 64
 	// writeTimeout bounds the sending of commands, which fit into the socket's buffer unless the
 	// member has stopped reading.
@@ -251,7 +251,8 @@
 	if err != nil {
 		return false
 	}
-	// raw.Read would fail once the deadline of the last exchange has passed.
+	// raw.Read would fail once the deadline of the last exchange has passed. A usable idle
+	// connection would then count as closed.
 	idle := false
 	err = raw.Control(func(fd uintptr) { idle = nothingToRead(int(fd)) })
 	return err == nil && idle
--- a/internal/lender/evict.go
+++ b/internal/lender/evict.go
@@ -27,13 +27,15 @@
 	soleHolderFraction = 0.9
 	// statementsPerSlot is the number of single statements in flight per slot of a member. It
 	// exceeds 1 because statements spend most of a loan's time on the network. It is constant
-	// because a bound derived from loan times would fall with each distant borrower.
+	// because a bound derived from loan times would fall with each distant borrower. A statement
+	// occupies its slot for about a quarter of the loan.
 	statementsPerSlot = 4
 	// transactionFraction is the fraction of an instance's share of a member's connections that
-	// one customer's transactions may hold while others wait.
+	// one customer's transactions may hold while others wait. Transactions hold connections while
+	// their callers are idle.
 	transactionFraction = 0.4
 	// maxIdleTime is how long a customer's idle connection is kept. It is shorter than the
-	// members' idle timeout.
+	// members' idle timeout, one minute.
 	maxIdleTime = 20 * time.Second
 	// usageHalfLife is the half-life of a customer's usage count, long enough to distinguish
 	// customers that send statements every few seconds from those that do every minute.
--- a/internal/lender/idle.go
+++ b/internal/lender/idle.go
@@ -15,7 +15,8 @@
 	spareIdleTime = 150 * time.Millisecond
 	// sharedIdleFraction is the fraction of an instance's share of a member's connections that may
 	// idle for sharedIdleTime instead of spareIdleTime, for overlapping statements. The rest is
-	// for reconnects after a restart of all instances.
+	// for reconnects after a restart of all instances. A connection closed between such statements
+	// would be opened again each time, which occupies one of the member's slots.
 	sharedIdleFraction = 0.5
 	sharedIdleTime     = 3 * time.Second
 	// fullMemberSpareIdleTime replaces spareIdleTime at a member that was full recently. It is not
@@ -25,7 +26,7 @@
 	// connections is checked: idle connections must not permanently exclude other instances.
 	recheckAfterIdle = 600 * time.Millisecond
 	// capacityCheckInterval is how long a positive capacity check is valid. Checks occupy a slot,
-	// though for less time than an opening.
+	// though for less time than an opening. A check takes 0.5 ms of a slot, an opening 12 to 27 ms.
 	capacityCheckInterval = 5 * time.Second
 	// capacityCheckTimeout bounds a capacity check.
 	capacityCheckTimeout = 300 * time.Millisecond
@@ -34,7 +35,7 @@
 	capacityFraction = 0.6
 	// fullMemberPeriod is how long a member counts as full after it refused a connection.
 	// Meanwhile no idle connections are kept there, since there may be more instances than
-	// connections.
+	// connections. If some instances kept one each, the requests of the others would be refused.
 	fullMemberPeriod = 5 * time.Second
 )
 
--- a/internal/lender/open.go
+++ b/internal/lender/open.go
@@ -15,6 +15,8 @@
 
 const (
 	// openTimeout bounds the opening of a connection, including the member's queue under load.
+	// Without a queue, an opening takes up to 27 ms at the member and 24 ms on the network. A host
+	// that has failed does not reply at all.
 	openTimeout = 600 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a refused or failed opening. The pause
 	// doubles and has jitter, so that instances don't retry in step.
@@ -28,7 +30,8 @@
 	// slots, and after a restart all instances open connections at once.
 	maxConcurrentOpenings = 2
 	// openAfterWait is how long a request waits for a lent connection before another one is
-	// opened; a loan takes about as long as an opening.
+	// opened; a loan takes about as long as an opening. A loan takes 20 to 40 ms, an opening 12 to
+	// 50 ms.
 	openAfterWait = 25 * time.Millisecond
 	// remoteRetryInterval is how often a waiting request checks whether its members are
 	// unreachable: an opening that hangs shows only by its duration.
--- a/internal/lender/remote.go
+++ b/internal/lender/remote.go
@@ -15,10 +15,11 @@
 
 const (
 	// unreachableTimeouts is the number of consecutive timeouts after which a member counts as
-	// unreachable; single replies may be lost.
+	// unreachable; single replies may be lost. If a fifth of all replies is lost, three in a row
+	// are lost with a probability of 0.8%.
 	unreachableTimeouts = 3
 	// slowOpenTime is how long the opening of the first connection may take until the member
-	// counts as unreachable.
+	// counts as unreachable. It is three times the usual duration, 51 ms.
 	slowOpenTime = 150 * time.Millisecond
 )
 
--- a/internal/limiter/fleet.go
+++ b/internal/limiter/fleet.go
@@ -11,7 +11,7 @@
 	// without an assigned fallback rate have no other share.
 	evenShareFraction = 0.5
 	// fallbackHeadroom is the factor by which a fallback rate may exceed the instance's recent
-	// demand, if the limit allows it.
+	// demand, if the limit allows it. The rest of the limit is left for the other instances.
 	fallbackHeadroom = 1.6
 	// silenceTimeout is the time without a report after which an instance may be isolated. It
 	// exceeds idleReportInterval.
--- a/internal/promoter/attempt.go
+++ b/internal/promoter/attempt.go
@@ -38,7 +38,8 @@
 	promoteTimeout     = 1500 * time.Millisecond
 	// firstFenceTimeout bounds how long the first fence delays the others.
 	firstFenceTimeout = 150 * time.Millisecond
-	// drainTimeout bounds the wait for open transactions in a planned change.
+	// drainTimeout bounds the wait for open transactions in a planned change. It is half of what a
+	// planned change may take in total.
 	drainTimeout = 100 * time.Millisecond
 	// fenceGracePeriod is how long the remaining members may respond after a majority has: their
 	// logs may be longer.
--- a/internal/router/decision_log.go
+++ b/internal/router/decision_log.go
@@ -32,7 +32,8 @@
 	}
 )
 
-// decisionLogCapacity bounds the memory of a DecisionLog.
+// decisionLogCapacity bounds the memory of a DecisionLog. At 4,000 requests per second, 256
+// decisions cover about 60 ms; at a few per second, minutes.
 const decisionLogCapacity = 256
 
 // Add records a decision, overwriting the oldest.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -142,7 +142,8 @@
 }
 
 // memberAt returns the member at index k of the instance's own order. A fixed order keeps an
-// instance from alternating between replicas and reopening connections.
+// instance from alternating between replicas and reopening connections. A read that needs a new
+// connection takes 10 to 30 ms longer.
 func (r Request) memberAt(k, members int) int { return PreferredMember(r.PreferenceSeed, k, members) }
 
 // PreferredMember returns the member at index k of an instance's order. Instances differ in both
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -26,7 +26,8 @@
 		// Replaced is closed when a newer table is published.
 		Replaced chan struct{}
 
-		// shards hold the groups, so that a change copies the map of one shard only.
+		// shards hold the groups, so that a change copies the map of one shard only. With a single
+		// map, each observation would copy the entries of all groups.
 		shards [observer.ShardCount]map[string]*Group
 	}
 
--- a/internal/router/watermark_querier.go
+++ b/internal/router/watermark_querier.go
@@ -27,7 +27,8 @@
 )
 
 // minQueryInterval bounds the rate of queries to a group, and what a caller waits in
-// addition to the round trip.
+// addition to the round trip. With 9 instances, a member replies to at most 450 of these queries
+// per second.
 const minQueryInterval = 20 * time.Millisecond
 
 // EventName implements controller.Event.
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -10,7 +10,9 @@
 
 const (
 	// minInterval and maxInterval bound the mean time between two statements while the
-	// rate is limited.
+	// rate is limited. The minimum is about the time until one of a member's slots is free. At the
+	// maximum, 83 instances send 130 statements per second, less than the 180 that a member with 6
+	// slots runs at 33 ms each.
 	minInterval = 20 * time.Millisecond
 	maxInterval = 640 * time.Millisecond
 	// backoffFactor and recoveryFactor multiply the interval after a rejection and after a
--- a/internal/tracker/group.go
+++ b/internal/tracker/group.go
@@ -11,12 +11,15 @@
 )
 
 const (
-	// proofInterval is the minimum time between two retained proofs.
+	// proofInterval is the minimum time between two retained proofs. The oldest proof within a
+	// staleness bound is at most this much newer than it could be.
 	proofInterval = 100 * time.Millisecond
 	// proofRetention exceeds the longest staleness bound of a route.
 	proofRetention = 4 * time.Second
 	// minLagBackoff and maxLagBackoff bound the exponential backoff before a lagging
-	// replica is tried again for a position that it lacked.
+	// replica is tried again for a position that it lacked. Replicas usually lag by 12 to 150 ms.
+	// Without the growth, every read would try a replica that lags by seconds in vain, at the cost
+	// of a round trip and a connection.
 	minLagBackoff = 60 * time.Millisecond
 	maxLagBackoff = 480 * time.Millisecond
 	// failurePenaltyDuration is how long a member is the last read candidate after a
@@ -28,7 +31,8 @@
 	// the baseline latency. The baseline rises slowly, so that it excludes queueing.
 	baselineFallWeight, baselineRiseWeight = 0.1, 0.002
 	// queueingLatencyRatio is the ratio of latency to baseline above which statements are
-	// considered to queue at the member.
+	// considered to queue at the member. Service times vary by half around their mean, which must
+	// not count as queueing.
 	queueingLatencyRatio = 2.5
 	// idleLatencyDecay is the part of an unused member's excess latency that remains after
 	// each second, so that a slow member is eventually tried again.
@@ -224,7 +228,8 @@
 
 // AddRemoteProof adds a proof that another instance obtained, with its time converted to the local
 // clock, and reports whether it was newer. A proof stays valid after a failover, but not
-// after a member restart: the new log may reach the position without the old commits.
+// after a member restart: the new log may reach the position without the old commits. Passing a
+// proof on makes it older but never false, as long as its time is not taken for later than it was.
 func (g *Group) AddRemoteProof(now Timestamp, p FreshnessProof) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -284,7 +289,9 @@
 
 // RequiredPosition returns the minimum log position for a replica to serve a read that arrived at
 // the given time, on a route other than RulePrimary. It uses the oldest proof within the
-// staleness bound, and returns false if there is none: only the primary can serve then.
+// staleness bound, and returns false if there is none: only the primary can serve then. The oldest
+// proof requires the least of replicas: one that lags by a second still serves reads that may be
+// older.
 func (g *Group) RequiredPosition(arrived Timestamp, r Route, lastCommit LastCommit) (orderer.Position, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -19,7 +19,8 @@
 
 const (
 	// pollWaitFraction is the long-poll timeout as a fraction of MaxPropagationDelay. The rest is
-	// left to detect a silent connection and to read a new snapshot.
+	// left to detect a silent connection and to read a new snapshot. A silent connection is
+	// detected 0.6 s after the long-poll timeout.
 	pollWaitFraction = 0.65
 	// minRetryDelay and maxRetryDelay bound the exponential backoff of failed calls.
 	minRetryDelay = 50 * time.Millisecond
@@ -37,13 +38,15 @@
 	// statements.
 	leavingTimeout = 6 * time.Second
 	// batchDelayFraction is the delay after a change, as a fraction of MaxPropagationDelay, that
-	// lets one call return several consecutive changes, such as those of a failover.
+	// lets one call return several consecutive changes, such as those of a failover. A new primary
+	// may be learned this much later.
 	batchDelayFraction = 0.1
 	// startupBatchDelay replaces that delay for startupPeriod after the first start of the
 	// fleet, when all members register.
 	startupBatchDelay = time.Second
 	startupPeriod     = 8 * time.Second
-	// expiryCheckInterval is the time between two checks for expired entries.
+	// expiryCheckInterval is the time between two checks for expired entries. It is a tenth of the
+	// shortest expiry time.
 	expiryCheckInterval = 250 * time.Millisecond
 )
 
