Peers: a host that does not answer the opening of a connection is given up after 250 ms

Cause: after a loss of power of all instances, a follower asks its parent for the whole state while the parent may not have power yet. The first packet is lost and sent again after a second, and the request for the whole state waits up to 3 s.

Change: linker.Client bounds the opening of a connection by 250 ms; the next request asks again or another parent.

--- a/internal/linker/client.go
+++ b/internal/linker/client.go
@@ -49,6 +49,10 @@
 const (
 	// linkIdleTimeout closes connections without recent calls.
 	linkIdleTimeout = time.Minute
+	// dialTimeout bounds the opening of a connection, several round trips between regions. A host
+	// that is just starting loses the first packet, which is sent again after a second only; a
+	// caller can ask another peer, or the same one again, sooner.
+	dialTimeout = 250 * time.Millisecond
 )
 
 // ErrClosed means that the client was closed.
@@ -176,7 +180,9 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string, bytes *atomic.Int64) (*callConn, error) {
-	raw, err := c.Network.Dial(ctx, address)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	raw, err := c.Network.Dial(dialCtx, address)
+	cancel()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/linker/client_test.go
+++ b/internal/linker/client_test.go
@@ -56,3 +56,17 @@
 	c.CloseIdle(time.Now())
 	must.True(t, l == c.link("peer"))
 }
+
+// A call with a long timeout must not wait for a host that does not answer the opening of a
+// connection, such as one that is just starting: the caller can ask another peer meanwhile.
+func TestSilentHostIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := netsimulator.New(1)
+		n.Host("10.0.0.1", "b")
+		n.Partition("a", "b")
+		c := &Client{Network: n.Host("10.0.0.2", "a"), Versions: CurrentVersions}
+		start := time.Now()
+		must.Error(t, c.Call(t.Context(), 3*time.Second, "10.0.0.1:7100", func(context.Context, *Link) error { return nil }))
+		must.LessEq(t, dialTimeout, time.Since(start))
+	})
+}
