Soak: customers above their limits, routes of different classes

Cause: the soak had neither limits nor classes, so that an exceeded limit under partitions, kills and a lost store did not show.

Change: TestCustomersSoak plays the soak's faults with three customers, two of them above their limits, and checks every window of 5 s: operations that were sent and answered in it are no more than the limit and its tolerance allow. That a refusal is true and nothing is lost is checked as before.

--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -60,6 +60,8 @@
 		platform    *platformer.Platform
 		// customers are those in force, nil where clients are not assigned to customers.
 		customers []platformer.Customer
+		// ran, when set, records the operations that soak clients have run.
+		ran *operationLog
 		// cores, when set, returns an instance's CPU limit, and processorTime what it has used.
 		cores         func(ip string) float64
 		processorTime func(ip string) time.Duration
--- a/internal/launcher/soak_test.go
+++ b/internal/launcher/soak_test.go
@@ -226,7 +226,10 @@
 		Version: s.version + 7, TransactionIdleTimeout: 3 * time.Second, Routes: map[string]tracker.Route{},
 		Groups: map[string]tracker.GroupSettings{"g": {Connections: 12, SyncReplicas: 1}},
 	}
-	for _, r := range baseRoutes {
+	for n, r := range baseRoutes {
+		if s.customers != nil {
+			r.Priority = n
+		}
 		c.Routes[r.Database] = r
 	}
 	if withAddedRoute {
@@ -237,7 +240,7 @@
 	if err != nil {
 		return
 	}
-	old.Value = platformer.EncodeConfiguration(c)
+	old.Value = platformer.EncodeConfiguration(c, s.customers...)
 	if _, ok, err := s.store.Swap(s.ctx, old, 0); ok || err != nil {
 		s.version += 7
 	}
@@ -565,6 +568,9 @@
 	connectedAt time.Time
 	statements  int
 	row         string
+	// customer is the client's customer; ran records what it has run.
+	customer string
+	ran      *operationLog
 }
 
 // connect opens a session on an instance, nil if that fails.
@@ -577,7 +583,12 @@
 	}
 	c := &soakClient{connectedAt: time.Now(), conn: conn, in: bufio.NewReader(conn), database: database, name: strconv.FormatInt(time.Now().UnixNano(), 36) + strconv.Itoa(client)}
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	fmt.Fprintf(conn, "STARTUP %s me\r\n", database)
+	key := "me"
+	if len(s.customers) > 0 {
+		n := client % len(s.customers)
+		key, c.customer, c.ran = s.customers[n].Keys[0], s.customers[n].Name, s.ran
+	}
+	fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
 	if line, err := c.in.ReadString('\n'); err != nil || !strings.HasPrefix(line, "READY") {
 		conn.Close()
 		return nil
@@ -590,7 +601,8 @@
 func (c *soakClient) query(text string) string {
 	c.statements++
 	c.row = ""
-	_ = c.conn.SetDeadline(time.Now().Add(6 * time.Second))
+	sent := time.Now()
+	_ = c.conn.SetDeadline(sent.Add(6 * time.Second))
 	fmt.Fprintf(c.conn, "QUERY %s-%d %s\r\n", c.name, c.statements, text)
 	code := ""
 	for {
@@ -605,6 +617,10 @@
 		case "ERROR":
 			code = f[1]
 		case "READY":
+			// Each transaction has one statement.
+			if code == "" && (strings.HasPrefix(text, "PUT") || strings.HasPrefix(text, "FETCH")) {
+				c.ran.add(c.customer, sent, time.Now())
+			}
 			return code
 		}
 	}
