TestOpeningsStayWithinSlots: counts are taken while nothing runs

It reads the open connections and then those opened so far; an opening that ends and another that begins in between count as one more at a time. The check then failed, and its requests, cancelled with the test, panicked.

Change: synctest.Wait before the counts, so that they belong together; the bound is the same. Errors of requests are collected instead of failing in their goroutines.

--- a/internal/lender/replay_test.go
+++ b/internal/lender/replay_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/lender"
@@ -132,18 +133,23 @@
 	const holders, slots = 6, 6
 	group := &groupsimulator.Group{MaxConnections: 66, Slots: slots, HandshakeTime: 12 * time.Millisecond}
 	runSharedPools(t, group, holders, holders, func(t *testing.T, s *testGroup) {
+		errs := make(chan error, holders*4)
 		for _, p := range s.pools {
 			p.Configure(66, directory(4))
 			for n := range 4 {
 				go func() {
 					c, err := p.Borrow(t.Context(), lender.Request{EligibleMembers: primary, Customer: name(n), Deadline: time.Now().Add(time.Second)})
-					must.NoError(t, err)
-					time.AfterFunc(500*time.Millisecond, func() { p.Return(c) })
+					if err == nil {
+						time.AfterFunc(500*time.Millisecond, func() { p.Return(c) })
+					}
+					errs <- err
 				}()
 			}
 		}
 		for range 200 {
 			time.Sleep(time.Millisecond)
+			// Otherwise an opening may end, and another begin, between the two counts.
+			synctest.Wait()
 			open := 0
 			for _, p := range s.pools {
 				n, _, _, _ := p.Stats()
@@ -151,6 +157,9 @@
 			}
 			must.LessEq(t, slots, openedBy(s.pools)-open)
 		}
+		for range cap(errs) {
+			must.NoError(t, <-errs)
+		}
 		time.Sleep(time.Second)
 	})
 }
