elector: the state of a group outlives the owner's lease

Callers saw some 330 acknowledged writes gone 14 s after all instances had lost power for 2.4 s.

Cause: what an owner leaves to its successor (a pending promotion order, the members whose logs may hold a commit, the last primary) was part of the ownership record, which is deleted with the owner's lease. When no instance lives on to remember it, the successor starts from nothing, closes no order, and the order is executed up to 12 s later.

Change: the state has a key of its own without a lease (oriolegw/group/), written in one transaction with the ownership record, whose revision stays the fencing token. SwapAll becomes Commit, in which each key has its own lease. An owner decides on the state only once the watch of the store has shown its own acquisition, or after it has read the key, so a watch that is behind doesn't hide what an earlier owner wrote. A write from an outdated state is refused and no longer taken for success; the supervisor compares its state with the recorded one, so an order that was sent with a reused token while the store was away is recorded when the store answers.

Why it works: an order is sent only after the store has acknowledged the state that names it, the store loses nothing that it has acknowledged, and whoever owns the group next reads that state before its first decision.

--- a/internal/elector/bucket_test.go
+++ b/internal/elector/bucket_test.go
@@ -74,7 +74,7 @@
 				},
 			}
 			w := &watcher.Watcher{
-				Source: m, MaxPropagationDelay: 3 * time.Second, Clock: clock, OwnershipPrefix: elector.OwnershipPrefix, ConfigurationKey: "configuration", MemberPrefix: "member/",
+				Source: m, MaxPropagationDelay: 3 * time.Second, Clock: clock, OwnershipPrefix: elector.OwnershipPrefix, StatePrefix: elector.StatePrefix, ConfigurationKey: "configuration", MemberPrefix: "member/",
 				OnMembers: func(map[string][]tracker.Member) {}, OnOwnership: e.HandleRecord, Log: func(...any) {},
 			}
 			go func() { ended <- e.Run(instanceContext) }()
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// OwnershipPrefix is the store's key prefix of ownership records.
+	// OwnershipPrefix is the store's key prefix of ownership records, StatePrefix that of the groups'
+	// states.
 	OwnershipPrefix = "oriolegw/duty/"
+	StatePrefix     = "oriolegw/group/"
 	// leaseTTL bounds how long a group lacks an owner after a crash. It allows for three
 	// attempts to renew the lease.
 	leaseTTL           = 2500 * time.Millisecond
@@ -89,7 +91,16 @@
 	// groupOwnership is this instance's state of one group's ownership.
 	groupOwnership struct {
 		record storer.Pair
-		held   bool
+		// state is the group's recorded state. If the stored value is invalid or absent, the value is
+		// the last valid one.
+		state storer.Pair
+		held  bool
+		// acquiredRevision is the revision of the record with which this instance acquired the group,
+		// watchedRevision that of the last record that the watch has shown. Changes are shown in
+		// order, so once the watch has shown the acquisition, state holds what earlier owners
+		// recorded. stateRead is set if it was read from the store since the acquisition.
+		acquiredRevision, watchedRevision int64
+		stateRead                         bool
 		// invalid is set while the record cannot be parsed or names no owner. The group then counts
 		// as vacant; otherwise no instance would ever acquire it.
 		invalid bool
@@ -102,7 +113,8 @@
 		done      chan error
 	}
 
-	// State is the state of a group that an owner records for its successor.
+	// State is the state of a group that an owner records for its successor. It outlives the owner's
+	// lease.
 	State struct {
 		// Members maps each member whose log may hold acknowledged commits to its address.
 		Members map[string]string
@@ -118,18 +130,6 @@
 		StartTime int64
 		Term      uint64
 	}
-
-	// record is the value stored for a group.
-	record struct {
-		Owner string `json:"holder"`
-		// Lease is the lease that the record is bound to.
-		Lease            int64             `json:"lease"`
-		Members          map[string]string `json:"members"`
-		PromotionPending bool              `json:"order-open"`
-		Leader           string            `json:"leader"`
-		LeaderStartTime  int64             `json:"leader-born"`
-		Term             uint64            `json:"term"`
-	}
 )
 
 // Run acquires and keeps groups until the context ends, then releases them.
@@ -172,11 +172,18 @@
 	return e.vacated
 }
 
-// HandleRecord processes a group's record as read from the store.
+// HandleRecord processes a group's ownership record or state as read from the store.
 func (e *Elector) HandleRecord(p storer.Pair) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	if group, ok := strings.CutPrefix(p.Key, StatePrefix); ok {
+		if o := e.ownership(group); p.Revision == 0 || p.Revision > o.state.Revision {
+			e.applyState(o, p)
+		}
+		return
+	}
 	o := e.ownership(strings.TrimPrefix(p.Key, OwnershipPrefix))
+	o.watchedRevision = max(o.watchedRevision, p.Revision)
 	if p.Revision != 0 && p.Revision <= o.record.Revision {
 		return
 	}
@@ -195,10 +202,10 @@
 }
 
 // applyRecord stores a newer record; the mutex is held. The value of a deleted or invalid
-// record is replaced by the last valid one, which keeps the member list.
+// record is replaced by the last valid one, which keeps the name of the last owner.
 func (e *Elector) applyRecord(o *groupOwnership, p storer.Pair) {
 	o.invalid = false
-	if _, err := parseRecord(p.Value); p.Revision != 0 && err != nil {
+	if _, err := parseOwnership(p.Value); p.Revision != 0 && err != nil {
 		o.invalid = true
 		e.Log("event", "duty-record-rejected", "duty", p.Key, "revision", p.Revision, "held", o.held, "cause", err)
 	}
@@ -208,6 +215,17 @@
 	o.record = p
 }
 
+// applyState stores a group's state as read from the store; the mutex is held.
+func (e *Elector) applyState(o *groupOwnership, p storer.Pair) {
+	if _, err := parseState(p.Value); err != nil {
+		if p.Revision != 0 {
+			e.Log("event", "group-state-rejected", "key", p.Key, "revision", p.Revision, "held", o.held, "cause", err)
+		}
+		p.Value = o.state.Value
+	}
+	o.state = p
+}
+
 // ownsRecord reports whether a record was written by this instance under its current lease, as
 // after an acquisition whose response was lost.
 func (e *Elector) ownsRecord(o *groupOwnership) bool {
@@ -215,15 +233,15 @@
 	if o.record.Revision == 0 || e.lease == 0 {
 		return false
 	}
-	r := decodeOrEmpty(o.record.Value)
+	r := ownershipOrEmpty(o.record.Value)
 	return r.Owner == e.Name && r.Lease == int64(e.lease)
 }
 
-// RecordedMembers lists the members that a group's record names.
+// RecordedMembers lists the members that a group's recorded state names.
 func (e *Elector) RecordedMembers(group string) []string {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return slices.Sorted(maps.Keys(decodeOrEmpty(e.ownership(group).record.Value).Members))
+	return slices.Sorted(maps.Keys(stateOrEmpty(e.ownership(group).state.Value).Members))
 }
 
 // Owner returns the name of the process that owns a group, "" if the group is vacant.
@@ -234,7 +252,7 @@
 	if !ok || o.vacant() {
 		return ""
 	}
-	return decodeOrEmpty(o.record.Value).Owner
+	return ownershipOrEmpty(o.record.Value).Owner
 }
 
 func (e *Elector) ownership(group string) *groupOwnership {
@@ -243,7 +261,7 @@
 	}
 	o, ok := e.ownerships[group]
 	if !ok {
-		o = &groupOwnership{}
+		o = &groupOwnership{state: storer.Pair{Key: StatePrefix + group}}
 		e.ownerships[group] = o
 	}
 	return o
@@ -307,7 +325,7 @@
 	}
 	rank := 0
 	if e.AcquireRank != nil {
-		rank = e.AcquireRank(group, decodeOrEmpty(o.record.Value).Owner)
+		rank = e.AcquireRank(group, ownershipOrEmpty(o.record.Value).Owner)
 	}
 	if rank >= staggeredInstances {
 		later := time.Duration(rank-staggeredInstances) * stagger / 2
@@ -369,18 +387,18 @@
 		e.postpone(groups)
 		return
 	}
-	pairs := make([]storer.Pair, len(groups))
+	swaps := make([]storer.Swap, len(groups))
 	e.mutex.Lock()
 	for n, g := range groups {
 		o := e.ownership(g)
 		o.acquireAt = e.Clock() + acquireRetryInterval
-		pairs[n] = storer.Pair{Key: OwnershipPrefix + g, Value: e.encode(decodeOrEmpty(o.record.Value), lease)}
+		swaps[n] = storer.Swap{Pair: storer.Pair{Key: OwnershipPrefix + g, Value: e.encodeOwnership(lease)}, Lease: lease}
 		if o.invalid {
-			pairs[n].Revision = o.record.Revision
+			swaps[n].Revision = o.record.Revision
 		}
 	}
 	e.mutex.Unlock()
-	now, ok, err := e.Store.SwapAll(ctx, pairs, lease)
+	now, ok, err := e.Store.Commit(ctx, swaps)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if errors.Is(err, storer.ErrLeaseExpired) {
@@ -399,7 +417,7 @@
 		// An earlier call whose response was lost may have acquired it.
 		case ok || e.ownsRecord(o):
 			e.startSupervisor(ctx, g, o)
-		case now[n].Revision == pairs[n].Revision:
+		case now[n].Revision == swaps[n].Revision:
 			o.acquireAt = e.Clock()
 		}
 	}
@@ -435,9 +453,11 @@
 
 // startSupervisor starts the group's supervisor; the mutex is held.
 func (e *Elector) startSupervisor(ctx context.Context, group string, o *groupOwnership) {
-	o.held = true
+	o.held, o.acquiredRevision, o.stateRead = true, o.record.Revision, false
 	e.owned++
-	e.Log("event", "duty-taken", "group", group, "fence", o.record.Revision)
+	state := stateOrEmpty(o.state.Value)
+	e.Log("event", "duty-taken", "group", group, "fence", o.record.Revision, "state-revision", o.state.Revision,
+		"members", len(state.Members), "order-open", state.PromotionPending)
 	supervisorCtx, cancel := context.WithCancel(ctx)
 	// The group may be acquired again before this supervisor has stopped.
 	done := make(chan error, 1)
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -42,7 +42,7 @@
 	}
 	go func() { i.done <- i.elector.Run(ctx) }()
 	w := &watcher.Watcher{
-		Source: m, MaxPropagationDelay: 3 * time.Second, Clock: clock, OwnershipPrefix: elector.OwnershipPrefix, ConfigurationKey: "configuration", MemberPrefix: "member/",
+		Source: m, MaxPropagationDelay: 3 * time.Second, Clock: clock, OwnershipPrefix: elector.OwnershipPrefix, StatePrefix: elector.StatePrefix, ConfigurationKey: "configuration", MemberPrefix: "member/",
 		OnMembers: func(map[string][]tracker.Member) {}, OnOwnership: i.elector.HandleRecord, Log: func(...any) {},
 	}
 	go func() { i.done <- w.Run(ctx) }()
@@ -283,3 +283,79 @@
 		<-h.done
 	})
 }
+
+// Guards against a successor that knows nothing of a pending promotion, or of the members that may
+// hold a commit, after all instances were gone for longer than the owner's lease.
+func TestStateOutlivesAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, begin := storer.NewMemory(), time.Now()
+		clock := func() tracker.Timestamp { return time.Since(begin) + time.Hour }
+		stop := func(i *testInstance) {
+			i.cancel()
+			<-i.done
+			<-i.done
+		}
+		recorded := elector.State{Members: map[string]string{"g-1": "10.0.0.1:1"}, PromotionPending: true, Leader: elector.Leadership{ID: "g-1", Term: 3}}
+		first := startInstance(t.Context(), m, "a", clock, nil)
+		time.Sleep(time.Second)
+		before, err := first.ownership.Load().NextFencingToken(t.Context(), recorded)
+		must.NoError(t, err)
+		stop(first)
+		time.Sleep(time.Minute)
+		second := startInstance(t.Context(), m, "b", clock, nil)
+		time.Sleep(time.Second)
+		must.True(t, second.owns())
+		must.Eq(t, recorded, second.ownership.Load().State())
+		after, err := second.ownership.Load().NextFencingToken(t.Context(), recorded)
+		must.NoError(t, err)
+		must.Greater(t, before, after)
+		stop(second)
+	})
+}
+
+// Guards against an owner that takes an outdated state for the last one because its watch of the
+// store is behind.
+func TestStateUnconfirmedWhileWatchIsBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, begin := storer.NewMemory(), time.Now()
+		clock := func() tracker.Timestamp { return time.Since(begin) + time.Hour }
+		recorded := elector.State{Members: map[string]string{"g-1": "10.0.0.1:1"}, PromotionPending: true}
+		// These instances have no watch at all.
+		start := func(name string) (owned func() *elector.Ownership, stop func()) {
+			var ownership atomic.Pointer[elector.Ownership]
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			e := &elector.Elector{
+				Store: m, Clock: clock, Name: name, Groups: func() []string { return []string{"g"} }, Log: func(...any) {},
+				Supervise: func(ctx context.Context, _ string, o *elector.Ownership) error {
+					ownership.Store(o)
+					<-ctx.Done()
+					return ctx.Err()
+				},
+			}
+			go func() { done <- e.Run(ctx) }()
+			return ownership.Load, func() {
+				cancel()
+				<-done
+			}
+		}
+		owner, stopOwner := start("a")
+		time.Sleep(time.Second)
+		_, err := owner().NextFencingToken(t.Context(), recorded)
+		must.NoError(t, err)
+		successor, stopSuccessor := start("b")
+		stopOwner()
+		time.Sleep(5 * time.Second)
+		deaf := successor()
+		must.True(t, deaf.Holds(0))
+		must.False(t, deaf.StateConfirmed())
+		_, err = deaf.NextFencingToken(t.Context(), elector.State{})
+		must.Error(t, err)
+		changed, err := deaf.ReadState(t.Context())
+		must.NoError(t, err)
+		must.False(t, changed) // the rejected write has returned it
+		must.True(t, deaf.StateConfirmed())
+		must.Eq(t, recorded, deaf.State())
+		stopSuccessor()
+	})
+}
--- a/internal/elector/ownership.go
+++ b/internal/elector/ownership.go
@@ -3,8 +3,15 @@
 import (
 	"context"
 	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oriolegw/oriolegw/internal/storer"
 )
 
+// errRecordChanged means that the stored record or state was not the one that this instance knew,
+// as after an earlier write whose response was lost. Nothing was recorded.
+var errRecordChanged = errors.New("record of the group has changed")
+
 // This file holds the methods that a supervisor calls on an owned group.
 
 // Holds reports whether the ownership is certain to last for the given time.
@@ -20,24 +27,49 @@
 	e := o.elector
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	r := decodeOrEmpty(e.ownership(o.group).record.Value)
-	return State{Members: r.Members, PromotionPending: r.PromotionPending, Leader: Leadership{ID: r.Leader, StartTime: r.LeaderStartTime, Term: r.Term}}
+	return stateOrEmpty(e.ownership(o.group).state.Value)
+}
+
+// StateConfirmed reports whether State includes everything that earlier owners have recorded. It
+// may lack their last records for as long as the watch of the store is behind.
+func (o *Ownership) StateConfirmed() bool {
+	e := o.elector
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	g := e.ownership(o.group)
+	return g.stateRead || g.watchedRevision >= g.acquiredRevision
+}
+
+// ReadState reads the state from the store, and reports whether it differs from the one known.
+func (o *Ownership) ReadState(ctx context.Context) (changed bool, err error) {
+	e := o.elector
+	p, err := e.Store.Get(ctx, StatePrefix+o.group)
+	if err != nil {
+		return false, err
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	g := e.ownership(o.group)
+	changed = p.Revision != g.state.Revision
+	if changed {
+		e.applyState(g, p)
+	}
+	g.stateRead = true
+	return changed, nil
 }
 
-// NextFencingToken records the group's state and returns the record's new revision as the
+// NextFencingToken records the group's state and returns the revision of the record as the
 // fencing token, which exceeds every token used before. If the store does not respond, the
 // last token is reused unless an order sent with it is unanswered.
 func (o *Ownership) NextFencingToken(ctx context.Context, s State) (int64, error) {
 	e := o.elector
 	e.mutex.Lock()
-	p, lease, unanswered := e.ownership(o.group).record, e.lease, e.ownership(o.group).promotionUnanswered
+	g := e.ownership(o.group)
+	record, state, lease, unanswered := g.record, g.state, e.lease, g.promotionUnanswered
 	e.mutex.Unlock()
-	old := p.Revision
-	r := decodeOrEmpty(p.Value)
-	r.Members, r.PromotionPending = s.Members, s.PromotionPending
-	r.Leader, r.LeaderStartTime, r.Term = s.Leader.ID, s.Leader.StartTime, s.Leader.Term
-	p.Value = e.encode(r, lease)
-	now, ok, err := e.Store.Swap(ctx, p, lease)
+	old := record.Revision
+	record.Value, state.Value = e.encodeOwnership(lease), encodeState(s)
+	now, ok, err := e.Store.Commit(ctx, []storer.Swap{{Pair: record, Lease: lease}, {Pair: state}})
 	if err != nil {
 		if unanswered || old == 0 || !o.Holds(0) {
 			return 0, err
@@ -47,15 +79,20 @@
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	g := e.ownership(o.group)
-	if now.Revision > g.record.Revision {
-		e.applyRecord(g, now)
+	if now[0].Revision > g.record.Revision {
+		e.applyRecord(g, now[0])
+	}
+	if now[1].Revision > g.state.Revision || !ok && now[1].Revision != g.state.Revision {
+		e.applyState(g, now[1])
 	}
-	if !ok && decodeOrEmpty(now.Value).Owner != e.Name {
+	switch {
+	case ok:
+		g.promotionUnanswered = false
+		return now[0].Revision, nil
+	case ownershipOrEmpty(now[0].Value).Owner != e.Name:
 		return 0, errNotOwner
 	}
-	g.promotionUnanswered = false
-	return now.Revision, nil
+	return 0, errRecordChanged
 }
 
 // MarkPromotionUnanswered notes that an order sent with the newest fencing token is unanswered.
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -85,8 +85,6 @@
 	}
 	if sv.Clock()-v.Now > pollInterval {
 		if c, err = sv.replan(ctx); err != nil {
-			// The recorded state announces an order, but none was sent.
-			sv.recordOutdated = true
 			return "", err
 		}
 	}
@@ -321,7 +319,7 @@
 		m.StalledSince = 0
 	}
 	if ordered {
-		sv.promotionPending, sv.recordOutdated = false, true
+		sv.promotionPending = false
 	}
 }
 
@@ -343,7 +341,7 @@
 	err = sv.Promote(ctx, sv.Group.Name, p.ID, token)
 	sv.Log("event", "order-closed", "group", sv.Group.Name, "primary", p.ID, "fence", token, "outcome", outcomeText(err))
 	if err == nil || sv.Refused(err) {
-		sv.promotionPending, sv.recordOutdated = false, true
+		sv.promotionPending = false
 		return
 	}
 	sv.MarkPromotionUnanswered()
--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -96,6 +96,7 @@
 		},
 		Holds:            func(time.Duration) bool { return true },
 		NextFencingToken: h.ownership.NextFencingToken, State: h.ownership.State, MarkPromotionUnanswered: func() {},
+		StateConfirmed: func() bool { return true }, ReadState: func(context.Context) (bool, error) { return false, nil },
 		Promote:             func(_ context.Context, _, id string, _ int64) error { return h.group.Promote(id) },
 		Refused:             func(error) bool { return true },
 		SynchronousReplicas: func() int { return h.synchronous }, ConnectionLimit: func() int { return h.group.MaxConnections }, PrimaryChanged: func() {}, Log: h.log,
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -49,6 +49,10 @@
 		// ones; State returns the last recorded state.
 		NextFencingToken func(ctx context.Context, f State) (int64, error)
 		State            func() State
+		// StateConfirmed reports whether State includes everything that earlier owners recorded;
+		// ReadState reads it from the store and reports whether it has changed.
+		StateConfirmed func() bool
+		ReadState      func(ctx context.Context) (changed bool, err error)
 		// MarkPromotionUnanswered notes that an order sent with the newest fencing token is
 		// unanswered.
 		MarkPromotionUnanswered func()
@@ -82,8 +86,8 @@
 		excluded map[string]bool
 		// recordedAt is when the state was last recorded, reportedAt when statuses were last logged.
 		recordedAt, reportedAt tracker.Timestamp
-		// recordOutdated is set when state other than the member list has to be recorded.
-		recordOutdated bool
+		// stateConfirmed is set once the state includes everything that earlier owners recorded.
+		stateConfirmed bool
 		// lastLeader is the last known primary.
 		lastLeader Leadership
 		// promotionPending is set while a promotion order may still be executed late.
@@ -105,12 +109,15 @@
 func (sv *Supervisor) Run(ctx context.Context) error {
 	sv.members, sv.resumePendingUntil = map[string]*memberState{}, map[string]tracker.Timestamp{}
 	sv.announcedLeave, sv.excluded, sv.formerIncarnations = map[string]bool{}, map[string]bool{}, map[string]string{}
-	recorded := sv.State()
-	sv.promotionPending, sv.lastLeader = recorded.PromotionPending, recorded.Leader
+	sv.adoptState()
 	defer sv.closeConnections()
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	for {
+		if !sv.stateConfirmed && sv.StateConfirmed() {
+			sv.adoptState()
+			sv.stateConfirmed = true
+		}
 		v := sv.pollMembers(ctx)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -125,6 +132,32 @@
 	}
 }
 
+// adoptState takes over what earlier owners recorded.
+func (sv *Supervisor) adoptState() {
+	recorded := sv.State()
+	sv.promotionPending = sv.promotionPending || recorded.PromotionPending
+	if recorded.Leader.Term > sv.lastLeader.Term {
+		sv.lastLeader = recorded.Leader
+	}
+}
+
+// confirmState reports whether the state includes everything that earlier owners recorded. It reads
+// the state from the store if a decision needs it before the watch has shown it, and then lets the
+// next round decide.
+func (sv *Supervisor) confirmState(ctx context.Context, d Decision) bool {
+	if sv.stateConfirmed || d.Reason == ReasonNone && len(d.Resume) == 0 {
+		return sv.stateConfirmed
+	}
+	changed, err := sv.ReadState(ctx)
+	sv.Log("event", "state-read", "group", sv.Group.Name, "changed", changed, "outcome", outcomeText(err))
+	if err != nil {
+		return false
+	}
+	sv.adoptState()
+	sv.stateConfirmed = true
+	return !changed
+}
+
 // logStatuses logs the members' statuses.
 func (sv *Supervisor) logStatuses(v View) {
 	if v.Now-sv.reportedAt < statusLogInterval {
@@ -140,6 +173,9 @@
 // act carries out one decision of Decide per round.
 func (sv *Supervisor) act(ctx context.Context, v View) {
 	d := Decide(v)
+	if !sv.confirmState(ctx, d) {
+		return
+	}
 	if d.Reason != ReasonNone && v.Now-sv.fencedAt < fencingDelay {
 		sv.Log("event", "move-waits", "group", sv.Group.Name, "reason", d.Reason, "for", "fencing of earlier promotion orders")
 		return
@@ -184,16 +220,21 @@
 	sv.rebalancedAt = now
 }
 
-// saveState records the member list for the next owner when it has changed: a missing member
-// may hold the only copy of a commit.
+// saveState records the state for the next owner when it has changed: a missing member may hold
+// the only copy of a commit.
 func (sv *Supervisor) saveState(ctx context.Context) {
-	now, addresses := sv.Clock(), sv.memberAddresses()
-	if maps.Equal(addresses, sv.State().Members) && !sv.recordOutdated || now-sv.recordedAt < minRecordInterval {
+	now, state := sv.Clock(), State{Members: sv.memberAddresses(), PromotionPending: sv.promotionPending, Leader: sv.lastLeader}
+	if state.equal(sv.State()) || now-sv.recordedAt < minRecordInterval {
 		return
 	}
-	sv.recordedAt, sv.recordOutdated = now, false
-	_, err := sv.NextFencingToken(ctx, State{Members: addresses, PromotionPending: sv.promotionPending, Leader: sv.lastLeader})
-	sv.Log("event", "roster", "group", sv.Group.Name, "members", len(addresses), "outcome", outcomeText(err))
+	sv.recordedAt = now
+	_, err := sv.NextFencingToken(ctx, state)
+	sv.Log("event", "roster", "group", sv.Group.Name, "members", len(state.Members), "order-open", state.PromotionPending, "outcome", outcomeText(err))
+}
+
+// equal reports whether two states are the same.
+func (s State) equal(o State) bool {
+	return maps.Equal(s.Members, o.Members) && s.PromotionPending == o.PromotionPending && s.Leader == o.Leader
 }
 
 // outcomeText returns the "outcome" of a log line: the error, or "done".
@@ -226,8 +267,8 @@
 
 // recordLeader stores a newly seen primary.
 func (sv *Supervisor) recordLeader(l Leadership) {
-	if l != sv.lastLeader && l.Term >= sv.lastLeader.Term {
-		sv.lastLeader, sv.recordOutdated = l, true
+	if l.Term >= sv.lastLeader.Term {
+		sv.lastLeader = l
 	}
 }
 
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -236,7 +236,7 @@
 func (i *Instance) newWatcher() *watcher.Watcher {
 	return &watcher.Watcher{
 		Source: i.Platform.Store, Clock: i.Clock, MaxPropagationDelay: i.Settings.MaxApplyDelay, ColdStart: i.Settings.ColdStart,
-		ConfigurationKey: i.Platform.ConfigurationKey, MemberPrefix: i.Platform.MemberPrefix, OwnershipPrefix: elector.OwnershipPrefix, InstancePrefix: exchanger.InstancePrefix,
+		ConfigurationKey: i.Platform.ConfigurationKey, MemberPrefix: i.Platform.MemberPrefix, OwnershipPrefix: elector.OwnershipPrefix, StatePrefix: elector.StatePrefix, InstancePrefix: exchanger.InstancePrefix,
 		DecodeConfiguration: i.Platform.DecodeConfiguration, DecodeMember: i.Platform.DecodeMember,
 		OnConfiguration: i.applyConfiguration, OnMembers: i.applyMembers, OnOwnership: i.elector.HandleRecord, OnApplied: i.markConfigured, Log: i.stateLog.Log,
 	}
@@ -434,7 +434,7 @@
 		Connect: func(ctx context.Context, m tracker.Member) (*lender.Conn, error) {
 			return lender.Connect(ctx, i.Network, i.Platform.MemberCodec, m, i.Settings.Name)
 		},
-		Holds: o.Holds, NextFencingToken: o.NextFencingToken, State: o.State, MarkPromotionUnanswered: o.MarkPromotionUnanswered,
+		Holds: o.Holds, NextFencingToken: o.NextFencingToken, State: o.State, StateConfirmed: o.StateConfirmed, ReadState: o.ReadState, MarkPromotionUnanswered: o.MarkPromotionUnanswered,
 		Promote: i.Platform.Promote, Refused: i.Platform.IsPromotionRefused,
 		SynchronousReplicas: func() int {
 			c := i.configuration.Load()
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -555,3 +555,46 @@
 		must.LessEq(t, 3, f.group.OpenConnections("g-1")) // one retained, one spare, one for failover checks
 	})
 }
+
+// Guards against a promotion order that is executed after all instances have lost power: commits
+// acknowledged since then would be lost.
+func TestLateOrderAfterLossOfAllInstances(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		var late atomic.Bool
+		ordered := make(chan string, 8)
+		f.platform.DelayPromotion = func(member string) time.Duration {
+			if !late.Load() {
+				return 0
+			}
+			ordered <- member
+			return 9 * time.Second
+		}
+		addresses := map[string]string{"10.5.0.1": "a", "10.5.0.2": "b", "10.5.0.3": "c"}
+		var all []*instance
+		startAll := func() {
+			all = nil
+			for ip, zone := range addresses {
+				all = append(all, f.start(ip, zone))
+			}
+			time.Sleep(3 * time.Second)
+		}
+		startAll()
+		must.Eq(t, "I", f.openSession(all[0], "strict")("PUT k before"))
+		late.Store(true)
+		f.group.Crash("g-1")
+		candidate := <-ordered
+		for _, i := range all {
+			i.kill()
+			<-i.exited
+		}
+		late.Store(false)
+		f.store.ExpireLeases()
+		f.group.Recover("g-1")
+		time.Sleep(time.Second)
+		startAll()
+		f.group.BlockReplication(candidate, "g-1")
+		must.Eq(t, "I", f.openSession(all[0], "strict")("PUT k after"))
+		time.Sleep(8 * time.Second)
+		must.Eq(t, "after I", f.openSession(all[0], "strict")("FETCH k"))
+	})
+}
--- a/internal/standin/platformer/platformer.go
+++ b/internal/standin/platformer/platformer.go
@@ -27,6 +27,10 @@
 		// Promote promotes a member; an error is returned as 409 Conflict.
 		Promote func(group, member string) error
 
+		// DelayPromotion, if set, returns how long after a call to promote a member it is executed. A
+		// call that is delayed gets no response, and its fencing token is checked when it is executed.
+		DelayPromotion func(member string) time.Duration
+
 		// PageSize is the number of items in a page of a range, 0 for a small default.
 		PageSize int
 		// StaleUntil is until when reads that may be stale return nothing, as if nothing had been
@@ -61,6 +65,8 @@
 // several pages.
 const defaultPageSize = 2
 
+var errStaleToken = errors.New("stale fencing token")
+
 // Run serves until the context ends.
 func (p *Platform) Run(ctx context.Context) error {
 	return networker.ServeHTTP(ctx, p.Network, p.Address, &http.Server{Handler: p.Handler()})
@@ -181,10 +187,12 @@
 		ok, err = p.Store.Delete(r.Context(), pairs[0])
 		current = pairs
 	} else {
+		swaps := make([]storer.Swap, len(pairs))
 		for n, x := range t.Writes {
 			pairs[n].Value = x.Value
+			swaps[n] = storer.Swap{Pair: pairs[n], Lease: storer.Lease(x.Lease)}
 		}
-		current, ok, err = p.Store.SwapAll(r.Context(), pairs, storer.Lease(t.Writes[0].Lease))
+		current, ok, err = p.Store.Commit(r.Context(), swaps)
 	}
 	switch {
 	case err != nil:
@@ -246,21 +254,32 @@
 		writeJSON(w, http.StatusBadRequest, map[string]string{"error": "lease holder, fencing token, service and id are required"})
 		return
 	}
+	if p.DelayPromotion != nil {
+		if delay := p.DelayPromotion(request.ID); delay > 0 {
+			time.AfterFunc(delay, func() { _ = p.promote(request.Service, request.ID, token) })
+			<-r.Context().Done()
+			return
+		}
+	}
+	if err := p.promote(request.Service, request.ID, token); err != nil {
+		writeJSON(w, http.StatusConflict, map[string]string{"error": err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]string{})
+}
+
+// promote executes a promotion call unless a newer fencing token has been seen.
+func (p *Platform) promote(group, member string, token int64) error {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.fencingTokens == nil {
 		p.fencingTokens = map[string]int64{}
 	}
-	if token < p.fencingTokens[request.Service] {
-		writeJSON(w, http.StatusConflict, map[string]string{"error": "stale fencing token"})
-		return
+	if token < p.fencingTokens[group] {
+		return errStaleToken
 	}
-	p.fencingTokens[request.Service] = token
-	if err := p.Promote(request.Service, request.ID); err != nil {
-		writeJSON(w, http.StatusConflict, map[string]string{"error": err.Error()})
-		return
-	}
-	writeJSON(w, http.StatusOK, map[string]string{})
+	p.fencingTokens[group] = token
+	return p.Promote(group, member)
 }
 
 // EncodeMember encodes the record that a member publishes about itself.
--- a/internal/storer/memory.go
+++ b/internal/storer/memory.go
@@ -202,28 +202,28 @@
 	return now, true, nil
 }
 
-// SwapAll implements BatchStore.
-func (m *Memory) SwapAll(ctx context.Context, pairs []Pair, lease Lease) ([]Pair, bool, error) {
+// Commit implements BatchStore.
+func (m *Memory) Commit(ctx context.Context, swaps []Swap) ([]Pair, bool, error) {
 	if err := m.begin(ctx, "swap"); err != nil {
 		return nil, false, err
 	}
 	defer m.mutex.Unlock()
-	if lease != 0 && m.leases[lease] == nil {
-		return nil, false, ErrLeaseExpired
-	}
-	now, ok := make([]Pair, len(pairs)), true
-	for n, p := range pairs {
-		now[n] = m.get(p.Key)
-		ok = ok && now[n].Revision == p.Revision
+	now, ok := make([]Pair, len(swaps)), true
+	for n, s := range swaps {
+		if s.Lease != 0 && m.leases[s.Lease] == nil {
+			return nil, false, ErrLeaseExpired
+		}
+		now[n] = m.get(s.Key)
+		ok = ok && now[n].Revision == s.Revision
 	}
 	if !ok {
 		return now, false, nil
 	}
 	// Revisions are indexes into the history, so the last one is that of all pairs.
-	m.revision += int64(len(pairs))
-	for n, p := range pairs {
-		now[n] = Pair{Key: p.Key, Value: append([]byte(nil), p.Value...), Revision: m.revision}
-		m.pairs[p.Key] = entry{pair: now[n], lease: lease}
+	m.revision += int64(len(swaps))
+	for n, s := range swaps {
+		now[n] = Pair{Key: s.Key, Value: append([]byte(nil), s.Value...), Revision: m.revision}
+		m.pairs[s.Key] = entry{pair: now[n], lease: s.Lease}
 		m.appendHistory(now[n])
 	}
 	if err := m.loseResponse(); err != nil {
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -49,17 +49,26 @@
 	}
 )
 
-// MaxSwaps is the maximum number of pairs in a call of BatchStore.SwapAll.
+// MaxSwaps is the maximum number of swaps in a call of BatchStore.Commit.
 const MaxSwaps = 32
 
-// BatchStore is a Store with atomic writes of several keys.
-type BatchStore interface {
-	Store
-	// SwapAll writes all pairs if each key's revision is that of its pair, otherwise none. It
-	// returns the keys after the call, in the order of the pairs. All written keys get the same
-	// revision.
-	SwapAll(ctx context.Context, pairs []Pair, lease Lease) (now []Pair, ok bool, err error)
-}
+type (
+	// Swap writes the value of a pair if the key's revision is that of the pair. If a lease is
+	// given, the key is deleted when the lease expires.
+	Swap struct {
+		Pair
+		Lease Lease
+	}
+
+	// BatchStore is a Store with atomic writes of several keys.
+	BatchStore interface {
+		Store
+		// Commit writes all swaps if each key's revision is that of its pair, otherwise none. It
+		// returns the keys after the call, in the order of the swaps. All written keys get the same
+		// revision.
+		Commit(ctx context.Context, swaps []Swap) (now []Pair, ok bool, err error)
+	}
+)
 
 // Errors of the store.
 var (
--- a/internal/watcher/peers.go
+++ b/internal/watcher/peers.go
@@ -109,7 +109,12 @@
 
 func (w *Watcher) isWatchedKey(key string) bool {
 	return key == w.ConfigurationKey || strings.HasPrefix(key, w.MemberPrefix) || strings.HasPrefix(key, w.OwnershipPrefix) ||
-		w.OnInstance != nil && strings.HasPrefix(key, w.InstancePrefix)
+		w.isState(key) || w.OnInstance != nil && strings.HasPrefix(key, w.InstancePrefix)
+}
+
+// isState reports whether a key holds the state of a group.
+func (w *Watcher) isState(key string) bool {
+	return w.StatePrefix != "" && strings.HasPrefix(key, w.StatePrefix)
 }
 
 // FollowsReader reports whether a peer currently watches the store for this instance. It is safe
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -72,6 +72,8 @@
 		// ConfigurationKey is the key of the configuration; the others are the key prefixes
 		// of members, ownership records and instances.
 		ConfigurationKey, MemberPrefix, OwnershipPrefix, InstancePrefix string
+		// StatePrefix, if set, is the key prefix of the groups' states.
+		StatePrefix string
 
 		DecodeConfiguration func(value []byte) (*tracker.Configuration, error)
 		DecodeMember        func(key string, value []byte, revision int64) (tracker.Member, error)
@@ -81,8 +83,8 @@
 		// OnMembers is called with the members of each group that has changed, in no order. A
 		// group without members has an empty list.
 		OnMembers func(groups map[string][]tracker.Member)
-		// OnOwnership is called with each changed ownership record; Revision 0 means that the group
-		// has no owner.
+		// OnOwnership is called with each changed ownership record and state of a group; Revision 0 of
+		// an ownership record means that the group has no owner.
 		OnOwnership func(storer.Pair)
 		// OnInstance, if set, is called with each changed instance record.
 		OnInstance func(storer.Pair)
@@ -128,7 +130,7 @@
 		groups        map[string]map[string]*entry
 		changedGroups map[string]bool
 		ending        map[string]*entry
-		// ownershipExists reports, by key, whether an ownership record exists.
+		// ownershipExists reports, by key, whether an ownership record or a state exists.
 		ownershipExists map[string]bool
 		// storeOutage is set while reads of the store fail, outageEndedAt is when the last outage
 		// ended.
@@ -343,22 +345,24 @@
 
 // applyInOrder applies changes in the order in which a starting instance needs them: the
 // configuration, the members, and then the ownership and instance records, of which a whole state
-// has most.
+// has most. The states of groups precede the ownership records, as an owner's record shows that
+// the states of earlier owners have been applied.
 func (w *Watcher) applyInOrder(pairs []storer.Pair) {
-	for _, p := range pairs {
-		if p.Key == w.ConfigurationKey {
-			w.applyPair(p)
-		}
-	}
-	for _, p := range pairs {
-		if p.Key != w.ConfigurationKey && strings.HasPrefix(p.Key, w.MemberPrefix) {
-			w.applyPair(p)
-		}
-	}
-	for _, p := range pairs {
-		if p.Key != w.ConfigurationKey && !strings.HasPrefix(p.Key, w.MemberPrefix) {
-			w.applyPair(p)
+	for _, phase := range []func(key string) bool{
+		func(key string) bool { return key == w.ConfigurationKey },
+		func(key string) bool { return strings.HasPrefix(key, w.MemberPrefix) },
+		w.isState,
+		func(string) bool { return true },
+	} {
+		rest := pairs[:0:0]
+		for _, p := range pairs {
+			if phase(p.Key) {
+				w.applyPair(p)
+			} else {
+				rest = append(rest, p)
+			}
 		}
+		pairs = rest
 	}
 }
 
@@ -367,7 +371,7 @@
 	switch {
 	case p.Key == w.ConfigurationKey:
 		w.applyConfiguration(p)
-	case strings.HasPrefix(p.Key, w.OwnershipPrefix):
+	case strings.HasPrefix(p.Key, w.OwnershipPrefix), w.isState(p.Key):
 		w.ownershipExists[p.Key] = p.Revision > 0
 		w.OnOwnership(p)
 	case strings.HasPrefix(p.Key, w.MemberPrefix):
