elector: no replica behind a demoted primary is promoted

Callers saw 24 to 36 acknowledged writes gone after a primary that was alive had been replaced.

Cause: once the primary had stepped down and no replica reached its log, the furthest of the known replicas was promoted if all of them answered. A member that had joined and that the watch of the store had not shown held what was missing, and had acknowledged it.

Ruled out as the whole cause: the stale watch.

Change: a demoted primary's log is the measure. Only a member that has reached it is promoted, also one that a fresh reading of the registry shows; else the demoted primary leads again. Where no known replica follows the primary, none can reach its log, so no change begins (it would only interrupt reads); the registry is read once a second to find a follower, and replicas left paused are resumed. Members that join before an order are compared with the candidate.

Why it works: nothing is acknowledged after the demotion, and the demoted primary holds whatever was acknowledged before. No list of members and no time is relied on.

Tests: TestUnseenReplicaAcknowledges fails in all three cases before (3 of 3 runs). TestCandidateRestarts brought its change about by blocking all replicas, which no longer begins one; it now marks the primary as leaving, blocks the replicas once the order is out, and takes the mark back. What it checks is unchanged, and it fails as before when lastPrimaryComplete is made false.

--- a/internal/elector/decide.go
+++ b/internal/elector/decide.go
@@ -112,7 +112,8 @@
 	ReasonRefused Reason = "primary-refuses-connections"
 	ReasonSilent  Reason = "primary-silent"
 	ReasonLeaving Reason = "primary-leaving"
-	// ReasonReplicationStalled means that no replica follows the primary.
+	// ReasonReplicationStalled means that no known replica follows the primary. None can replace it
+	// then, as each lacks commits.
 	ReasonReplicationStalled Reason = "replicas-standing-still"
 	// ReasonLeaderless means that the group has no primary.
 	ReasonLeaderless Reason = "nobody-leads"
@@ -151,7 +152,7 @@
 		return Decision{Reason: ReasonLeaving}
 	}
 	if replicationStalled(v, p) {
-		return Decision{Reason: ReasonReplicationStalled}
+		return Decision{Reason: ReasonReplicationStalled, Resume: stalePaused(v)}
 	}
 	if overloaded(v, p) || nearlyFull(v, p) {
 		return Decision{Reason: ReasonOverloaded}
--- a/internal/elector/furthest.go
+++ b/internal/elector/furthest.go
@@ -15,24 +15,34 @@
 // selectFurthest pauses the other replicas, including those that join meanwhile, and picks a
 // candidate whose log holds all of theirs.
 func (sv *Supervisor) selectFurthest(ctx context.Context, c *primaryChange) error {
-	replicas := c.replicas
-	others := replicas[1:]
+	others := c.replicas[1:]
 	for range maxPauseRounds {
 		if err := sv.pauseAll(ctx, others, c.term); err != nil {
 			return err
 		}
 		joined := sv.refreshMembers()
-		if err := checkNotRestarted(replicas); err != nil {
+		if err := checkNotRestarted(c.replicas); err != nil {
 			return err
 		}
 		if len(joined) == 0 {
-			return sv.pickFurthest(ctx, c, replicas)
+			return sv.pickFurthest(ctx, c)
 		}
-		replicas, others = append(replicas, joined...), joined
+		c.replicas, others = append(c.replicas, joined...), joined
 	}
 	return errMembersJoining
 }
 
+// readRegistry brings the registered members up to date with the store, since the watch may not
+// have shown a replica that joined and has acknowledged commits.
+func (sv *Supervisor) readRegistry(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	start := sv.Clock()
+	err := sv.ReadRegistry(ctx)
+	sv.Log("event", "registry-read", "group", sv.Group.Name, "ms", (sv.Clock() - start).Milliseconds(), "outcome", outcomeText(err))
+	return err
+}
+
 // checkNotRestarted returns an error if a member has restarted during the change: the log that
 // was read may be gone, and acknowledged commits with it.
 func checkNotRestarted(members []*memberState) error {
@@ -76,7 +86,8 @@
 
 // pickFurthest picks the first replica if its log reaches those of the others, which are
 // paused. Otherwise it pauses the first as well and picks the one with the furthest log.
-func (sv *Supervisor) pickFurthest(ctx context.Context, c *primaryChange, replicas []*memberState) error {
+func (sv *Supervisor) pickFurthest(ctx context.Context, c *primaryChange) error {
+	replicas := c.replicas
 	first := replicas[0]
 	c.candidate = first
 	s, err := sv.command(ctx, first, messenger.Command{Kind: messenger.KindStatus})
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -47,6 +47,7 @@
 	errResumePending       = errors.New("an earlier resume command may still take effect on a replica")
 	errMembersJoining      = errors.New("members kept joining during the change")
 	errMemberRestarted     = errors.New("a member has restarted")
+	errNoneCaughtUp        = errors.New("no member holds everything that the demoted primary holds")
 	errReasonCleared       = errors.New("the reason for the change no longer applies")
 )
 
@@ -67,8 +68,8 @@
 // changePrimary promotes a member that holds every acknowledged commit.
 //
 // A responsive primary is demoted first, so that nothing more is acknowledged and a caught-up
-// replica is complete. Otherwise every replica is read, and the one with the furthest log is
-// promoted.
+// replica is complete; if there is none, it leads again. Otherwise every replica is read, and the
+// one with the furthest log is promoted.
 //
 // A commit is acknowledged once a replica has received it, so all acknowledged commits are on the
 // replica with the furthest log once none receives any more. Pausing all replicas but the candidate
@@ -151,12 +152,31 @@
 		sv.restoreOldPrimary(c, c.dataLossRisk)
 		return nil
 	}
-	if err := sv.selectFurthest(ctx, c); err != nil {
+	if err := sv.findCaughtUp(ctx, c); err != nil {
 		sv.restoreOldPrimary(c, err)
 	}
 	return ctx.Err()
 }
 
+// findCaughtUp picks any member whose log has reached that of the demoted primary, among those that
+// the watch of the store has not shown yet as well. A replica that is behind is not promoted even if
+// all known replicas respond: a member acknowledges commits before its registration shows, so
+// what the replica lacks may have been acknowledged.
+func (sv *Supervisor) findCaughtUp(ctx context.Context, c *primaryChange) error {
+	if err := sv.readRegistry(ctx); err != nil {
+		return errors.Wrap(err, "read registry")
+	}
+	c.replicas = append(c.replicas, sv.refreshMembers()...)
+	sv.pollAll(ctx, c.replicas)
+	for _, m := range c.replicas {
+		if m.Answered && !m.Leaving && m.Status.Received.AtLeast(c.oldPrimary.Status.Received) {
+			c.candidate = m
+			return nil
+		}
+	}
+	return errNoneCaughtUp
+}
+
 // restoreOldPrimary makes the demoted primary the candidate again: it holds every acknowledged
 // commit. Otherwise the group would lack a primary until that is detected.
 func (sv *Supervisor) restoreOldPrimary(c *primaryChange, cause error) {
@@ -267,7 +287,12 @@
 		if !sv.Holds(requestTimeout) {
 			return errNotOwner
 		}
-		sv.pauseJoined(ctx, c)
+		joined, err := sv.pauseJoined(ctx, c)
+		if !ordered {
+			if err := checkJoined(c, joined, err); err != nil {
+				return err
+			}
+		}
 		if err := checkNotRestarted([]*memberState{c.candidate}); err != nil {
 			return err
 		}
@@ -301,15 +326,30 @@
 	return err
 }
 
-// pauseJoined pauses members that have joined since the others were paused.
-func (sv *Supervisor) pauseJoined(ctx context.Context, c *primaryChange) {
+// pauseJoined pauses members that have joined since the others were paused, and returns them.
+func (sv *Supervisor) pauseJoined(ctx context.Context, c *primaryChange) ([]*memberState, error) {
 	joined := sv.refreshMembers()
 	if len(joined) == 0 {
-		return
+		return nil, nil
 	}
-	if err := sv.pauseAll(ctx, joined, c.term); err != nil {
+	err := sv.pauseAll(ctx, joined, c.term)
+	if err != nil {
 		sv.Log("event", "joined-not-paused", "group", sv.Group.Name, "cause", err)
 	}
+	return joined, err
+}
+
+// checkJoined returns an error if members that joined before the promotion is ordered may have
+// acknowledged something that the candidate lacks; pauseErr is set if they could not all be paused.
+func checkJoined(c *primaryChange, joined []*memberState, pauseErr error) error {
+	if len(joined) == 0 || c.oldPrimary != nil && c.candidate.Status.Received.AtLeast(c.oldPrimary.Status.Received) {
+		return nil
+	}
+	ahead := slices.ContainsFunc(joined, func(m *memberState) bool { return m.Status.Received.Compare(c.candidate.Status.Received) > 0 })
+	if pauseErr != nil || ahead {
+		return errMembersJoining
+	}
+	return nil
 }
 
 // recordPromotion updates the state after a successful promotion.
--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/elector"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/messenger"
@@ -38,6 +39,26 @@
 	mutex  sync.Mutex
 	events []string
 	onLog  func(event string)
+	// unseen is the ID of a member that the supervisor's view of the registry lacks until it reads the
+	// registry; registryError is what that returns.
+	unseen        string
+	registryError error
+}
+
+// registrations returns the supervisor's view of the registry.
+func (h *harness) registrations() []tracker.Member {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return slices.DeleteFunc(h.group.Registrations(), func(m tracker.Member) bool { return m.ID == h.unseen })
+}
+
+func (h *harness) readRegistry(context.Context) error {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.registryError == nil {
+		h.unseen = ""
+	}
+	return h.registryError
 }
 
 // fakeOwnership is an ownership that is never lost.
@@ -90,7 +111,7 @@
 	h.tracked.SetMembers(h.group.Registrations())
 	return &elector.Supervisor{
 		Group: h.tracked,
-		Clock: clock, Codec: platform.LineCodec{}, Members: h.group.Registrations,
+		Clock: clock, Codec: platform.LineCodec{}, Members: h.registrations, ReadRegistry: h.readRegistry,
 		Connect: func(ctx context.Context, m tracker.Member) (*lender.Conn, error) {
 			return lender.Connect(ctx, host, platform.LineCodec{}, m, "keeper")
 		},
@@ -116,6 +137,13 @@
 	return seen
 }
 
+// logged reports whether the supervisor has logged a line that contains a text.
+func (h *harness) logged(text string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return slices.ContainsFunc(h.events, func(line string) bool { return strings.Contains(line, text) })
+}
+
 // startSupervisor starts a supervisor.
 func (h *harness) startSupervisor(ctx context.Context) {
 	supervisorCtx, stop := context.WithCancel(ctx)
@@ -252,6 +280,39 @@
 	}
 }
 
+// Guards against losing commits that only a replica has acknowledged which the watch of the store
+// has not shown yet, or which has not registered yet.
+func TestUnseenReplicaAcknowledges(t *testing.T) {
+	for name, test := range map[string]struct {
+		registryError error
+		leaders       []string
+		prepare       func(h *harness)
+	}{
+		"registry read":     {leaders: []string{"g-1", "g-4"}, prepare: func(*harness) {}},
+		"store unreachable": {leaders: []string{"g-1"}, prepare: func(*harness) {}, registryError: errors.New("store unreachable")},
+		"unseen replica unreachable": {leaders: []string{"g-1"}, prepare: func(h *harness) {
+			h.net.Partition("10.8.1.1", "10.9.1.4")
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, func(t *testing.T, h *harness) {
+				h.mutex.Lock()
+				h.unseen, h.registryError = "g-4", test.registryError
+				h.mutex.Unlock()
+				time.Sleep(2 * time.Second)
+				h.group.BlockReplication("g-2", "g-1")
+				h.group.BlockReplication("g-3", "g-1")
+				h.group.Join("g-4", "a", "10.9.1.4")
+				test.prepare(h)
+				time.Sleep(2 * time.Second)
+				h.group.MarkLeaving("g-1")
+				time.Sleep(2 * time.Second)
+				must.SliceContains(t, test.leaders, h.leader())
+			})
+		})
+	}
+}
+
 // Guards against promoting a stalled replica after the only one that followed has left.
 func TestOnlySyncedReplicaLeaves(t *testing.T) {
 	runScenario(t, func(t *testing.T, h *harness) {
@@ -466,12 +527,13 @@
 			runScenario(t, func(t *testing.T, h *harness) {
 				time.Sleep(2 * time.Second)
 				ordered := h.notifyOn("promotion-ordered")
+				h.group.MarkLeaving("g-1")
+				<-ordered
 				h.group.BlockReplication("g-2", "g-1")
 				h.group.BlockReplication("g-3", "g-1")
-				<-ordered
-				paused := h.group.Paused()
+				h.group.CancelLeaving("g-1")
 				id := "g-2"
-				if slices.Contains(paused, id) {
+				if h.logged("promotion-ordered group g member g-3") {
 					id = "g-3"
 				}
 				h.group.Restart(id)
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -27,6 +27,8 @@
 	minRecordInterval = time.Second
 	// statusLogInterval is the period of logging member statuses.
 	statusLogInterval = 2 * time.Second
+	// registryReadInterval is the period of reading the registry while replication is stalled.
+	registryReadInterval = time.Second
 	// incarnationSeparator separates a member's ID and its start time in the ID of a former
 	// incarnation. Member IDs do not contain it.
 	incarnationSeparator = "~"
@@ -40,6 +42,9 @@
 		Clock func() tracker.Timestamp
 		// Members returns all members, including those that are leaving.
 		Members func() []tracker.Member
+		// ReadRegistry reads the members' registrations from the store. Members then returns all that
+		// had registered when it was called. It returns an error if some may be missing.
+		ReadRegistry func(ctx context.Context) error
 		// Connect opens a connection to a member.
 		Connect func(ctx context.Context, m tracker.Member) (*lender.Conn, error)
 		Codec   messenger.MemberCodec
@@ -96,6 +101,8 @@
 		// rebalancedAt the time of the last one.
 		rebalanceInterval time.Duration
 		rebalancedAt      tracker.Timestamp
+		// registryReadAt is when the registry was last read because replication had stalled.
+		registryReadAt tracker.Timestamp
 		// restoredAt is when a change last restored the old primary.
 		restoredAt tracker.Timestamp
 		// fencedAt is when earlier promotion orders were last fenced off.
@@ -176,10 +183,14 @@
 	if !sv.confirmState(ctx, d) {
 		return
 	}
-	if d.Reason != ReasonNone && v.Now-sv.fencedAt < fencingDelay {
+	if d.Reason != ReasonNone && d.Reason != ReasonReplicationStalled && v.Now-sv.fencedAt < fencingDelay {
 		sv.Log("event", "move-waits", "group", sv.Group.Name, "reason", d.Reason, "for", "fencing of earlier promotion orders")
 		return
 	}
+	if d.Reason == ReasonReplicationStalled {
+		sv.findFollower(ctx)
+		d.Reason = ReasonNone
+	}
 	if sv.restoredAt != 0 && v.Now-sv.restoredAt < restoreCooldown && d.Reason.primaryAlive() {
 		return
 	}
@@ -206,6 +217,17 @@
 	sv.saveState(ctx)
 }
 
+// findFollower looks for a replica that the watch of the store has not shown yet, while none of the
+// known ones follows the primary. A change would only interrupt reads: no known replica can be
+// promoted, as it lacks commits that an unknown one may have acknowledged.
+func (sv *Supervisor) findFollower(ctx context.Context) {
+	if now := sv.Clock(); sv.registryReadAt == 0 || now-sv.registryReadAt >= registryReadInterval {
+		sv.registryReadAt = now
+		sv.Log("event", "replication-stalled", "group", sv.Group.Name, "primary", sv.primary, "members", len(sv.members))
+		_ = sv.readRegistry(ctx)
+	}
+}
+
 // updateRebalanceInterval backs off after a change made to balance load.
 func (sv *Supervisor) updateRebalanceInterval(r Reason) {
 	if r != ReasonOverloaded {
@@ -255,14 +277,19 @@
 			due = append(due, m)
 		}
 	}
+	sv.pollAll(ctx, due)
+	v := sv.buildView()
+	sv.excludeDeparted()
+	return v
+}
+
+// pollAll polls members concurrently.
+func (sv *Supervisor) pollAll(ctx context.Context, members []*memberState) {
 	var polls sync.WaitGroup
-	for _, m := range due {
+	for _, m := range members {
 		polls.Go(func() { sv.poll(ctx, m) })
 	}
 	polls.Wait()
-	v := sv.buildView()
-	sv.excludeDeparted()
-	return v
 }
 
 // recordLeader stores a newly seen primary.
--- a/internal/standin/groupsimulator/group.go
+++ b/internal/standin/groupsimulator/group.go
@@ -143,6 +143,11 @@
 // MarkLeaving marks a member as leaving; Terminate terminates it.
 func (g *Group) MarkLeaving(id string) { g.updateMember(id, func(m *Member) { m.leaving = true }) }
 
+// CancelLeaving reverts MarkLeaving.
+func (g *Group) CancelLeaving(id string) {
+	g.updateMember(id, func(m *Member) { m.leaving = false })
+}
+
 // Terminate terminates a member and discards its log.
 func (g *Group) Terminate(id string) {
 	g.updateMember(id, func(m *Member) { m.terminated, m.primary = true, false })
--- a/internal/watcher/entries.go
+++ b/internal/watcher/entries.go
@@ -1,10 +1,61 @@
 package watcher
 
 import (
+	"context"
+
+	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/storer"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
+// errRegistryRefilling means that members may not have registered again since an outage of the store.
+var errRegistryRefilling = errors.New("members may still be registering after an outage of the store")
+
+// ReadRegistry reads the registrations of the members from the store and applies them. Changes that
+// the watch has not shown yet are included. It returns an error if registered members may be
+// missing. It is safe for concurrent use.
+func (w *Watcher) ReadRegistry(ctx context.Context) error {
+	pairs, revision, err := w.Source.Snapshot(ctx, w.MemberPrefix)
+	if err != nil {
+		return err
+	}
+	u := update{pairs: pairs, revision: revision, refreshed: make(chan error, 1)}
+	select {
+	case w.refreshChannel() <- u:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-u.refreshed:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (w *Watcher) refreshChannel() chan update {
+	w.refreshOnce.Do(func() { w.refreshes = make(chan update) })
+	return w.refreshes
+}
+
+// applyRegistrations applies the registrations that ReadRegistry has read. Deletions are left to the
+// watch.
+func (w *Watcher) applyRegistrations(u update) error {
+	now := w.Clock()
+	// Else the known state is at least as new, and may have deletions that are not in u.
+	if u.revision > w.revision {
+		w.changedSince = now
+		for _, p := range u.pairs {
+			w.applyMember(p)
+		}
+		w.notifyMembers()
+	}
+	if w.storeOutage || w.outageEndedAt != 0 && now-w.outageEndedAt < registrationGrace {
+		return errRegistryRefilling
+	}
+	return nil
+}
+
 // applyMember applies a changed member entry.
 func (w *Watcher) applyMember(p storer.Pair) {
 	e := w.entries[p.Key]
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -141,6 +142,9 @@
 		storeSeenAt, changedSince tracker.Timestamp
 		// storeSeen is storeSeenAt for other goroutines; 0 before the first answer.
 		storeSeen atomic.Int64
+
+		refreshOnce sync.Once
+		refreshes   chan update
 	}
 
 	// entry is the registration of a member with its shutdown state.
@@ -159,6 +163,8 @@
 		pairs    []storer.Pair
 		// revision is the store revision that pairs reflects.
 		revision int64
+		// refreshed is set if pairs holds the registrations of members only; it receives the result.
+		refreshed chan error
 		// isListing is set if pairs holds instance records only; applied is then closed once
 		// they have been applied.
 		isListing bool
@@ -214,6 +220,8 @@
 		select {
 		case u := <-updates:
 			w.apply(u)
+		case u := <-w.refreshChannel():
+			u.refreshed <- w.applyRegistrations(u)
 		case <-check:
 			check = nil
 			w.expireMembers()
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -452,3 +452,33 @@
 		must.Eq(t, []string{"configuration", "ownership", "members", "applied"}, order[:4])
 	})
 }
+
+// Guards against a member that is unknown because the watch has not shown its registration yet.
+func TestReadRegistry(t *testing.T) {
+	t.Run("watch is behind", func(t *testing.T) {
+		runFixture(t, func(t *testing.T, f *fixture) {
+			f.put(t, "member/m", "leaving")
+			time.Sleep(10 * time.Millisecond) // the watch now waits for further changes
+			f.put(t, "member/x", "ready")
+			time.Sleep(10 * time.Millisecond)
+			must.False(t, f.usable("x"))
+			must.NoError(t, f.watcher.ReadRegistry(t.Context()))
+			must.True(t, f.usable("x"))
+			f.remove(t, "member/x")
+			time.Sleep(3 * time.Second)
+			must.False(t, f.usable("x"))
+		})
+	})
+	t.Run("members register again", func(t *testing.T) {
+		runFixture(t, func(t *testing.T, f *fixture) {
+			f.store.SetFaults(func(x *storer.Faults) { x.Down = true })
+			time.Sleep(time.Second)
+			must.Error(t, f.watcher.ReadRegistry(t.Context()))
+			f.store.SetFaults(func(x *storer.Faults) { x.Down = false })
+			time.Sleep(time.Second)
+			must.Error(t, f.watcher.ReadRegistry(t.Context()))
+			time.Sleep(3 * time.Second)
+			must.NoError(t, f.watcher.ReadRegistry(t.Context()))
+		})
+	})
+}
