recorder: a key deleted and written again within one update is kept

Callers on instances that get their state from peers would miss a member or a group's state until its next change; none was seen to.

Cause: a deletion has no revision and was recorded at that of its update, above the write that followed it in the same update, which was then taken for older.

Change: of several changes of a key in one update only the last is recorded. It is the newest, since an update lists changes in the store's order.

Measured: TestKeyRecreatedWithinUpdate fails before and passes after; the package's other tests pass.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -46,8 +46,8 @@
 	}
 )
 
-// Apply records the changes up to a revision; a pair with revision 0 is a deletion. With snapshot
-// set, the pairs are the whole state, and other keys have been deleted.
+// Apply records the changes up to a revision, in their order; a pair with revision 0 is a deletion.
+// With snapshot set, the pairs are the whole state, and other keys have been deleted.
 func (r *Recorder) Apply(pairs []storer.Pair, revision int64, snapshot bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -59,6 +59,8 @@
 	}
 	if snapshot {
 		pairs = r.withDeletions(pairs)
+	} else {
+		pairs = lastOfEachKey(pairs)
 	}
 	added := len(r.log)
 	for _, p := range pairs {
@@ -87,6 +89,26 @@
 	return all
 }
 
+// lastOfEachKey drops the changes that a later one of the same key follows. A deletion has no
+// revision of its own and is recorded at that of the update, so a key that is deleted and written
+// again within one update would count as deleted.
+func lastOfEachKey(pairs []storer.Pair) []storer.Pair {
+	last := make(map[string]int, len(pairs))
+	for n, p := range pairs {
+		last[p.Key] = n
+	}
+	if len(last) == len(pairs) {
+		return pairs
+	}
+	kept := make([]storer.Pair, 0, len(last))
+	for n, p := range pairs {
+		if last[p.Key] == n {
+			kept = append(kept, p)
+		}
+	}
+	return kept
+}
+
 // record appends one change to the log.
 func (r *Recorder) record(p storer.Pair, revision int64) {
 	c := change{Pair: p, revision: cmp.Or(p.Revision, revision)}
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -71,6 +71,18 @@
 	must.Eq(t, []string{"a3"}, keys(pairs))
 }
 
+// Guards against losing a key that is deleted and written again within one update.
+func TestKeyRecreatedWithinUpdate(t *testing.T) {
+	r := &recorder.Recorder{}
+	r.Apply([]storer.Pair{pair("a", 5)}, 10, true)
+	r.Apply([]storer.Pair{pair("a", 0), pair("a", 12)}, 13, false)
+	pairs, _ := r.Whole()
+	must.Eq(t, []string{"a12"}, keys(pairs))
+	pairs, complete := r.Since(10)
+	must.True(t, complete)
+	must.Eq(t, []string{"a12"}, keys(pairs))
+}
+
 // Pages of a snapshot may hold pairs newer than its revision, and a later update repeats them.
 func TestSnapshotReadDuringChanges(t *testing.T) {
 	var r recorder.Recorder
