elector: the registry is read when a silent primary is replaced

Cause, in part: the replicas that a change pauses and compares were those that the watch of the store had shown. One that had joined and acknowledged commits was missing for up to a second.

Change: the registrations are read from the store while the known replicas are paused; a member that shows is paused and compared as well.

Not mended: a member that joins or registers after the reading acknowledges until the promotion takes effect.

--- a/internal/elector/furthest.go
+++ b/internal/elector/furthest.go
@@ -17,7 +17,13 @@
 func (sv *Supervisor) selectFurthest(ctx context.Context, c *primaryChange) error {
 	others := c.replicas[1:]
 	for range maxPauseRounds {
-		if err := sv.pauseAll(ctx, others, c.term); err != nil {
+		// Read at the same time, so that the change takes no longer. Without the store, the members
+		// known so far have to do.
+		var read sync.WaitGroup
+		read.Go(func() { _ = sv.readRegistry(ctx) })
+		err := sv.pauseAll(ctx, others, c.term)
+		read.Wait()
+		if err != nil {
 			return err
 		}
 		joined := sv.refreshMembers()
--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -313,6 +313,23 @@
 	}
 }
 
+// Guards against passing over a replica that the watch of the store has not shown yet when the
+// primary doesn't respond to the owner, but does to others.
+func TestUnseenReplicaBesideSilentPrimary(t *testing.T) {
+	runScenario(t, func(t *testing.T, h *harness) {
+		h.mutex.Lock()
+		h.unseen = "g-4"
+		h.mutex.Unlock()
+		time.Sleep(2 * time.Second)
+		h.group.BlockReplication("g-2", "g-1")
+		h.group.BlockReplication("g-3", "g-1")
+		h.group.Join("g-4", "a", "10.9.1.4")
+		h.net.Partition("10.8.1.1", "10.9.1.1")
+		time.Sleep(4 * time.Second)
+		must.Eq(t, "g-4", h.leader())
+	})
+}
+
 // Guards against promoting a stalled replica after the only one that followed has left.
 func TestOnlySyncedReplicaLeaves(t *testing.T) {
 	runScenario(t, func(t *testing.T, h *harness) {
--- a/internal/watcher/entries.go
+++ b/internal/watcher/entries.go
@@ -15,6 +15,9 @@
 // the watch has not shown yet are included. It returns an error if registered members may be
 // missing. It is safe for concurrent use.
 func (w *Watcher) ReadRegistry(ctx context.Context) error {
+	if !w.StoreAvailable() {
+		return storer.ErrUnavailable
+	}
 	pairs, revision, err := w.Source.Snapshot(ctx, w.MemberPrefix)
 	if err != nil {
 		return err
