elector: random orders of events against the change of the primary

Whoever is promoted must hold every acknowledged commit. The harness' platform now checks fencing tokens, also of late orders.

--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -39,24 +40,72 @@
 	mutex  sync.Mutex
 	events []string
 	onLog  func(event string)
-	// unseen is the ID of a member that the supervisor's view of the registry lacks until it reads the
+	// unseen are the members that the supervisor's view of the registry lacks until it reads the
 	// registry; registryError is what that returns.
-	unseen        string
+	unseen        map[string]bool
 	registryError error
+	// unregistered are the members that a reading of the registry doesn't show either.
+	unregistered map[string]bool
+	// delayOrder, when set, returns how long after an order to promote a member it is executed; an order
+	// that is delayed gets no response. token is the highest fencing token seen.
+	delayOrder func(member string) time.Duration
+	token      int64
+}
+
+// errOrderRefused is the platform's refusal of an order, errNoResponse the outcome of a delayed one.
+var (
+	errOrderRefused = errors.New("order refused")
+	errNoResponse   = errors.New("no response")
+)
+
+// setUnseen hides a member from the supervisor until it reads the registry.
+func (h *harness) setUnseen(id string, unseen bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.unseen == nil {
+		h.unseen = map[string]bool{}
+	}
+	h.unseen[id] = unseen
+}
+
+// order executes an order to promote, or delays it.
+func (h *harness) order(_ context.Context, _, id string, token int64) error {
+	h.mutex.Lock()
+	delayOrder := h.delayOrder
+	h.mutex.Unlock()
+	if delayOrder != nil {
+		if delay := delayOrder(id); delay > 0 {
+			time.AfterFunc(delay, func() { _ = h.execute(id, token) })
+			return errNoResponse
+		}
+	}
+	return h.execute(id, token)
+}
+
+// execute executes an order unless a newer fencing token has been seen.
+func (h *harness) execute(id string, token int64) error {
+	h.mutex.Lock()
+	refused := token < h.token
+	h.token = max(h.token, token)
+	h.mutex.Unlock()
+	if refused || h.group.Promote(id) != nil {
+		return errOrderRefused
+	}
+	return nil
 }
 
 // registrations returns the supervisor's view of the registry.
 func (h *harness) registrations() []tracker.Member {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return slices.DeleteFunc(h.group.Registrations(), func(m tracker.Member) bool { return m.ID == h.unseen })
+	return slices.DeleteFunc(h.group.Registrations(), func(m tracker.Member) bool { return h.unseen[m.ID] || h.unregistered[m.ID] })
 }
 
 func (h *harness) readRegistry(context.Context) error {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.registryError == nil {
-		h.unseen = ""
+		maps.DeleteFunc(h.unseen, func(id string, _ bool) bool { return !h.unregistered[id] })
 	}
 	return h.registryError
 }
@@ -118,8 +167,8 @@
 		Holds:            func(time.Duration) bool { return true },
 		NextFencingToken: h.ownership.NextFencingToken, State: h.ownership.State, MarkPromotionUnanswered: func() {},
 		StateConfirmed: func() bool { return true }, ReadState: func(context.Context) (bool, error) { return false, nil },
-		Promote:             func(_ context.Context, _, id string, _ int64) error { return h.group.Promote(id) },
-		Refused:             func(error) bool { return true },
+		Promote:             h.order,
+		Refused:             func(err error) bool { return errors.Is(err, errOrderRefused) },
 		SynchronousReplicas: func() int { return h.synchronous }, ConnectionLimit: func() int { return h.group.MaxConnections }, PrimaryChanged: func() {}, Log: h.log,
 	}
 }
@@ -296,9 +345,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runScenario(t, func(t *testing.T, h *harness) {
-				h.mutex.Lock()
-				h.unseen, h.registryError = "g-4", test.registryError
-				h.mutex.Unlock()
+				h.setUnseen("g-4", true)
+				h.registryError = test.registryError
 				time.Sleep(2 * time.Second)
 				h.group.BlockReplication("g-2", "g-1")
 				h.group.BlockReplication("g-3", "g-1")
@@ -317,9 +365,7 @@
 // primary doesn't respond to the owner, but does to others.
 func TestUnseenReplicaBesideSilentPrimary(t *testing.T) {
 	runScenario(t, func(t *testing.T, h *harness) {
-		h.mutex.Lock()
-		h.unseen = "g-4"
-		h.mutex.Unlock()
+		h.setUnseen("g-4", true)
 		time.Sleep(2 * time.Second)
 		h.group.BlockReplication("g-2", "g-1")
 		h.group.BlockReplication("g-3", "g-1")
