--- a/internal/elector/ownership.go
+++ b/internal/elector/ownership.go
@@ -8,12 +8,12 @@
 	"github.com/oriolegw/oriolegw/internal/storer"
 )
 
+// This file holds the methods that a supervisor calls on an owned group.
+
 // errRecordChanged means that the stored record or state was not the one that this instance knew,
 // as after an earlier write whose response was lost. Nothing was recorded.
 var errRecordChanged = errors.New("record of the group has changed")
 
-// This file holds the methods that a supervisor calls on an owned group.
-
 // Holds reports whether the ownership is certain to last for the given time.
 func (o *Ownership) Holds(d time.Duration) bool {
 	e := o.elector
