--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -68,6 +68,12 @@
 	h.unseen[id] = unseen
 }
 
+func (h *harness) setRegistryError(err error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.registryError = err
+}
+
 // order executes an order to promote, or delays it.
 func (h *harness) order(_ context.Context, _, id string, token int64) error {
 	h.mutex.Lock()
@@ -346,7 +352,7 @@
 		t.Run(name, func(t *testing.T) {
 			runScenario(t, func(t *testing.T, h *harness) {
 				h.setUnseen("g-4", true)
-				h.registryError = test.registryError
+				h.setRegistryError(test.registryError)
 				time.Sleep(2 * time.Second)
 				h.group.BlockReplication("g-2", "g-1")
 				h.group.BlockReplication("g-3", "g-1")
--- a/internal/elector/random_change_test.go
+++ b/internal/elector/random_change_test.go
@@ -161,12 +161,6 @@
 	e.delayOrder = f
 }
 
-func (e *randomEvents) setRegistryError(err error) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.registryError = err
-}
-
 // setUnregistered hides a member from readings of the registry.
 func (e *randomEvents) setUnregistered(id string, unregistered bool) {
 	e.mutex.Lock()
