--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -3,12 +3,14 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/oriolegw/oriolegw/internal/storer"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
@@ -16,6 +18,7 @@
 var cases = map[string]func(w *world) (broken bool, said string){
 	"late-order":     lateOrder,
 	"route-and-back": routeAndBack,
+	"unseen-member":  unseenMember,
 	"bare-line-feed": bareLineFeed,
 	"empty-value":    emptyValue,
 	"large-answers":  largeAnswers,
@@ -109,6 +112,54 @@
 	return lost() > 0, fmt.Sprintf("%d changes of the primary, %d writes acknowledged, %d of them not in the log of the member that was promoted", done, wrote(), lost())
 }
 
+// unseenMember: the members of two services are released, so that two new members register 0.12 s
+// apart. With trouble, the store is down for 4.5 s from then on, and the primary whose zone the second
+// new member is in crashes.
+func unseenMember(w *world) (bool, string) {
+	g, other := w.addGroup("ledger", 600*time.Millisecond), w.addGroup("other", 600*time.Millisecond)
+	for k, z := range zones {
+		g.join("m-"+z, z, ip(21+k), k == 0, time.Duration(12+5*k)*time.Millisecond, between(z))
+		other.join("o-"+z, z, ip(41+k), k == 0, 20*time.Millisecond, between(z))
+	}
+	w.platform.configure(configuration(7, []string{"ledger", "other"}, route("locker", "ledger", tracker.RulePrimary, 0), route("second", "other", tracker.RulePrimary, 0)))
+	w.startNodes()
+	w.awaitServed("locker", "PUT warm x")
+	time.Sleep(5 * time.Second)
+	stop, wrote := w.writers(g, "locker", 4)
+	time.Sleep(2 * time.Second)
+	other.join("o-hall-a-2", zones[0], ip(51), false, 20*time.Millisecond, between(zones[0]))
+	time.Sleep(120 * time.Millisecond)
+	g.join("m-hall-a-2", zones[0], ip(31), false, 20*time.Millisecond, between(zones[0]))
+	if !await(time.Second, func() bool {
+		p, err := w.platform.store.Get(context.Background(), "servers/m-hall-a-2")
+		return err == nil && p.Revision != 0
+	}) {
+		fatal("the new member is not registered")
+	}
+	w.record.line("registered", "member", "m-hall-a-2")
+	time.Sleep(30 * time.Millisecond)
+	if w.trouble {
+		w.platform.store.SetFaults(func(f *storer.Faults) { f.Down = true })
+		w.record.line("plan", "store", "down")
+		time.AfterFunc(4500*time.Millisecond, func() {
+			w.platform.store.SetFaults(func(f *storer.Faults) { f.Down = false })
+			w.record.line("plan", "store", "up")
+		})
+		time.Sleep(100 * time.Millisecond)
+		w.record.line("plan", "crash", "m-hall-a")
+		g.end("m-hall-a")
+	} else {
+		g.update("m-hall-a", func(m *member) { m.leaving = true })
+	}
+	await(10*time.Second, func() bool { l := g.leaderID(); return l != "" && l != "m-hall-a" })
+	led := g.leaderID()
+	time.Sleep(5 * time.Second)
+	stop()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return len(g.lost) > 0, fmt.Sprintf("%s was promoted; %d writes acknowledged, %d of them not in its log", led, wrote(), len(g.lost))
+}
+
 func await(limit time.Duration, done func() bool) bool {
 	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(2 * time.Millisecond) {
 		if done() {
--- a/review/standin2/group.go
+++ b/review/standin2/group.go
@@ -47,6 +47,7 @@
 		id, zone, address string
 		group             *group
 		listener          net.Listener
+		open              map[net.Conn]bool
 		log               []entry
 		received          []time.Time
 		primary           bool
@@ -79,7 +80,7 @@
 	}
 	m := &member{
 		id: id, zone: zone, address: l.Addr().String(), group: g, listener: l, primary: primary, term: 1, receiveDelay: delay,
-		applyLag: applyLag, slots: make(chan struct{}, memberSlots), work: 2 * time.Millisecond,
+		applyLag: applyLag, open: map[net.Conn]bool{}, slots: make(chan struct{}, memberSlots), work: 2 * time.Millisecond,
 	}
 	g.mutex.Lock()
 	if p := g.leader(); p != nil {
@@ -280,11 +281,13 @@
 	g := m.group
 	g.mutex.Lock()
 	m.conns++
+	m.open[c] = true
 	full, gone := m.conns > memberConnections, m.gone
 	g.mutex.Unlock()
 	defer func() {
 		g.mutex.Lock()
 		m.conns--
+		delete(m.open, c)
 		g.mutex.Unlock()
 	}()
 	switch {
@@ -537,11 +540,14 @@
 	return strings.Join(all, ",")
 }
 
-// end ends a member; its log is gone with it.
+// end ends a member, or crashes it: its connections break, and its log is gone with it.
 func (g *group) end(id string) {
 	g.mutex.Lock()
 	m := g.members[id]
 	m.gone, m.primary = true, false
+	for c := range m.open {
+		_ = c.Close()
+	}
 	g.mutex.Unlock()
 	_ = m.listener.Close()
 	g.record.line("member", "group", g.name, "id", id, "ended", true)
