elector: no primary is demoted while a promotion order is pending

Cause: an order that got no answer was repeated with the same fencing token, and the answer to the repetition cleared the pending order. The first call was executed during the next change, after the demotion and before the platform had seen the next token, so its member led once more and acknowledged commits that the candidate lacked. Also, a change began with an order known to be pending, as long as the last attempt to fence it was 1.5 s ago.

Change: an order stays pending if any order of the change went unanswered, and while one is pending a responsive primary isn't demoted: the order is fenced off first, under a new token, until the platform answers. The platform refuses the older order then, whenever it is executed.

--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -49,6 +49,7 @@
 	errMemberRestarted     = errors.New("a member has restarted")
 	errNoneCaughtUp        = errors.New("no member holds everything that the demoted primary holds")
 	errReasonCleared       = errors.New("the reason for the change no longer applies")
+	errPromotionPending    = errors.New("an earlier promotion order may still be executed")
 )
 
 // primaryChange is a change of the primary in progress.
@@ -63,6 +64,9 @@
 	// term is the term of the new primary.
 	term         uint64
 	fencingToken int64
+	// unanswered is set once an order of this change got no answer. It may be executed late even if a
+	// later one with the same token is answered.
+	unanswered bool
 }
 
 // changePrimary promotes a member that holds every acknowledged commit.
@@ -103,6 +107,9 @@
 	}
 	c := &primaryChange{}
 	if p := sv.members[v.Primary]; p != nil && p.Answered && p.Status.Primary {
+		if sv.promotionPending {
+			return nil, errPromotionPending
+		}
 		c.oldPrimary = p
 	}
 	replicas, term := sv.rankReplicas(v, c.oldPrimary != nil, reason)
@@ -305,7 +312,7 @@
 		}
 		sv.poll(ctx, c.candidate)
 		if c.candidate.Answered && c.candidate.Status.Primary && c.candidate.Status.Term >= c.term {
-			sv.recordPromotion(c, ordered)
+			sv.recordPromotion(c)
 			return nil
 		}
 		if err := sleeper.Sleep(ctx, promotionPollInterval); err != nil {
@@ -321,6 +328,7 @@
 	err := sv.Promote(ctx, sv.Group.Name, c.candidate.ID, c.fencingToken)
 	sv.Log("event", "promotion-ordered", "group", sv.Group.Name, "member", c.candidate.ID, "term", c.term, "fence", c.fencingToken, "outcome", outcomeText(err))
 	if err != nil && !sv.Refused(err) {
+		c.unanswered = true
 		sv.MarkPromotionUnanswered()
 	}
 	return err
@@ -353,14 +361,12 @@
 }
 
 // recordPromotion updates the state after a successful promotion.
-func (sv *Supervisor) recordPromotion(c *primaryChange, ordered bool) {
+func (sv *Supervisor) recordPromotion(c *primaryChange) {
 	sv.primary = c.candidate.ID
 	for _, m := range sv.members {
 		m.StalledSince = 0
 	}
-	if ordered {
-		sv.promotionPending = false
-	}
+	sv.promotionPending = c.unanswered
 }
 
 // fencePendingPromotion prevents late execution of an earlier promotion order, by naming the
--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -50,6 +50,9 @@
 	// that is delayed gets no response. token is the highest fencing token seen.
 	delayOrder func(member string) time.Duration
 	token      int64
+	// holdOrder, when set, reports whether an order gets no response and is executed by executeHeld.
+	holdOrder func() bool
+	held      []func()
 }
 
 // errOrderRefused is the platform's refusal of an order, errNoResponse the outcome of a delayed one.
@@ -78,7 +81,14 @@
 func (h *harness) order(_ context.Context, _, id string, token int64) error {
 	h.mutex.Lock()
 	delayOrder := h.delayOrder
+	hold := h.holdOrder != nil && h.holdOrder()
+	if hold {
+		h.held = append(h.held, func() { _ = h.execute(id, token) })
+	}
 	h.mutex.Unlock()
+	if hold {
+		return errNoResponse
+	}
 	if delayOrder != nil {
 		if delay := delayOrder(id); delay > 0 {
 			time.AfterFunc(delay, func() { _ = h.execute(id, token) })
@@ -88,6 +98,17 @@
 	return h.execute(id, token)
 }
 
+// executeHeld executes the orders that got no response.
+func (h *harness) executeHeld() {
+	h.mutex.Lock()
+	held := h.held
+	h.held = nil
+	h.mutex.Unlock()
+	for _, execute := range held {
+		execute()
+	}
+}
+
 // execute executes an order unless a newer fencing token has been seen.
 func (h *harness) execute(id string, token int64) error {
 	h.mutex.Lock()
@@ -425,6 +446,48 @@
 	})
 }
 
+// Guards against an order that got no response and is executed during the next planned change, after
+// an order of the same change was answered.
+func TestUnansweredOrderDuringNextChange(t *testing.T) {
+	for name, unanswered := range map[string][]int{
+		"first":                  {1},
+		"first two":              {1, 2},
+		"first, and first fence": {1, 3},
+		"answered in vain":       {2},
+		"one in two":             {1, 3, 5, 7, 9},
+		"first ten":              {1, 2, 3, 4, 5, 6, 7, 8, 9, 10},
+	} {
+		for _, after := range []time.Duration{0, 20 * time.Millisecond, 39 * time.Millisecond, 300 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, ", executed after ", after), func(t *testing.T) {
+				t.Parallel()
+				runScenario(t, func(t *testing.T, h *harness) {
+					orders := 0
+					h.mutex.Lock()
+					h.holdOrder = func() bool { orders++; return slices.Contains(unanswered, orders) }
+					h.mutex.Unlock()
+					time.Sleep(2 * time.Second)
+					h.group.MarkLeaving("g-1")
+					time.Sleep(5 * time.Second)
+					second := h.leader()
+					must.NotEq(t, "g-1", second)
+					_, term := h.group.Primary()
+					h.group.Join("g-4", "a", "10.9.1.4")
+					h.group.SetReplicationDelay("g-4", time.Millisecond)
+					stepped := h.notifyOn("stepped-down")
+					h.group.MarkLeaving(second)
+					<-stepped
+					time.Sleep(after)
+					h.executeHeld()
+					time.Sleep(8 * time.Second)
+					must.NotEq(t, second, h.leader())
+					_, last := h.group.Primary()
+					must.Eq(t, term+1, last)
+				})
+			})
+		}
+	}
+}
+
 // A lagging replica replaces an overloaded primary, which then serves reads.
 func TestLaggingReplicaReplacesOverloadedPrimary(t *testing.T) {
 	runScenarioWith(t, &groupsimulator.Group{MaxConnections: 60, StatementTime: 20 * time.Millisecond, Slots: 3, MaxQueued: 48}, func(t *testing.T, s *harness) {
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -183,6 +183,9 @@
 	if !sv.confirmState(ctx, d) {
 		return
 	}
+	if sv.fenceBeforeChange(ctx, d) {
+		return
+	}
 	if d.Reason != ReasonNone && d.Reason != ReasonReplicationStalled && v.Now-sv.fencedAt < fencingDelay {
 		sv.Log("event", "move-waits", "group", sv.Group.Name, "reason", d.Reason, "for", "fencing of earlier promotion orders")
 		return
@@ -217,6 +220,19 @@
 	sv.saveState(ctx)
 }
 
+// fenceBeforeChange fences off earlier promotion orders before a responsive primary is demoted, and
+// reports whether that was due. An order executed after the demotion would let the member that it
+// names lead and acknowledge commits until the candidate is promoted, which may lack them.
+func (sv *Supervisor) fenceBeforeChange(ctx context.Context, d Decision) bool {
+	p := sv.members[sv.primary]
+	changes := d.Reason != ReasonNone && d.Reason != ReasonReplicationStalled
+	if !sv.promotionPending || !changes || p == nil || !p.Answered || !p.Status.Primary {
+		return false
+	}
+	sv.fencePendingPromotion(ctx)
+	return true
+}
+
 // findFollower looks for a replica that the watch of the store has not shown yet, while none of the
 // known ones follows the primary. A change would only interrupt reads: no known replica can be
 // promoted, as it lacks commits that an unknown one may have acknowledged.
