elector: a primary that doesn't respond is replaced only with the registry read

Cause: the change read the registrations from the store but ignored an error, so a member that had joined and that the watch hadn't shown was passed over, although it may hold the only copy of an acknowledged commit.

Change: the registry is read before the first pause and with each round of pauses, and the change fails unless every reading succeeds.

--- a/internal/elector/furthest.go
+++ b/internal/elector/furthest.go
@@ -13,19 +13,29 @@
 // up with.
 
 // selectFurthest pauses the other replicas, including those that join meanwhile, and picks a
-// candidate whose log holds all of theirs.
+// candidate whose log holds all of theirs. It fails unless the registry can be read: a member that
+// isn't known may hold the only copy of an acknowledged commit.
 func (sv *Supervisor) selectFurthest(ctx context.Context, c *primaryChange) error {
+	// Read before the first pause, since paused replicas keep a primary that only this instance can't
+	// reach from acknowledging commits.
+	if err := sv.readRegistry(ctx); err != nil {
+		return errors.Wrap(err, "read registry")
+	}
+	c.replicas = append(c.replicas, sv.refreshMembers()...)
 	others := c.replicas[1:]
 	for range maxPauseRounds {
-		// Read at the same time, so that the change takes no longer. Without the store, the members
-		// known so far have to do.
+		// Read at the same time, so that the change takes no longer.
 		var read sync.WaitGroup
-		read.Go(func() { _ = sv.readRegistry(ctx) })
+		var readErr error
+		read.Go(func() { readErr = sv.readRegistry(ctx) })
 		err := sv.pauseAll(ctx, others, c.term)
 		read.Wait()
 		if err != nil {
 			return err
 		}
+		if readErr != nil {
+			return errors.Wrap(readErr, "read registry")
+		}
 		joined := sv.refreshMembers()
 		if err := checkNotRestarted(c.replicas); err != nil {
 			return err
--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -44,6 +44,8 @@
 	// registry; registryError is what that returns.
 	unseen        map[string]bool
 	registryError error
+	// registryReadings is the number of readings that succeed before registryError.
+	registryReadings int
 	// unregistered are the members that a reading of the registry doesn't show either.
 	unregistered map[string]bool
 	// delayOrder, when set, returns how long after an order to promote a member it is executed; an order
@@ -71,10 +73,23 @@
 	h.unseen[id] = unseen
 }
 
-func (h *harness) setRegistryError(err error) {
+// setUnregistered hides a member from readings of the registry.
+func (h *harness) setUnregistered(id string, unregistered bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.registryError = err
+	if h.unregistered == nil {
+		h.unregistered = map[string]bool{}
+	}
+	h.unregistered[id] = unregistered
+}
+
+func (h *harness) setRegistryError(err error) { h.failRegistryAfter(0, err) }
+
+// failRegistryAfter lets a number of readings of the registry succeed, and the later ones return err.
+func (h *harness) failRegistryAfter(readings int, err error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.registryReadings, h.registryError = readings, err
 }
 
 // order executes an order to promote, or delays it.
@@ -131,10 +146,11 @@
 func (h *harness) readRegistry(context.Context) error {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.registryError == nil {
-		maps.DeleteFunc(h.unseen, func(id string, _ bool) bool { return !h.unregistered[id] })
+	if h.registryReadings--; h.registryReadings < 0 && h.registryError != nil {
+		return h.registryError
 	}
-	return h.registryError
+	maps.DeleteFunc(h.unseen, func(id string, _ bool) bool { return !h.unregistered[id] })
+	return nil
 }
 
 // fakeOwnership is an ownership that is never lost.
@@ -403,6 +419,45 @@
 	})
 }
 
+// Guards against passing over a replica that isn't known, and holds the only copy of a commit, when
+// the primary is lost while the registry can't be read.
+func TestPrimaryLostWhileRegistryUnreadable(t *testing.T) {
+	crash := func(h *harness) { h.group.Crash("g-1") }
+	silence := func(h *harness) { h.net.Partition("10.8.1.1", "10.9.1.1") }
+	for name, test := range map[string]struct {
+		lose func(h *harness)
+		// readable is the number of readings that succeed before the registry can't be read.
+		readable int
+		// after is how long after the replica has joined the primary is lost.
+		after time.Duration
+	}{
+		"crash":                            {lose: crash, after: 30 * time.Millisecond},
+		"crash, later":                     {lose: crash, after: 2 * time.Second},
+		"silence":                          {lose: silence, after: 30 * time.Millisecond},
+		"crash, registry lost in a change": {lose: crash, after: 30 * time.Millisecond, readable: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, func(t *testing.T, h *harness) {
+				h.setUnseen("g-4", true)
+				h.setUnregistered("g-4", true)
+				time.Sleep(2 * time.Second)
+				h.group.BlockReplication("g-2", "g-1")
+				h.group.BlockReplication("g-3", "g-1")
+				h.group.Join("g-4", "a", "10.9.1.4")
+				h.failRegistryAfter(test.readable, errors.New("store unreachable"))
+				time.Sleep(test.after)
+				test.lose(h)
+				time.Sleep(4 * time.Second)
+				must.SliceNotContains(t, []string{"g-2", "g-3"}, h.leader())
+				h.setUnregistered("g-4", false)
+				h.setRegistryError(nil)
+				time.Sleep(4 * time.Second)
+				must.Eq(t, "g-4", h.leader())
+			})
+		})
+	}
+}
+
 // Guards against promoting a stalled replica after the only one that followed has left.
 func TestOnlySyncedReplicaLeaves(t *testing.T) {
 	runScenario(t, func(t *testing.T, h *harness) {
--- a/internal/elector/random_change_test.go
+++ b/internal/elector/random_change_test.go
@@ -160,13 +160,3 @@
 	defer e.mutex.Unlock()
 	e.delayOrder = f
 }
-
-// setUnregistered hides a member from readings of the registry.
-func (e *randomEvents) setUnregistered(id string, unregistered bool) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if e.unregistered == nil {
-		e.unregistered = map[string]bool{}
-	}
-	e.unregistered[id] = unregistered
-}
