launcher: a freshness proof from the replicas needs the registry

Cause: the members that an instance knows counted as all that may hold an acknowledged commit, so the proof lacked the replica that had acknowledged.

Change: the registrations are read from the store after the replicas have answered; the proof is refused if that fails or shows a member that wasn't queried, and it is dated back by the time a member may take to register.

--- a/internal/launcher/backend.go
+++ b/internal/launcher/backend.go
@@ -12,7 +12,6 @@
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/sleeper"
 	"github.com/oriolegw/oriolegw/internal/tracker"
-	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
 const (
@@ -56,6 +55,12 @@
 	// commitHolders returns the members whose logs may hold acknowledged commits, and whether
 	// commits are acknowledged by a replica.
 	commitHolders func() (ids []string, synchronous bool)
+	// statusOf queries the status of a member, and reports whether it answered.
+	statusOf func(ctx context.Context, id string) (messenger.Status, bool)
+	// registry reads the members' registrations; proofRefusals limits the log lines about proofs that
+	// can't be made from the replicas.
+	registry      *registryReader
+	proofRefusals logLimit
 	// lastPeerProof is when a peer last sent a proof newer than the known ones.
 	lastPeerProof atomic.Int64
 	// lastUsed is when the group was last used, and supervised is set while this instance
@@ -206,57 +211,6 @@
 	b.Pool.MembersChanged()
 }
 
-// proveFromReplicas makes a freshness proof without the primary, which may be full of stale
-// connections after all instances restart. An acknowledged commit was received by a
-// replica, so once every replica has responded, the highest reported position covers every
-// commit acknowledged before the query.
-func (b *backend) proveFromReplicas(ctx context.Context) {
-	ids, synchronous := b.commitHolders()
-	if !synchronous || len(ids) < 2 {
-		return
-	}
-	floor, ok := b.replicaProofFloor()
-	if !ok {
-		return
-	}
-	queriedAt := b.clock()
-	primary := b.Group.Primary()
-	statuses := make([]messenger.Status, len(ids))
-	answered := make([]bool, len(ids))
-	var queries sync.WaitGroup
-	for i, id := range ids {
-		if id != primary {
-			queries.Go(func() { statuses[i], answered[i] = b.queryStatus(ctx, id) })
-		}
-	}
-	queries.Wait()
-	p := tracker.FreshnessProof{At: queriedAt, Position: floor, FromReplicas: true}
-	for i, id := range ids {
-		if id == primary {
-			continue
-		}
-		if !answered[i] {
-			return
-		}
-		p.Position = orderer.Max(p.Position, statuses[i].Received)
-	}
-	b.log("event", "proved-by-replicas", "group", b.Group.Name, "position", p.Position, "replicas", len(ids)-1)
-	b.Group.AddProof(p)
-	b.Pool.MembersChanged()
-}
-
-// replicaProofFloor returns the minimum position of a proof made from replicas. A restarted
-// replica may have lost a commit that only it had acknowledged, so after a restart a proof by
-// the primary must cover it; the result is false where there is none.
-func (b *backend) replicaProofFloor() (orderer.Position, bool) {
-	restarted := b.Group.LastRestart(b.clock())
-	if restarted == 0 {
-		return orderer.Position{}, true
-	}
-	p, ok := b.Group.NewestPrimaryProof()
-	return p.Position, ok && restarted < p.At
-}
-
 // proveFromPrimary renews the freshness proof by opening and rolling back a transaction at
 // the primary. Only a primary accepts it, and it occupies no execution slot.
 func (b *backend) proveFromPrimary(ctx context.Context) {
--- a/internal/launcher/groups.go
+++ b/internal/launcher/groups.go
@@ -49,6 +49,7 @@
 	b := &backend{clock: i.Clock, codec: i.Platform.MemberCodec, log: i.stateLog.Log, suspects: make(chan string, 1), proofExpired: make(chan struct{}, 1), primaryUnknown: make(chan struct{}, 1)}
 	g.NotePlacement = i.recordPlacement(group)
 	b.commitHolders = func() ([]string, bool) { return i.commitHolders(group) }
+	b.registry, b.statusOf = i.registry, b.queryStatus
 	b.Backend = dispatcher.Backend{Group: g, ReportSuspect: b.reportSuspect, Pool: &lender.Pool{
 		Group: g, Network: i.Network, Codec: i.Platform.MemberCodec, ClientName: i.Settings.Name, Clock: i.Clock, NoteOpened: i.recordConnect(group), MaintainedExternally: true,
 		NoteBroken: i.recordIdleLoss(group), NoteLent: i.recordCheckout,
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -117,10 +117,11 @@
 		background sync.WaitGroup
 		ctx        context.Context
 
-		server  *dispatcher.Server
-		elector *elector.Elector
-		watcher *watcher.Watcher
-		peers   *peerServices
+		server   *dispatcher.Server
+		elector  *elector.Elector
+		watcher  *watcher.Watcher
+		registry *registryReader
+		peers    *peerServices
 	}
 )
 
@@ -215,6 +216,7 @@
 		ColdStart: i.Settings.ColdStart, Groups: i.promotableGroups, Supervise: i.superviseGroup, Log: i.LogWriter.Logger("duty").Log,
 	}
 	i.watcher = i.newWatcher()
+	i.registry = &registryReader{Read: i.watcher.ReadRegistry, Available: i.watcher.StoreAvailable, Clock: i.Clock}
 	i.elector.StoreReachable = i.watcher.StoreAvailable
 	if i.Settings.PeerAddress != "" {
 		i.peers = i.newPeerServices()
