dispatcher: a session keeps its last commit in each group

Cause: a session kept one position without the group whose log it belongs to. A commit on the other service replaced it, and its position was compared with positions of the first service's log.

Change: the last commits are kept by group.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -24,15 +24,19 @@
 
 const (
 	address = "10.8.0.1:5000"
+	// otherGroup is the name of the second group.
+	otherGroup = "other"
 	// connectDelay gives the pool time to open its connections.
 	connectDelay = 500 * time.Millisecond
 )
 
 type (
-	// harness is one instance in front of one group of three members.
+	// harness is one instance in front of groups of three members each. Routes lead to group, until
+	// moveRoutes is called.
 	harness struct {
 		net          *netsimulator.Net
 		group        *groupsimulator.Group
+		backends     map[string]*dispatcher.Backend
 		server       *dispatcher.Server
 		trackedGroup *tracker.Group
 		pool         *lender.Pool
@@ -40,7 +44,8 @@
 		clients      int
 
 		// unconfigured makes the instance run without a configuration.
-		unconfigured atomic.Bool
+		unconfigured  atomic.Bool
+		configuration atomic.Pointer[tracker.Configuration]
 
 		mutex     sync.Mutex
 		decisions []string
@@ -71,19 +76,14 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		n := netsimulator.New(1)
 		n.Latency = func(_, _ *netsimulator.Host) time.Duration { return time.Millisecond }
-		h := &harness{net: n, group: &groupsimulator.Group{
-			Name: "g", Net: n, ReplicationDelay: 2 * time.Millisecond, ApplyLag: lag, PromotionDelay: 600 * time.Millisecond, MaxConnections: 20, StatementTime: 5 * time.Millisecond,
-		}}
-		h.group.Start(ctx, "a", "b", "c")
+		h := &harness{net: n, backends: map[string]*dispatcher.Backend{}}
 		begin := time.Now()
 		h.clock = func() tracker.Timestamp { return time.Since(begin) + time.Hour }
-		h.trackedGroup = &tracker.Group{Name: "g", Zone: "b", SameRegion: func(zone string) bool { return zone == "b" }}
-		h.trackedGroup.SetMembers(h.group.Registrations())
 		host := n.Host("10.8.0.1", "b")
-		h.pool = &lender.Pool{Group: h.trackedGroup, Network: host, Codec: platform.LineCodec{}, ClientName: "test", Clock: h.clock}
-		h.pool.Configure(20, nil)
-		c := &tracker.Configuration{Version: 1, Routes: routes, TransactionIdleTimeout: time.Second}
-		b := &dispatcher.Backend{Group: h.trackedGroup, Pool: h.pool, ReportSuspect: func(string) {}}
+		h.group = h.startGroup(ctx, "g", host, lag)
+		h.trackedGroup, h.pool = h.backends["g"].Group, h.backends["g"].Pool
+		other := h.startGroup(ctx, otherGroup, host, lag)
+		h.configuration.Store(&tracker.Configuration{Version: 1, Routes: routes, TransactionIdleTimeout: time.Second})
 		none := func(dispatcher.Reason) {}
 		h.server = &dispatcher.Server{
 			Address: address, Network: host, Codec: platform.LineCodec{}, Clock: h.clock,
@@ -91,19 +91,22 @@
 				if h.unconfigured.Load() {
 					return nil
 				}
-				return c
+				return h.configuration.Load()
 			},
-			Backend:     func(string) *dispatcher.Backend { return b },
+			Backend:     func(group string) *dispatcher.Backend { return h.backends[group] },
 			LogDecision: h.recordDecision, LogServed: func(...any) {},
 			Count: func(string) {}, CountRefused: h.recordRefusal, CountRetried: none, RecordServed: func(tracker.Route, time.Duration) {},
 		}
 		var running sync.WaitGroup
-		running.Go(func() { _ = h.pool.Run(ctx) })
+		for _, b := range h.backends {
+			running.Go(func() { _ = b.Pool.Run(ctx) })
+		}
 		running.Go(func() { _ = h.server.Run(ctx) })
 		defer func() {
 			cancel()
 			running.Wait()
 			h.group.Wait()
+			other.Wait()
 			if t.Failed() {
 				t.Log(strings.Join(h.decisions, ""))
 			}
@@ -113,6 +116,32 @@
 	})
 }
 
+// startGroup starts a group whose replicas apply changes after a lag.
+func (h *harness) startGroup(ctx context.Context, name string, host *netsimulator.Host, lag time.Duration) *groupsimulator.Group {
+	g := &groupsimulator.Group{
+		Name: name, Net: h.net, ReplicationDelay: 2 * time.Millisecond, ApplyLag: lag, PromotionDelay: 600 * time.Millisecond, MaxConnections: 20, StatementTime: 5 * time.Millisecond,
+	}
+	g.Start(ctx, "a", "b", "c")
+	tracked := &tracker.Group{Name: name, Zone: "b", SameRegion: func(zone string) bool { return zone == "b" }}
+	tracked.SetMembers(g.Registrations())
+	pool := &lender.Pool{Group: tracked, Network: host, Codec: platform.LineCodec{}, ClientName: "test", Clock: h.clock}
+	pool.Configure(20, nil)
+	h.backends[name] = &dispatcher.Backend{Group: tracked, Pool: pool, ReportSuspect: func(string) {}}
+	return g
+}
+
+// moveRoutes makes all routes lead to a group.
+func (h *harness) moveRoutes(group string) {
+	c := *h.configuration.Load()
+	moved := map[string]tracker.Route{}
+	for name, r := range c.Routes {
+		r.Group = group
+		moved[name] = r
+	}
+	c.Version, c.Routes = c.Version+1, moved
+	h.configuration.Store(&c)
+}
+
 func (h *harness) recordDecision(part string, fields ...any) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -190,6 +219,57 @@
 	})
 }
 
+// Guards against reads that lack the session's own commit after its route has moved to another group,
+// where it has committed as well, and back.
+func TestReadYourWritesAfterRouteReturns(t *testing.T) {
+	for name, test := range map[string]struct {
+		write func(c *client, value string)
+		read  func(c *client) string
+	}{
+		"single statements": {
+			write: func(c *client, value string) { must.Eq(c.t, "I", c.query("PUT k "+value)) },
+			read:  func(c *client) string { return c.query("FETCH k") },
+		},
+		"transactions": {
+			write: func(c *client, value string) {
+				must.Eq(c.t, "T", c.query("BEGIN"))
+				must.Eq(c.t, "T", c.query("PUT k "+value))
+				must.Eq(c.t, "I", c.query("COMMIT"))
+			},
+			read: func(c *client) string {
+				must.Eq(c.t, "T", c.query("BEGIN FETCH"))
+				row := c.query("FETCH k")
+				must.Eq(c.t, "I", c.query("ROLLBACK"))
+				return strings.TrimSuffix(row, " T") + " I"
+			},
+		},
+	} {
+		for _, moves := range [][]string{{otherGroup, "g"}, {otherGroup, "g", otherGroup, "g"}} {
+			t.Run(fmt.Sprint(name, ", ", len(moves), " moves"), func(t *testing.T) {
+				runHarness(t, 2*time.Second, func(t *testing.T, h *harness) {
+					w := h.connect(t, "strict")
+					for i := range 50 {
+						must.Eq(t, "I", w.query(fmt.Sprintf("PUT x v%d", i)))
+					}
+					// The replicas have applied these writes, and a proof allows reads there.
+					time.Sleep(3 * time.Second)
+					must.Eq(t, "v49 I", w.query("FETCH x"))
+					c := h.connect(t, "own")
+					for n, group := range append([]string{"g"}, moves...) {
+						h.moveRoutes(group)
+						if n < len(moves) {
+							test.write(c, "in-"+group)
+						}
+					}
+					for range 5 {
+						must.Eq(t, "in-g I", test.read(c))
+					}
+				})
+			})
+		}
+	}
+}
+
 // A read with a staleness bound is served by the replica in the instance's zone.
 func TestBoundedStalenessReadUsesReplica(t *testing.T) {
 	runHarness(t, 20*time.Millisecond, func(t *testing.T, h *harness) {
--- a/internal/dispatcher/read.go
+++ b/internal/dispatcher/read.go
@@ -49,7 +49,7 @@
 	if x.route.Rule == tracker.RulePrimary {
 		return false
 	}
-	minPosition, ok := x.backend.Group.RequiredPosition(x.arrived, x.route, x.session.lastCommit)
+	minPosition, ok := x.backend.Group.RequiredPosition(x.arrived, x.route, x.session.lastCommits[x.route.Group])
 	x.minPosition = minPosition
 	return ok
 }
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -137,7 +137,7 @@
 	s.count(CountAccepted)
 	x := &session{
 		server: s, net: c, accepted: time.Now(), statements: s.Codec.Statements(c),
-		values: lender.Values{}, prepared: map[string]lender.Prepared{},
+		values: lender.Values{}, prepared: map[string]lender.Prepared{}, lastCommits: map[string]tracker.LastCommit{},
 	}
 	s.mutex.Lock()
 	if s.active == nil {
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -25,11 +25,13 @@
 		statements messenger.StatementReader
 		database   string
 		// key is the digest of the key that the caller presented, if hasKey is set.
-		key         identifier.Key
-		hasKey      bool
-		values      lender.Values
-		prepared    map[string]lender.Prepared
-		lastCommit  tracker.LastCommit
+		key      identifier.Key
+		hasKey   bool
+		values   lender.Values
+		prepared map[string]lender.Prepared
+		// lastCommits holds the last commit in each group, by the group's name: the route may move to
+		// another group and back, and positions of different groups can't be compared.
+		lastCommits map[string]tracker.LastCommit
 		state       messenger.State
 		tx          *transaction
 		writeBuffer []byte
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -51,7 +51,7 @@
 
 // recordCommit records an acknowledged commit's position.
 func (x *execution) recordCommit(sentAt tracker.Timestamp, r messenger.Reply) {
-	x.session.lastCommit = tracker.LastCommit{Position: r.Position, At: x.session.server.Clock()}
+	x.session.lastCommits[x.route.Group] = tracker.LastCommit{Position: r.Position, At: x.session.server.Clock()}
 	x.backend.Group.AddProof(tracker.FreshnessProof{At: sentAt, Position: r.Position})
 }
 
--- a/internal/tracker/model.go
+++ b/internal/tracker/model.go
@@ -96,7 +96,7 @@
 		FromReplicas bool
 	}
 
-	// LastCommit is the last commit of a session, which its later reads must show.
+	// LastCommit is a session's last commit in a group, which its later reads there must show.
 	LastCommit struct {
 		Position orderer.Position
 		// At is when the commit was acknowledged.
