elector: a primary that other instances reach is demoted before it is replaced

Callers could lose what a primary acknowledged through a replica that joined during its replacement, if only the owner couldn't reach that primary.

Cause: a primary that didn't respond to the owner was replaced as if it were lost. A replica that joined after the registry had been read was neither paused nor compared, and the primary kept acknowledging commits.

Change: the primary's status and its demotion also go through the connection pool and through other instances. A primary that responds there is demoted first. If no replica reaches its log, members get time to register, and the furthest log leads. Readings and demotion are as for a planned change.

TestPausedReplicaRestarts sets peersUnreachable: the replicas that it restarts are paused only if no instance reaches the primary. Its checks are unchanged.

--- a/internal/elector/member_state.go
+++ b/internal/elector/member_state.go
@@ -29,6 +29,11 @@
 	maxConnections int
 	// departed is set when another member uses the address, or the member has restarted.
 	departed bool
+	// pooledStatus is the status last received through the instance's pool, at pooledAt; 0 if the last
+	// request there failed. pooled is set while commands are sent through the pool.
+	pooledStatus messenger.Status
+	pooledAt     tracker.Timestamp
+	pooled       bool
 	Observation
 }
 
@@ -123,6 +128,9 @@
 // command sends a command and decodes the status in its response. It retries once on a new
 // connection.
 func (sv *Supervisor) command(ctx context.Context, m *memberState, c messenger.Command) (messenger.Status, error) {
+	if m.pooled {
+		return sv.sendPooled(ctx, m, c)
+	}
 	if m.conn != nil {
 		s, err := sv.send(m, c)
 		if err == nil || errors.Is(err, errBusy) {
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/sleeper"
+	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
 const (
@@ -54,8 +55,11 @@
 
 // primaryChange is a change of the primary in progress.
 type primaryChange struct {
-	// oldPrimary is nil when the current primary does not respond.
+	// oldPrimary is nil when the current primary does not respond. pooled is set if it responds only
+	// through the instance's pool, demotedAt is when it was demoted.
 	oldPrimary *memberState
+	pooled     bool
+	demotedAt  tracker.Timestamp
 	candidate  *memberState
 	// replicas are the members to promote or pause, the best candidate first.
 	replicas []*memberState
@@ -94,6 +98,14 @@
 		}
 	}
 	c.fencingToken = token
+	if c.pooled {
+		// Without the registry the change would have to restore the primary.
+		if err := sv.readRegistry(ctx); err != nil {
+			return "", errors.Wrap(err, "read registry")
+		}
+		c.oldPrimary.pooled = true
+		defer func() { c.oldPrimary.pooled = false }()
+	}
 	if err := sv.selectCandidate(ctx, c); err != nil {
 		return "", err
 	}
@@ -106,11 +118,12 @@
 		return nil, errNotOwner
 	}
 	c := &primaryChange{}
-	if p := sv.members[v.Primary]; p != nil && p.Answered && p.Status.Primary {
+	p := sv.members[v.Primary]
+	if leads, pooled := sv.leads(p); leads {
 		if sv.promotionPending {
 			return nil, errPromotionPending
 		}
-		c.oldPrimary = p
+		c.oldPrimary, c.pooled = p, pooled
 	}
 	replicas, term := sv.rankReplicas(v, c.oldPrimary != nil, reason)
 	if len(replicas) == 0 {
@@ -159,7 +172,11 @@
 		sv.restoreOldPrimary(c, c.dataLossRisk)
 		return nil
 	}
-	if err := sv.findCaughtUp(ctx, c); err != nil {
+	err = sv.findCaughtUp(ctx, c)
+	if err != nil && c.pooled {
+		err = sv.selectFurthestAfterDemotion(ctx, c)
+	}
+	if err != nil {
 		sv.restoreOldPrimary(c, err)
 	}
 	return ctx.Err()
@@ -217,7 +234,8 @@
 	if err != nil {
 		return errors.Wrap(err, "step down")
 	}
-	c.oldPrimary.applyStatus(sv.Clock(), s)
+	c.demotedAt = sv.Clock()
+	c.oldPrimary.applyStatus(c.demotedAt, s)
 	sv.Log("event", "stepped-down", "group", sv.Group.Name, "member", c.oldPrimary.ID, "term", c.term, "position", s.Received, "primary", s.Primary)
 	if s.Primary {
 		return errors.Errorf("%s did not step down", c.oldPrimary.ID)
@@ -375,7 +393,7 @@
 // have continued without the member that it names.
 func (sv *Supervisor) fencePendingPromotion(ctx context.Context) {
 	p := sv.members[sv.primary]
-	if p == nil || !p.Answered || !p.Status.Primary || !sv.Holds(minRemainingLease) {
+	if leads, _ := sv.leads(p); !leads || !sv.Holds(minRemainingLease) {
 		return
 	}
 	token, err := sv.NextFencingToken(ctx, State{Members: sv.memberAddresses(), PromotionPending: true, Leader: sv.lastLeader})
--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -55,6 +55,8 @@
 	// holdOrder, when set, reports whether an order gets no response and is executed by executeHeld.
 	holdOrder func() bool
 	held      []func()
+	// peersUnreachable is set if no other instance responds to the supervisor.
+	peersUnreachable bool
 }
 
 // errOrderRefused is the platform's refusal of an order, errNoResponse the outcome of a delayed one.
@@ -207,6 +209,7 @@
 		Connect: func(ctx context.Context, m tracker.Member) (*lender.Conn, error) {
 			return lender.Connect(ctx, host, platform.LineCodec{}, m, "keeper")
 		},
+		SendPooled:       h.sendPooled,
 		Holds:            func(time.Duration) bool { return true },
 		NextFencingToken: h.ownership.NextFencingToken, State: h.ownership.State, MarkPromotionUnanswered: func() {},
 		StateConfirmed: func() bool { return true }, ReadState: func(context.Context) (bool, error) { return false, nil },
@@ -216,6 +219,32 @@
 	}
 }
 
+// sendPooled sends a command to a member from another instance, unless peersUnreachable is set.
+func (h *harness) sendPooled(ctx context.Context, id string, command messenger.Command) (messenger.Reply, error) {
+	h.mutex.Lock()
+	unreachable := h.peersUnreachable
+	h.mutex.Unlock()
+	if unreachable {
+		return messenger.Reply{}, errNoResponse
+	}
+	for _, m := range h.group.Registrations() {
+		if m.ID != id {
+			continue
+		}
+		c, err := lender.Connect(ctx, h.net.Host("10.8.3.1", "a"), platform.LineCodec{}, m, "peer")
+		if err != nil {
+			return messenger.Reply{}, err
+		}
+		defer c.Close()
+		replies, _, err := c.Exchange([]messenger.Command{command}, time.Now().Add(100*time.Millisecond))
+		if err != nil {
+			return messenger.Reply{}, err
+		}
+		return replies[0], nil
+	}
+	return messenger.Reply{}, errNoResponse
+}
+
 // notifyOn returns a channel that receives whenever the supervisor logs an event.
 func (h *harness) notifyOn(event string) <-chan struct{} {
 	seen := make(chan struct{}, 8)
@@ -419,6 +448,36 @@
 	})
 }
 
+// Guards against losing what a primary that other instances reach acknowledges, through a replica that
+// joins at any moment of the change, while the owner replaces it because it doesn't respond to the owner.
+func TestReplicaJoinsBesideSilentPrimary(t *testing.T) {
+	for _, split := range []bool{false, true} {
+		for after := 500 * time.Millisecond; after < 2500*time.Millisecond; after += 100 * time.Millisecond {
+			t.Run(fmt.Sprint("cut from replicas: ", split, ", joins after ", after), func(t *testing.T) {
+				t.Parallel()
+				runScenario(t, func(t *testing.T, h *harness) {
+					time.Sleep(2 * time.Second)
+					if split {
+						h.group.BlockReplication("g-2", "g-1")
+						h.group.BlockReplication("g-3", "g-1")
+					}
+					h.net.Partition("10.8.1.1", "10.9.1.1")
+					time.Sleep(after)
+					h.setUnseen("g-4", true)
+					h.setUnregistered("g-4", true)
+					h.group.Join("g-4", "a", "10.9.1.4")
+					h.group.SetReplicationDelay("g-4", time.Millisecond)
+					time.Sleep(90 * time.Millisecond)
+					h.setUnregistered("g-4", false)
+					time.Sleep(4 * time.Second)
+					must.NotEq(t, "g-1", h.leader())
+					must.NotEq(t, "", h.leader())
+				})
+			})
+		}
+	}
+}
+
 // Guards against passing over a replica that isn't known, and holds the only copy of a commit, when
 // the primary is lost while the registry can't be read.
 func TestPrimaryLostWhileRegistryUnreadable(t *testing.T) {
@@ -696,6 +755,9 @@
 	runScenario(t, func(t *testing.T, h *harness) {
 		time.Sleep(2 * time.Second)
 		ordered := h.notifyOn("promotion-ordered")
+		h.mutex.Lock()
+		h.peersUnreachable = true
+		h.mutex.Unlock()
 		h.net.Partition("10.8.1.1", "10.9.1.1")
 		<-ordered
 		id := h.group.Paused()[0]
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -48,6 +48,9 @@
 		// Connect opens a connection to a member.
 		Connect func(ctx context.Context, m tracker.Member) (*lender.Conn, error)
 		Codec   messenger.MemberCodec
+		// SendPooled, when set, sends a command to a member on a connection of this instance's pool or of
+		// another instance.
+		SendPooled func(ctx context.Context, member string, c messenger.Command) (messenger.Reply, error)
 		// Holds reports whether the ownership is certain to last for the given time.
 		Holds func(d time.Duration) bool
 		// NextFencingToken records the group's state and returns a fencing token above all earlier
@@ -194,7 +197,8 @@
 		sv.findFollower(ctx)
 		d.Reason = ReasonNone
 	}
-	if sv.restoredAt != 0 && v.Now-sv.restoredAt < restoreCooldown && d.Reason.primaryAlive() {
+	leads, _ := sv.leads(sv.members[sv.primary])
+	if sv.restoredAt != 0 && v.Now-sv.restoredAt < restoreCooldown && (leads || d.Reason.primaryAlive()) {
 		return
 	}
 	if d.Reason != ReasonNone {
@@ -224,9 +228,8 @@
 // reports whether that was due. An order executed after the demotion would let the member that it
 // names lead and acknowledge commits until the candidate is promoted, which may lack them.
 func (sv *Supervisor) fenceBeforeChange(ctx context.Context, d Decision) bool {
-	p := sv.members[sv.primary]
-	changes := d.Reason != ReasonNone && d.Reason != ReasonReplicationStalled
-	if !sv.promotionPending || !changes || p == nil || !p.Answered || !p.Status.Primary {
+	leads, _ := sv.leads(sv.members[sv.primary])
+	if !sv.promotionPending || !leads || d.Reason == ReasonNone || d.Reason == ReasonReplicationStalled {
 		return false
 	}
 	sv.fencePendingPromotion(ctx)
@@ -293,7 +296,9 @@
 			due = append(due, m)
 		}
 	}
+	applyPooled := sv.pollPooled(ctx)
 	sv.pollAll(ctx, due)
+	applyPooled()
 	v := sv.buildView()
 	sv.excludeDeparted()
 	return v
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -130,7 +130,9 @@
 func (fw *Forwarder) borrow(ctx context.Context, to, group string, members []string, r lender.Request) (*lender.Conn, error) {
 	s, err := fw.getStream(ctx, to)
 	if err != nil {
-		fw.Discoverer.RecordFailure(fw.Clock(), to)
+		if ctx.Err() == nil {
+			fw.Discoverer.RecordFailure(fw.Clock(), to)
+		}
 		return nil, err
 	}
 	a, err := s.request(ctx, &wire.LendAsk{
--- a/internal/launcher/backend.go
+++ b/internal/launcher/backend.go
@@ -57,6 +57,8 @@
 	commitHolders func() (ids []string, synchronous bool)
 	// statusOf queries the status of a member, and reports whether it answered.
 	statusOf func(ctx context.Context, id string) (messenger.Status, bool)
+	// sendThroughPeers, when set, sends a command to a member through other instances.
+	sendThroughPeers func(ctx context.Context, id string, c messenger.Command) (messenger.Reply, error)
 	// registry reads the members' registrations; proofRefusals limits the log lines about proofs that
 	// can't be made from the replicas.
 	registry      *registryReader
@@ -280,6 +282,53 @@
 	queries.Wait()
 }
 
+// sendPooled sends an idempotent command to a member on a connection of the pool, and through other
+// instances at the same time. It returns the first reply.
+func (b *backend) sendPooled(ctx context.Context, id string, command messenger.Command) (messenger.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	defer cancel()
+	paths := []func(context.Context, string, messenger.Command) (messenger.Reply, error){b.sendLocally}
+	if b.sendThroughPeers != nil {
+		paths = append(paths, b.sendThroughPeers)
+	}
+	type result struct {
+		reply messenger.Reply
+		err   error
+	}
+	results := make(chan result, len(paths))
+	for _, send := range paths {
+		go func() {
+			r, err := send(ctx, id, command)
+			results <- result{r, err}
+		}()
+	}
+	var last error
+	for range paths {
+		r := <-results
+		if r.err == nil {
+			return r.reply, nil
+		}
+		last = r.err
+	}
+	return messenger.Reply{}, last
+}
+
+// sendLocally sends a command to a member on a connection of this instance's own.
+func (b *backend) sendLocally(ctx context.Context, id string, command messenger.Command) (messenger.Reply, error) {
+	until, _ := ctx.Deadline()
+	c, err := b.Pool.Borrow(ctx, lender.Request{Deadline: until, StatusQuery: true, LocalOnly: true, EligibleMembers: func() []string { return []string{id} }})
+	if err != nil {
+		return messenger.Reply{}, err
+	}
+	defer b.Pool.Return(c)
+	replies, _, err := c.Exchange([]messenger.Command{command}, until)
+	if err != nil {
+		c.Close()
+		return messenger.Reply{}, err
+	}
+	return replies[0], nil
+}
+
 // queryStatus queries the status of a member and records it.
 func (b *backend) queryStatus(ctx context.Context, id string) (messenger.Status, bool) {
 	until := time.Now().Add(proofTimeout)
--- a/internal/launcher/groups.go
+++ b/internal/launcher/groups.go
@@ -6,6 +6,7 @@
 
 	"github.com/oriolegw/oriolegw/internal/dispatcher"
 	"github.com/oriolegw/oriolegw/internal/lender"
+	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/tracker"
 )
 
@@ -62,6 +63,9 @@
 		OpensOnDemand: func() bool { return !preparesAll(i.configuration.Load()) },
 	}}
 	if i.peers != nil {
+		b.sendThroughPeers = func(ctx context.Context, id string, c messenger.Command) (messenger.Reply, error) {
+			return i.peers.forwarder.SendThroughPeers(ctx, group, id, c)
+		}
 		b.Pool.BorrowRemote, b.Pool.BorrowFromHolder = i.peers.forwarder.BorrowRemote, i.peers.forwarder.BorrowFromHolder
 		b.Pool.HeldElsewhere, b.Pool.HolderCount = i.peers.forwarder.HeldElsewhere, i.peers.forwarder.HolderCount
 		b.Pool.Admit, b.Pool.UndoAdmit = i.peers.accountant.Admit, i.peers.accountant.UndoAdmit
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -436,8 +436,8 @@
 		Connect: func(ctx context.Context, m tracker.Member) (*lender.Conn, error) {
 			return lender.Connect(ctx, i.Network, i.Platform.MemberCodec, m, i.Settings.Name)
 		},
-		ReadRegistry: i.watcher.ReadRegistry,
-		Holds:        o.Holds, NextFencingToken: o.NextFencingToken, State: o.State, StateConfirmed: o.StateConfirmed, ReadState: o.ReadState, MarkPromotionUnanswered: o.MarkPromotionUnanswered,
+		SendPooled: b.sendPooled, ReadRegistry: i.watcher.ReadRegistry,
+		Holds: o.Holds, NextFencingToken: o.NextFencingToken, State: o.State, StateConfirmed: o.StateConfirmed, ReadState: o.ReadState, MarkPromotionUnanswered: o.MarkPromotionUnanswered,
 		Promote: i.Platform.Promote, Refused: i.Platform.IsPromotionRefused,
 		SynchronousReplicas: func() int {
 			c := i.configuration.Load()
--- a/internal/tracker/model.go
+++ b/internal/tracker/model.go
@@ -22,6 +22,10 @@
 	RuleReadYourWrites
 )
 
+// RegistrationDelay is how long a member may acknowledge commits before its registration is in a
+// store that responds.
+const RegistrationDelay = 500 * time.Millisecond
+
 type (
 	// Timestamp is a time on a clock that includes suspended time, relative to an arbitrary
 	// origin. Timestamps of different machines are not comparable.
