elector: no promotion is ordered without its record in the store

While the store was unreachable an owner reused its last fencing token for an order that the group's state didn't name.

Change: without the store there is no token, so a change waits for the store. A primary that doesn't respond needed the registry anyway, so this concerns planned changes only. The reuse and what marked a token as unanswered are gone.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -104,9 +104,6 @@
 		// invalid is set while the record cannot be parsed or names no owner. The group then counts
 		// as vacant; otherwise no instance would ever acquire it.
 		invalid bool
-		// promotionUnanswered is set while a promotion sent with the newest fencing token may still
-		// be executed.
-		promotionUnanswered bool
 		// acquireAt is when this instance tries to acquire the group, 0 if not scheduled.
 		acquireAt tracker.Timestamp
 		cancel    context.CancelFunc
--- a/internal/elector/ownership.go
+++ b/internal/elector/ownership.go
@@ -59,23 +59,19 @@
 }
 
 // NextFencingToken records the group's state and returns the revision of the record as the
-// fencing token, which exceeds every token used before. If the store does not respond, the
-// last token is reused unless an order sent with it is unanswered.
+// fencing token, which exceeds every token used before. There is none if the store does not respond:
+// an order that isn't recorded could be executed after its owner's lease has ended, and the next owner
+// would not fence it off.
 func (o *Ownership) NextFencingToken(ctx context.Context, s State) (int64, error) {
 	e := o.elector
 	e.mutex.Lock()
 	g := e.ownership(o.group)
-	record, state, lease, unanswered := g.record, g.state, e.lease, g.promotionUnanswered
+	record, state, lease := g.record, g.state, e.lease
 	e.mutex.Unlock()
-	old := record.Revision
 	record.Value, state.Value = e.encodeOwnership(lease), encodeState(s)
 	now, ok, err := e.Store.Commit(ctx, []storer.Swap{{Pair: record, Lease: lease}, {Pair: state}})
 	if err != nil {
-		if unanswered || old == 0 || !o.Holds(0) {
-			return 0, err
-		}
-		e.Log("event", "fence-reused", "group", o.group, "fence", old, "cause", err)
-		return old, nil
+		return 0, err
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -87,18 +83,9 @@
 	}
 	switch {
 	case ok:
-		g.promotionUnanswered = false
 		return now[0].Revision, nil
 	case ownershipOrEmpty(now[0].Value).Owner != e.Name:
 		return 0, errNotOwner
 	}
 	return 0, errRecordChanged
 }
-
-// MarkPromotionUnanswered notes that an order sent with the newest fencing token is unanswered.
-func (o *Ownership) MarkPromotionUnanswered() {
-	e := o.elector
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.ownership(o.group).promotionUnanswered = true
-}
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -347,7 +347,6 @@
 	sv.Log("event", "promotion-ordered", "group", sv.Group.Name, "member", c.candidate.ID, "term", c.term, "fence", c.fencingToken, "outcome", outcomeText(err))
 	if err != nil && !sv.Refused(err) {
 		c.unanswered = true
-		sv.MarkPromotionUnanswered()
 	}
 	return err
 }
@@ -406,9 +405,7 @@
 	sv.Log("event", "order-closed", "group", sv.Group.Name, "primary", p.ID, "fence", token, "outcome", outcomeText(err))
 	if err == nil || sv.Refused(err) {
 		sv.promotionPending = false
-		return
 	}
-	sv.MarkPromotionUnanswered()
 }
 
 // resume makes a paused replica receive the log again. An unanswered command may take effect
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -61,9 +61,6 @@
 		// ReadState reads it from the store and reports whether it has changed.
 		StateConfirmed func() bool
 		ReadState      func(ctx context.Context) (changed bool, err error)
-		// MarkPromotionUnanswered notes that an order sent with the newest fencing token is
-		// unanswered.
-		MarkPromotionUnanswered func()
 		// Promote orders a promotion.
 		Promote func(ctx context.Context, group, member string, fencingToken int64) error
 		// Refused reports whether an error of Promote is a refusal.
