--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -168,8 +168,12 @@
 
 func (c *client) readLine() string {
 	c.t.Helper()
-	line, err := c.reader.ReadString('\n')
-	must.NoError(c.t, err)
+	line := ""
+	for !strings.HasSuffix(line, "\r\n") {
+		part, err := c.reader.ReadString('\n')
+		must.NoError(c.t, err)
+		line += part
+	}
 	return strings.TrimSuffix(line, "\r\n")
 }
 
@@ -270,6 +274,21 @@
 	}
 }
 
+// Guards against data that starts another statement: a line feed or a carriage return alone doesn't end
+// a message, and reaches the member unchanged.
+func TestLineBreakInData(t *testing.T) {
+	runHarness(t, 0, func(t *testing.T, h *harness) {
+		for _, data := range []string{"a\nQUERY x PUT other b", "a\rQUERY x PUT other b", "\n\n", "a\r", "a\n\r"} {
+			c := h.connect(t, "strict")
+			must.Eq(t, "I", c.query("PUT k "+data))
+			must.Eq(t, data+" I", c.query("FETCH k"))
+			must.Eq(t, "I", c.query("SET v "+data))
+			must.Eq(t, data+" with v="+data+" I", c.query("FETCH k"))
+		}
+		must.Eq(t, "none I", h.connect(t, "strict").query("FETCH other"))
+	})
+}
+
 // A read with a staleness bound is served by the replica in the instance's zone.
 func TestBoundedStalenessReadUsesReplica(t *testing.T) {
 	runHarness(t, 20*time.Millisecond, func(t *testing.T, h *harness) {
--- a/internal/standin/groupsimulator/member.go
+++ b/internal/standin/groupsimulator/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -42,7 +43,7 @@
 	defer stop()
 	in := bufio.NewReader(c)
 	s := &session{member: m, transactionState: "I", variables: map[string]string{}, preparedStatements: map[string]string{}, out: bufio.NewWriter(c)}
-	line, err := in.ReadString('\n')
+	line, err := readLine(in)
 	if err != nil {
 		return
 	}
@@ -77,11 +78,11 @@
 	}
 	s.writeReady()
 	for s.out.Flush() == nil {
-		line, err := in.ReadString('\n')
+		line, err := readLine(in)
 		if err != nil {
 			return
 		}
-		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+		word, rest, _ := strings.Cut(line, " ")
 		if word != "QUERY" {
 			return
 		}
@@ -92,6 +93,19 @@
 	}
 }
 
+// readLine reads a message, which ends with CR LF only.
+func readLine(in *bufio.Reader) (string, error) {
+	var line []byte
+	for !bytes.HasSuffix(line, []byte("\r\n")) {
+		part, err := in.ReadBytes('\n')
+		if err != nil {
+			return "", err
+		}
+		line = append(line, part...)
+	}
+	return string(line[:len(line)-2]), nil
+}
+
 func (s *session) writeReady() {
 	fmt.Fprintf(s.out, "READY %s %s\r\n", s.transactionState, s.member.lastPosition())
 }
