elector: another attempt prefers the member that a pending order names

If a change ends without a primary, the next attempt begins while its order may still be executed. Among members with the same log it chose any. The member of the earlier order could then lead and acknowledge commits shortly before the candidate of the next order, which lacked them.

Change: among equal logs the member that a pending order names ranks first, then the lowest ID, so that another owner ranks members alike.

--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -271,11 +271,28 @@
 			}
 			return int(a.Status.LagMillis - b.Status.LagMillis)
 		}
-		return b.Status.Received.Compare(a.Status.Received)
+		if d := b.Status.Received.Compare(a.Status.Received); d != 0 {
+			return d
+		}
+		return sv.compareOrdered(a.ID, b.ID)
 	})
 	return list, term
 }
 
+// compareOrdered ranks members with the same log: first the one that a pending order names, which may
+// lead at any moment and acknowledge commits that another candidate would lack, then by ID, so that
+// another owner ranks them alike.
+func (sv *Supervisor) compareOrdered(a, b string) int {
+	switch {
+	case !sv.promotionPending || a == b:
+	case a == sv.orderedMember:
+		return -1
+	case b == sv.orderedMember:
+		return 1
+	}
+	return cmp.Compare(a, b)
+}
+
 // checkReplicas returns an error unless every replica that may hold an acknowledged commit
 // responds.
 func (sv *Supervisor) checkReplicas(replicas []*memberState) error {
@@ -342,7 +359,7 @@
 
 // sendPromotion sends the promotion order.
 func (sv *Supervisor) sendPromotion(ctx context.Context, c *primaryChange) error {
-	sv.promotionOrderedAt, sv.promotionPending = sv.Clock(), true
+	sv.promotionOrderedAt, sv.promotionPending, sv.orderedMember = sv.Clock(), true, c.candidate.ID
 	err := sv.Promote(ctx, sv.Group.Name, c.candidate.ID, c.fencingToken)
 	sv.Log("event", "promotion-ordered", "group", sv.Group.Name, "member", c.candidate.ID, "term", c.term, "fence", c.fencingToken, "outcome", outcomeText(err))
 	if err != nil && !sv.Refused(err) {
--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -602,6 +602,36 @@
 	}
 }
 
+// Guards against an order without a response that is executed while another attempt to replace a demoted
+// primary is under way: a candidate other than the member that leads then would lack its commits.
+func TestUnansweredOrderDuringRetry(t *testing.T) {
+	for after := 1600 * time.Millisecond; after <= 2200*time.Millisecond; after += 100 * time.Millisecond {
+		for run := range 6 {
+			t.Run(fmt.Sprint("executed after ", after, ", run ", run), func(t *testing.T) {
+				t.Parallel()
+				runScenario(t, func(t *testing.T, h *harness) {
+					h.mutex.Lock()
+					h.holdOrder = func() bool { return true }
+					h.mutex.Unlock()
+					h.group.Join("g-4", "a", "10.9.1.4")
+					h.group.SetReplicationDelay("g-4", time.Millisecond)
+					time.Sleep(2 * time.Second)
+					ended := h.notifyOn("move-ended")
+					h.group.MarkLeaving("g-1")
+					<-ended
+					h.mutex.Lock()
+					h.holdOrder = nil
+					h.mutex.Unlock()
+					time.Sleep(after)
+					h.executeHeld()
+					time.Sleep(4 * time.Second)
+					must.NotEq(t, "", h.leader())
+				})
+			})
+		}
+	}
+}
+
 // A lagging replica replaces an overloaded primary, which then serves reads.
 func TestLaggingReplicaReplacesOverloadedPrimary(t *testing.T) {
 	runScenarioWith(t, &groupsimulator.Group{MaxConnections: 60, StatementTime: 20 * time.Millisecond, Slots: 3, MaxQueued: 48}, func(t *testing.T, s *harness) {
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -95,8 +95,10 @@
 		stateConfirmed bool
 		// lastLeader is the last known primary.
 		lastLeader Leadership
-		// promotionPending is set while a promotion order may still be executed late.
+		// promotionPending is set while a promotion order may still be executed late; orderedMember is
+		// the member that the last one of this supervisor named.
 		promotionPending bool
+		orderedMember    string
 		// rebalanceInterval is the minimum time between changes made only to balance load,
 		// rebalancedAt the time of the last one.
 		rebalanceInterval time.Duration
