elector: the state names the member of a pending order

After a change of owner the next one knew that a promotion order was pending, but not for whom. Its attempt could choose another member with the same log, and the one that the order names led and acknowledged commits shortly before.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -115,8 +115,10 @@
 	State struct {
 		// Members maps each member whose log may hold acknowledged commits to its address.
 		Members map[string]string
-		// PromotionPending is set while a promotion order may still be executed.
+		// PromotionPending is set while a promotion order may still be executed; Ordered is the member
+		// that the last one named, "" if unknown.
 		PromotionPending bool
+		Ordered          string
 		// Leader is the last known primary.
 		Leader Leadership
 	}
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -88,7 +88,8 @@
 	if err != nil {
 		return "", err
 	}
-	token, err := sv.NextFencingToken(ctx, State{Members: sv.memberAddresses(), PromotionPending: true, Leader: sv.lastLeader})
+	recorded := c.candidate.ID
+	token, err := sv.NextFencingToken(ctx, sv.stateWithOrder(recorded))
 	if err != nil {
 		return "", errors.Wrap(err, "fence")
 	}
@@ -109,6 +110,12 @@
 	if err := sv.selectCandidate(ctx, c); err != nil {
 		return "", err
 	}
+	if c.candidate.ID != recorded {
+		// A failure leaves the order recorded without the right member, which is better than no primary.
+		if token, err := sv.NextFencingToken(ctx, sv.stateWithOrder(c.candidate.ID)); err == nil {
+			c.fencingToken = token
+		}
+	}
 	return c.candidate.ID, sv.promoteAndWait(ctx, c)
 }
 
@@ -130,6 +137,9 @@
 		return nil, errNoCandidate
 	}
 	c.replicas, c.candidate, c.term = replicas, replicas[0], term+1
+	if i := slices.IndexFunc(replicas, sv.eligible); c.oldPrimary != nil && i >= 0 {
+		c.candidate = replicas[i]
+	}
 	c.dataLossRisk = sv.checkReplicas(replicas)
 	if c.dataLossRisk == nil && sv.SynchronousReplicas() == 0 && c.oldPrimary != nil {
 		c.dataLossRisk = errOnlyPrimaryComplete
@@ -412,7 +422,7 @@
 	if leads, _ := sv.leads(p); !leads || !sv.Holds(minRemainingLease) {
 		return
 	}
-	token, err := sv.NextFencingToken(ctx, State{Members: sv.memberAddresses(), PromotionPending: true, Leader: sv.lastLeader})
+	token, err := sv.NextFencingToken(ctx, sv.stateWithOrder(sv.orderedMember))
 	if err != nil {
 		sv.Log("event", "order-not-closed", "group", sv.Group.Name, "cause", err)
 		return
--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -605,9 +605,10 @@
 // Guards against an order without a response that is executed while another attempt to replace a demoted
 // primary is under way: a candidate other than the member that leads then would lack its commits.
 func TestUnansweredOrderDuringRetry(t *testing.T) {
-	for after := 1600 * time.Millisecond; after <= 2200*time.Millisecond; after += 100 * time.Millisecond {
-		for run := range 6 {
-			t.Run(fmt.Sprint("executed after ", after, ", run ", run), func(t *testing.T) {
+	for after := 1600 * time.Millisecond; after <= 2400*time.Millisecond; after += 100 * time.Millisecond {
+		for run := range 8 {
+			newOwner := run%2 == 1
+			t.Run(fmt.Sprint("executed after ", after, ", run ", run, ", another owner: ", newOwner), func(t *testing.T) {
 				t.Parallel()
 				runScenario(t, func(t *testing.T, h *harness) {
 					h.mutex.Lock()
@@ -622,6 +623,9 @@
 					h.mutex.Lock()
 					h.holdOrder = nil
 					h.mutex.Unlock()
+					if newOwner {
+						h.replaceSupervisor()
+					}
 					time.Sleep(after)
 					h.executeHeld()
 					time.Sleep(4 * time.Second)
--- a/internal/elector/record.go
+++ b/internal/elector/record.go
@@ -25,6 +25,7 @@
 		Members map[string]string `json:"members"`
 		// PromotionPending is nil in a value that is not the state of a group.
 		PromotionPending *bool  `json:"order-open"`
+		Ordered          string `json:"ordered,omitempty"`
 		Leader           string `json:"leader"`
 		LeaderStartTime  int64  `json:"leader-born"`
 		Term             uint64 `json:"term"`
@@ -45,7 +46,7 @@
 
 func encodeState(s State) []byte {
 	return mustMarshal(stateRecord{
-		Members: s.Members, PromotionPending: &s.PromotionPending,
+		Members: s.Members, PromotionPending: &s.PromotionPending, Ordered: s.Ordered,
 		Leader: s.Leader.ID, LeaderStartTime: s.Leader.StartTime, Term: s.Leader.Term,
 	})
 }
@@ -89,7 +90,7 @@
 		return State{}, errNoState
 	}
 	return State{
-		Members: r.Members, PromotionPending: *r.PromotionPending,
+		Members: r.Members, PromotionPending: *r.PromotionPending, Ordered: r.Ordered,
 		Leader: Leadership{ID: r.Leader, StartTime: r.LeaderStartTime, Term: r.Term},
 	}, nil
 }
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -96,7 +96,7 @@
 		// lastLeader is the last known primary.
 		lastLeader Leadership
 		// promotionPending is set while a promotion order may still be executed late; orderedMember is
-		// the member that the last one of this supervisor named.
+		// the member that the last one named.
 		promotionPending bool
 		orderedMember    string
 		// rebalanceInterval is the minimum time between changes made only to balance load,
@@ -144,7 +144,9 @@
 // adoptState takes over what earlier owners recorded.
 func (sv *Supervisor) adoptState() {
 	recorded := sv.State()
-	sv.promotionPending = sv.promotionPending || recorded.PromotionPending
+	if recorded.PromotionPending && !sv.promotionPending {
+		sv.promotionPending, sv.orderedMember = true, recorded.Ordered
+	}
 	if recorded.Leader.Term > sv.lastLeader.Term {
 		sv.lastLeader = recorded.Leader
 	}
@@ -263,7 +265,7 @@
 // saveState records the state for the next owner when it has changed: a missing member may hold
 // the only copy of a commit.
 func (sv *Supervisor) saveState(ctx context.Context) {
-	now, state := sv.Clock(), State{Members: sv.memberAddresses(), PromotionPending: sv.promotionPending, Leader: sv.lastLeader}
+	now, state := sv.Clock(), sv.stateToRecord()
 	if state.equal(sv.State()) || now-sv.recordedAt < minRecordInterval {
 		return
 	}
@@ -272,9 +274,22 @@
 	sv.Log("event", "roster", "group", sv.Group.Name, "members", len(state.Members), "order-open", state.PromotionPending, "outcome", outcomeText(err))
 }
 
+// stateToRecord returns the state for the next owner.
+func (sv *Supervisor) stateToRecord() State {
+	if !sv.promotionPending {
+		return State{Members: sv.memberAddresses(), Leader: sv.lastLeader}
+	}
+	return sv.stateWithOrder(sv.orderedMember)
+}
+
+// stateWithOrder returns the state for the next owner while an order that names a member is pending.
+func (sv *Supervisor) stateWithOrder(member string) State {
+	return State{Members: sv.memberAddresses(), PromotionPending: true, Ordered: member, Leader: sv.lastLeader}
+}
+
 // equal reports whether two states are the same.
 func (s State) equal(o State) bool {
-	return maps.Equal(s.Members, o.Members) && s.PromotionPending == o.PromotionPending && s.Leader == o.Leader
+	return maps.Equal(s.Members, o.Members) && s.PromotionPending == o.PromotionPending && s.Ordered == o.Ordered && s.Leader == o.Leader
 }
 
 // outcomeText returns the "outcome" of a log line: the error, or "done".
