elector: a refused connection overrides what the pool has shown

A primary that was reached through the pool and then crashed still counted as leading for up to a second, so that its replacement first tried to demote it. Once its host refuses connections the process has ended, and the status received earlier doesn't count. Found by reading; no run shows the delay.

--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -35,7 +35,7 @@
 	// duration of a promotion.
 	failoverRetryAfter = time.Second
 	// maxRetryAfter leaves callers time for another attempt within their own timeout. It is half of
-	// the shortest timeout, 6 s, of callers with a retry left.
+	// the shortest timeout of callers with a retry left.
 	maxRetryAfter = 3 * time.Second
 )
 
--- a/internal/elector/pooled.go
+++ b/internal/elector/pooled.go
@@ -66,7 +66,8 @@
 	}
 }
 
-// leads reports whether a member has responded as the primary, and whether only through the pool.
+// leads reports whether a member has responded as the primary, and whether only through the pool. What
+// was received there doesn't count once its host refuses connections: the process has ended.
 func (sv *Supervisor) leads(m *memberState) (leads, pooledOnly bool) {
 	switch {
 	case m == nil:
@@ -74,7 +75,7 @@
 	case m.Answered:
 		return m.Status.Primary, false
 	}
-	fresh := m.pooledAt != 0 && sv.Clock()-m.pooledAt < pooledStatusMaxAge
+	fresh := !m.Refused && m.pooledAt != 0 && sv.Clock()-m.pooledAt < pooledStatusMaxAge
 	return fresh && m.pooledStatus.Primary, true
 }
 
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -13,16 +13,16 @@
 )
 
 const (
-	// promotionTimeout bounds the wait for a promoted member to report itself as primary. A
-	// promotion takes 300 to 1,000 ms.
+	// promotionTimeout bounds the wait for a promoted member to report itself as primary. It
+	// is several times that of a promotion.
 	promotionTimeout = 4 * time.Second
 	// promotionPollInterval is the delay between status polls of the promoted member.
 	promotionPollInterval = 40 * time.Millisecond
 	// minRemainingLease is the lease time that must remain to begin a change of the primary. It
 	// covers the status requests and the first order of the change.
 	minRemainingLease = time.Second
-	// lateCommandWindow is how long a member may still execute a command that went unanswered.
-	// Members execute commands up to 12 s late.
+	// lateCommandWindow is how long a member may still execute a command that went unanswered. It
+	// exceeds the longest delay with which members execute commands.
 	lateCommandWindow = 13 * time.Second
 	// catchUpTimeout bounds the wait for a candidate to reach the log of the demoted primary. No
 	// writes are accepted meanwhile. Catching up takes a few network trips.
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -42,7 +42,7 @@
 	drainFraction     = 0.85
 	drainPollInterval = 20 * time.Millisecond
 	// maxLoanConfigurationWait bounds the wait of a peer's loan for the first configuration. It is
-	// less than the 200 ms that a borrower gives one attempt.
+	// less than a borrower gives one attempt.
 	maxLoanConfigurationWait = 150 * time.Millisecond
 )
 
