--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -602,6 +602,30 @@
 	}
 }
 
+// Guards against demoting a primary while an order is pending that could not be fenced off so far.
+func TestNoDemotionWhileOrderIsPending(t *testing.T) {
+	runScenario(t, func(t *testing.T, h *harness) {
+		orders := 0
+		var fencedFrom tracker.Timestamp
+		h.mutex.Lock()
+		h.holdOrder = func() bool { orders++; return orders == 1 || orders > 2 && h.clock() < fencedFrom }
+		fencedFrom = h.clock() + 10*time.Second
+		h.mutex.Unlock()
+		time.Sleep(2 * time.Second)
+		h.group.MarkLeaving("g-1")
+		time.Sleep(3 * time.Second)
+		second, term := h.group.Primary()
+		must.NotEq(t, "g-1", second)
+		h.group.MarkLeaving(second)
+		time.Sleep(4 * time.Second)
+		h.executeHeld()
+		time.Sleep(10 * time.Second)
+		must.NotEq(t, second, h.leader())
+		_, last := h.group.Primary()
+		must.Eq(t, term+1, last)
+	})
+}
+
 // Guards against an order without a response that is executed while another attempt to replace a demoted
 // primary is under way: a candidate other than the member that leads then would lack its commits.
 func TestUnansweredOrderDuringRetry(t *testing.T) {
