elector: log what a promotion order rests on

The hypotheses of docs/incidents/joined-behind-a-partition.md can't be told apart from the owner's log. The order's line now has the candidate's position, the furthest known one and the age of the registry's reading; a member that is read after the order and is ahead of the ordered one gets a line; a member that is counted out gets the position that covers it. One line a decision, no logic changed. internal/elector passes.

--- a/internal/elector/departed.go
+++ b/internal/elector/departed.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
 // This file decides whose logs count when the primary changes: registered members, missing
@@ -68,11 +69,19 @@
 
 // exclude removes a departed member from those whose logs count, since replica by covers it.
 func (sv *Supervisor) exclude(id, by string) {
-	sv.Log("event", "member-counted-out", "group", sv.Group.Name, "member", id, "covered-by", by)
+	sv.Log("event", "member-counted-out", "group", sv.Group.Name, "member", id, "covered-by", by, "position", sv.positionOf(by))
 	sv.excluded[id] = true
 	delete(sv.formerIncarnations, id)
 }
 
+// positionOf returns a member's last known log position.
+func (sv *Supervisor) positionOf(id string) orderer.Position {
+	if m := sv.members[id]; m != nil {
+		return m.Status.Received
+	}
+	return orderer.Position{}
+}
+
 // handleRestart treats a restarted member as new. Its former incarnation counts as a missing
 // member until a replica is known to hold everything it may have acknowledged; a former
 // primary's commits are on a replica already.
--- a/internal/elector/furthest.go
+++ b/internal/elector/furthest.go
@@ -55,6 +55,9 @@
 	defer cancel()
 	start := sv.Clock()
 	err := sv.ReadRegistry(ctx)
+	if err == nil {
+		sv.registryConfirmedAt = start
+	}
 	sv.Log("event", "registry-read", "group", sv.Group.Name, "ms", (sv.Clock() - start).Milliseconds(), "outcome", outcomeText(err))
 	return err
 }
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -10,6 +10,7 @@
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/sleeper"
 	"github.com/oriolegw/oriolegw/internal/tracker"
+	"github.com/oriolegw/oriolegw/pkg/orderer"
 )
 
 const (
@@ -344,6 +345,8 @@
 			if err := checkJoined(c, joined, err); err != nil {
 				return err
 			}
+		} else {
+			sv.logAhead(c, joined)
 		}
 		if err := checkNotRestarted([]*memberState{c.candidate}); err != nil {
 			return err
@@ -371,13 +374,34 @@
 func (sv *Supervisor) sendPromotion(ctx context.Context, c *primaryChange) error {
 	sv.promotionOrderedAt, sv.promotionPending, sv.orderedMember = sv.Clock(), true, c.candidate.ID
 	err := sv.Promote(ctx, sv.Group.Name, c.candidate.ID, c.fencingToken)
-	sv.Log("event", "promotion-ordered", "group", sv.Group.Name, "member", c.candidate.ID, "term", c.term, "fence", c.fencingToken, "outcome", outcomeText(err))
+	sv.Log("event", "promotion-ordered", "group", sv.Group.Name, "member", c.candidate.ID, "term", c.term, "fence", c.fencingToken, "outcome", outcomeText(err),
+		"position", c.candidate.Status.Received, "furthest", sv.furthestKnown(), "registry-age-ms", (sv.promotionOrderedAt - sv.registryConfirmedAt).Milliseconds())
 	if err != nil && !sv.Refused(err) {
 		c.unanswered = true
 	}
 	return err
 }
 
+// furthestKnown returns the furthest log position that a member has reported.
+func (sv *Supervisor) furthestKnown() orderer.Position {
+	var furthest orderer.Position
+	for _, m := range sv.members {
+		furthest = orderer.Max(furthest, m.Status.Received)
+	}
+	return furthest
+}
+
+// logAhead logs the members whose logs are ahead of that of the candidate whose promotion has been
+// ordered already. What they hold beyond it is lost if it was acknowledged.
+func (sv *Supervisor) logAhead(c *primaryChange, joined []*memberState) {
+	for _, m := range joined {
+		if m.Status.Received.Compare(c.candidate.Status.Received) > 0 {
+			sv.Log("event", "ahead-of-ordered-member", "group", sv.Group.Name, "member", m.ID, "position", m.Status.Received,
+				"ordered", c.candidate.ID, "ordered-position", c.candidate.Status.Received, "after-ms", (sv.Clock() - sv.promotionOrderedAt).Milliseconds())
+		}
+	}
+}
+
 // pauseJoined pauses members that have joined since the others were paused, and returns them.
 func (sv *Supervisor) pauseJoined(ctx context.Context, c *primaryChange) ([]*memberState, error) {
 	joined := sv.refreshMembers()
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -105,6 +105,8 @@
 		rebalancedAt      tracker.Timestamp
 		// registryReadAt is when the registry was last read because replication had stalled.
 		registryReadAt tracker.Timestamp
+		// registryConfirmedAt is when the last successful reading of the registry was requested.
+		registryConfirmedAt tracker.Timestamp
 		// restoredAt is when a change last restored the old primary.
 		restoredAt tracker.Timestamp
 		// fencedAt is when earlier promotion orders were last fenced off.
