TestReplicaJoinsBehindRefusingPartition, TestReplicaJoinsBesideRefusingPrimary: a primary that refuses the owner counts as crashed; no logic changed

The world is that of TestReplicaJoinsBehindPartition, but the primary's host resets connections to one side and refuses new ones there, instead of silence (netsimulator: Refuse). The owner begins the change 0.26 s after the cut, and promotes a replica while the primary goes on acknowledging through the one that joins:

+0.258 event=move-begins group=g reason=primary-refuses-connections primary=g-1 +0.266 event=paused group=g member=g-3 term=2 position=1/251 paused-for=2 +0.274 event=promotion-ordered group=g member=g-2 term=2 fence=12 outcome=done +0.574 event=paused group=g member=g-4 term=2 position=1/288 paused-for=2 +1.290 event=move-ended group=g reason=primary-refuses-connections from=g-1 to=g-2 outcome=done ms=1032

Behind: refused to the store, the owner and the third instance, and the instance behind the cut reaches neither the owner nor the store. Beside: only the owner is refused; all instances reach each other and the store, and the instances that reach the primary aren't asked (pollPooled skips a primary that refuses).

--- a/internal/launcher/partition_test.go
+++ b/internal/launcher/partition_test.go
@@ -188,6 +188,41 @@
 	})
 }
 
+// Guards against taking a primary for crashed because its host refuses connections from one side of a
+// partition: instances that reach it pass on what it acknowledges through a replica that joins.
+func TestReplicaJoinsBehindRefusingPartition(t *testing.T) {
+	testRefusingPrimary(t, func(p *partition, a, b string) {
+		if a == oldPrimaryIP {
+			p.net.Refuse(a, b)
+		} else {
+			p.net.Partition(a, b)
+		}
+	})
+}
+
+// Guards against taking a primary for crashed because it refuses the owner's connections only: the owner
+// reaches instances that reach the primary, and they can tell it to step down.
+func TestReplicaJoinsBesideRefusingPrimary(t *testing.T) {
+	testRefusingPrimary(t, func(p *partition, a, b string) {
+		if a == oldPrimaryIP && b == ownerIP {
+			p.net.Refuse(a, b)
+		}
+	})
+}
+
+// testRefusingPrimary has a replica join at several times after a cut.
+func testRefusingPrimary(t *testing.T, sever func(p *partition, a, b string)) {
+	t.Helper()
+	for after := 300 * time.Millisecond; after <= 1500*time.Millisecond; after += 200 * time.Millisecond {
+		t.Run(fmt.Sprint("joins-after-", after), func(t *testing.T) {
+			t.Parallel()
+			runPartition(t, func(p *partition) {
+				p.joinDuringCut(after, func(a, b string) { sever(p, a, b) })
+			}, (*partition).assertChange)
+		})
+	}
+}
+
 // joinDuringCut has a replica join the given time after a cut.
 func (p *partition) joinDuringCut(after time.Duration, sever func(a, b string)) {
 	p.cut(sever)
--- a/internal/standin/netsimulator/netsimulator.go
+++ b/internal/standin/netsimulator/netsimulator.go
@@ -29,6 +29,7 @@
 		listeners  map[string]*listener
 		conns      map[*conn]struct{}
 		partitions map[[2]string]bool
+		refusals   map[[2]string]bool
 		changed    chan struct{}
 		random     *rand.Rand
 		nextPort   int
@@ -64,7 +65,7 @@
 func New(seed uint64) *Net {
 	return &Net{
 		hosts: map[string]*Host{}, listeners: map[string]*listener{}, conns: map[*conn]struct{}{},
-		partitions: map[[2]string]bool{}, changed: make(chan struct{}), random: rand.New(rand.NewPCG(seed, seed)),
+		partitions: map[[2]string]bool{}, refusals: map[[2]string]bool{}, changed: make(chan struct{}), random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -88,6 +89,23 @@
 	n.update(func() { n.partitions[[2]string{a, "> " + b}] = true })
 }
 
+// Refuse resets the connections between a and b, each an IP, and refuses new ones in both directions.
+func (n *Net) Refuse(a, b string) {
+	n.update(func() {
+		n.refusals[[2]string{a, b}] = true
+		for c := range n.conns {
+			if c.local.IP == a && c.remote.IP == b || c.local.IP == b && c.remote.IP == a {
+				c.reset()
+			}
+		}
+	})
+}
+
+// refuses reports whether connections between two hosts are refused; the mutex is held.
+func (n *Net) refuses(a, b *Host) bool {
+	return n.refusals[[2]string{a.IP, b.IP}] || n.refusals[[2]string{b.IP, a.IP}]
+}
+
 // Heal removes the partition between a and b; stalled data is delivered.
 func (n *Net) Heal(a, b string) {
 	n.update(func() {
@@ -97,8 +115,10 @@
 	})
 }
 
-// HealAll removes all partitions.
-func (n *Net) HealAll() { n.update(func() { n.partitions = map[[2]string]bool{} }) }
+// HealAll removes all partitions and refusals.
+func (n *Net) HealAll() {
+	n.update(func() { n.partitions, n.refusals = map[[2]string]bool{}, map[[2]string]bool{} })
+}
 
 // Kill resets all connections of a host and refuses new ones until Revive.
 func (n *Net) Kill(ip string) {
@@ -192,7 +212,7 @@
 	}
 	n.mutex.Lock()
 	l := n.listeners[address]
-	if l == nil || to.dead {
+	if l == nil || to.dead || n.refuses(h, to) {
 		n.mutex.Unlock()
 		if err := n.waitForDelivery(ctx, to, h); err != nil {
 			return nil, errors.Wrapf(err, "dial %s", address)
