--- a/internal/elector/pending_order_test.go
+++ b/internal/elector/pending_order_test.go
@@ -135,3 +135,35 @@
 		}
 	}
 }
+
+// Guards against passing over a replica that joins, and acknowledges commits, shortly before the order, and
+// registers within tracker.RegistrationDelay, when no other replica receives anything and the primary can't
+// be reached.
+func TestReplicaJoinsBeforeOrderBesideSilentPrimary(t *testing.T) {
+	for _, after := range []time.Duration{700 * time.Millisecond, 800 * time.Millisecond, 880 * time.Millisecond} {
+		t.Run(fmt.Sprint("joins after ", after), func(t *testing.T) {
+			runScenario(t, func(_ *testing.T, h *harness) {
+				p := &pendingOrder{harness: h}
+				h.mutex.Lock()
+				h.peersUnreachable = true
+				h.mutex.Unlock()
+				time.Sleep(2 * time.Second)
+				p.notifyOn("")
+				p.note("receive nothing", "g-2 and g-3")
+				h.group.BlockReplication("g-2", "g-1")
+				h.group.BlockReplication("g-3", "g-1")
+				p.partitionFromOwner("g-1")
+				time.Sleep(after)
+				p.note("joins", "g-4")
+				h.setUnseen("g-4", true)
+				h.setUnregistered("g-4", true)
+				h.group.Join("g-4", "a", "10.9.1.4")
+				h.group.SetReplicationDelay("g-4", time.Millisecond)
+				time.Sleep(290 * time.Millisecond)
+				h.setUnregistered("g-4", false)
+				h.setUnseen("g-4", false)
+				time.Sleep(4 * time.Second)
+			})
+		})
+	}
+}
