watcher: accept a smaller start time that the store keeps holding

Callers of a member lose it for ever, or see stale reads, when another writer puts an entry with a later start time over the member's. Each report of the member was then taken for one of an earlier life (earlier-life-ignored), also after a real restart, which nobody noticed then.

Two needs pull apart. A late report of an earlier life must not replace that of the running one, so a smaller start time can't be accepted at once. It may as well be that of a member that has restarted after the odd entry, so it can't be ignored either: its log is gone. So: - A smaller start time is kept beside the known one (DisputedStart), and counts as a restart at once: proofs, connections of the supervisor and the incarnation count anew. That is only a pause if nothing has restarted. - It is accepted if it is reported again 3 s later, or stands alone for 10 s while the store is reachable. A member that had started later would have reported in between, every 1.2 s or so. No clock of a machine is compared with another's. - Any change of the start time is a restart, downwards too, in tracker, launcher, elector and lender. A connection with another start time than the registered one isn't lent again.

Evidence for the last two, with the old comparison (>) in RestartedSince: TestReplicaWithDisputedStartRestarts: g-2 leads at 342, g-1 had acknowledged 345. TestProofFromReplicasNeedsRegistry/member_has_an_earlier_start_time: a proof by replicas at 11.505s after the restart. TestDisputedStart: not counted. With the old comparison in lender: TestStartTimeDecreases: a connection of the former incarnation is lent, reset by peer.

--- a/internal/elector/departed.go
+++ b/internal/elector/departed.go
@@ -26,7 +26,7 @@
 		if !m.Answered || max(m.Status.Term, m.Status.Received.Term) > sv.lastLeader.Term {
 			return false
 		}
-		found = found || id == sv.lastLeader.ID && m.StartTime == sv.lastLeader.StartTime
+		found = found || id == sv.lastLeader.ID && m.StartTime == sv.lastLeader.StartTime && m.DisputedStart == 0
 	}
 	return found
 }
@@ -85,6 +85,8 @@
 		return
 	}
 	id := incarnationID(m.Member)
+	// Incarnations whose start time was disputed share an ID: an earlier one may be excluded.
+	delete(sv.excluded, id)
 	sv.formerIncarnations[id] = m.Address
 	sv.members[id] = &memberState{departed: true, Observation: Observation{Member: sv.missingMember(id, m.Address)}}
 }
--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -48,6 +48,8 @@
 	registryReadings int
 	// unregistered are the members that a reading of the registry doesn't show either.
 	unregistered map[string]bool
+	// knownStart holds start times that other writers have registered.
+	knownStart map[string]int64
 	// delayOrder, when set, returns how long after an order to promote a member it is executed; an order
 	// that is delayed gets no response. token is the highest fencing token seen.
 	delayOrder func(member string) time.Duration
@@ -75,6 +77,13 @@
 	h.unseen[id] = unseen
 }
 
+// setKnownStart lets the supervisor know a later start time of a member than its own.
+func (h *harness) setKnownStart(id string, start int64) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.knownStart = map[string]int64{id: start}
+}
+
 // setUnregistered hides a member from readings of the registry.
 func (h *harness) setUnregistered(id string, unregistered bool) {
 	h.mutex.Lock()
@@ -142,7 +151,13 @@
 func (h *harness) registrations() []tracker.Member {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return slices.DeleteFunc(h.group.Registrations(), func(m tracker.Member) bool { return h.unseen[m.ID] || h.unregistered[m.ID] })
+	list := h.group.Registrations()
+	for n := range list {
+		if known := h.knownStart[list[n].ID]; known != 0 {
+			list[n].StartTime, list[n].DisputedStart = known, list[n].StartTime
+		}
+	}
+	return slices.DeleteFunc(list, func(m tracker.Member) bool { return h.unseen[m.ID] || h.unregistered[m.ID] })
 }
 
 func (h *harness) readRegistry(context.Context) error {
@@ -789,6 +804,21 @@
 	})
 }
 
+// Guards against the same while another writer's later start time is known for the replica.
+func TestReplicaWithDisputedStartRestarts(t *testing.T) {
+	runScenario(t, func(t *testing.T, h *harness) {
+		h.setKnownStart("g-3", time.Now().Add(time.Hour).UnixMilli())
+		time.Sleep(2 * time.Second)
+		h.group.BlockReplication("g-2", "g-1")
+		time.Sleep(time.Second)
+		h.group.BlockReplication("g-3", "g-1")
+		h.group.Restart("g-3")
+		h.group.Crash("g-1")
+		time.Sleep(5 * time.Second)
+		must.Eq(t, "g-1", h.leader())
+	})
+}
+
 // Guards against ignoring the log of an excluded member that has returned.
 func TestExcludedMemberReturns(t *testing.T) {
 	runScenario(t, func(t *testing.T, h *harness) {
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -346,7 +346,7 @@
 	var joined []*memberState
 	for _, m := range members {
 		state := sv.members[m.ID]
-		if state != nil && m.StartTime > state.StartTime && state.StartTime != 0 {
+		if state != nil && m.RestartedSince(state.Member) {
 			sv.handleRestart(state)
 			state = nil
 		}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -341,7 +341,7 @@
 func anyRestarted(before, now []tracker.Member) bool {
 	for _, m := range now {
 		for _, old := range before {
-			if old.ID == m.ID && old.StartTime != 0 && m.StartTime > old.StartTime {
+			if old.ID == m.ID && m.RestartedSince(old) {
 				return true
 			}
 		}
--- a/internal/launcher/replica_proof_test.go
+++ b/internal/launcher/replica_proof_test.go
@@ -132,6 +132,18 @@
 		p.backend.registry.Read = func(context.Context) error { p.setMembers(1); return nil }
 		p.assertNoProof(t)
 	})
+	t.Run("member has an earlier start time", func(t *testing.T) {
+		p := newProofCase()
+		p.setMembers(1000)
+		p.prove()
+		p.now += time.Second
+		p.group.AddProof(tracker.FreshnessProof{At: p.now, Position: orderer.Position{Term: 1, Offset: 9}})
+		p.now += time.Second
+		p.backend.registry.Read = func(context.Context) error { p.setMembers(1); return nil }
+		before, _ := p.group.NewestProof()
+		after, _ := p.prove()
+		must.Eq(t, before, after)
+	})
 }
 
 // A reading is refused at once while the store doesn't respond.
--- a/internal/lender/lend.go
+++ b/internal/lender/lend.go
@@ -64,7 +64,7 @@
 // addIdle lends a connection to a waiting request or keeps it idle. An unusable one is closed.
 func (p *Pool) addIdle(c *Conn) {
 	m := p.member(c.Member)
-	if c.broken || c.unreadReplies > 0 || p.closed || c.MemberStartTime < m.startTime {
+	if c.broken || c.unreadReplies > 0 || p.closed || c.MemberStartTime != m.startTime {
 		m.open--
 		c.Close()
 		p.serveWaiting()
--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -340,6 +340,35 @@
 	})
 }
 
+// Guards against a member that is lost to a pool because a later start time of another writer was known:
+// connections to the member as registered again must be kept.
+func TestStartTimeDecreases(t *testing.T) {
+	runPools(t, 20, 1, func(t *testing.T, s *testGroup) {
+		p := s.pools[0]
+		setStartTime := func(ahead int64) {
+			list := s.group.Registrations()
+			for n := range list {
+				list[n].StartTime += ahead
+			}
+			p.Group.SetMembers(list)
+			p.MembersChanged()
+		}
+		setStartTime(1e12)
+		must.NoError(t, runStatement(t.Context(), p, 1, time.Second))
+		s.group.Restart("g-1")
+		setStartTime(0)
+		for range 5 {
+			must.NoError(t, runStatement(t.Context(), p, 1, time.Second))
+		}
+		_, _, _, opened := p.Stats()
+		for range 5 {
+			must.NoError(t, runStatement(t.Context(), p, 1, time.Second))
+		}
+		_, _, _, now := p.Stats()
+		must.Eq(t, opened, now)
+	})
+}
+
 // Guards against closing and reopening spare connections between overlapping statements, and
 // against keeping them where the instance's share is small.
 func TestSpareConnectionsOutliveOverlap(t *testing.T) {
--- a/internal/lender/pool.go
+++ b/internal/lender/pool.go
@@ -296,7 +296,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for id, m := range p.members {
-		if x, ok := p.Group.Member(id); ok && x.StartTime > m.startTime {
+		if x, ok := p.Group.Member(id); ok && x.StartTime != 0 && x.StartTime != m.startTime {
 			p.resetMember(m, x.StartTime)
 		}
 	}
--- a/internal/tracker/group.go
+++ b/internal/tracker/group.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		x, ok := old[m.ID]
-		if ok && m.StartTime > x.StartTime && x.StartTime != 0 {
+		if ok && m.RestartedSince(x.Member) {
 			g.handleRestart(m.ID)
 			ok = false
 		}
--- a/internal/tracker/group_test.go
+++ b/internal/tracker/group_test.go
@@ -187,6 +187,28 @@
 	})
 }
 
+// Guards against stale reads while another writer's start time is known: a smaller one may be that of a
+// restarted member. It counts once.
+func TestDisputedStart(t *testing.T) {
+	members := func(start, disputed int64) []tracker.Member {
+		return []tracker.Member{{ID: "p", Zone: "b", Primary: true, StartTime: start, DisputedStart: disputed, Revision: 1}, {ID: "q", Zone: "a", StartTime: 1}}
+	}
+	g := newGroup()
+	g.SetMembers(members(100, 0))
+	restarts := func(now int, start, disputed int64) bool {
+		g.UpdateStatus(at(now), "p", messenger.Status{Primary: true, Term: 1, Received: pos(1, 7)})
+		g.SetMembers(members(start, disputed))
+		_, proved := g.NewestProof()
+		must.Eq(t, proved, g.LastRestart(at(now)) != at(now))
+		return !proved
+	}
+	must.True(t, restarts(10, 100, 20))
+	must.False(t, restarts(20, 100, 20))
+	must.True(t, restarts(30, 100, 30))
+	must.True(t, restarts(40, 30, 0))
+	must.False(t, restarts(50, 30, 0))
+}
+
 // Guards against proofs of other instances that are outdated, in the future or from before
 // a member restart.
 func TestAddRemoteProof(t *testing.T) {
--- a/internal/tracker/model.go
+++ b/internal/tracker/model.go
@@ -88,6 +88,9 @@
 		// StartTime is the start time in Unix milliseconds, 0 if unknown. A member that restarts
 		// under the same ID has a later one and has lost its connections and log.
 		StartTime int64
+		// DisputedStart is an earlier start time that the newest registration has, 0 if none. Either
+		// that registration arrived late, or StartTime is not the member's.
+		DisputedStart int64
 	}
 
 	// FreshnessProof establishes that a log which has reached Position contains all commits
@@ -107,3 +110,13 @@
 		At Timestamp
 	}
 )
+
+// RestartedSince reports whether the member may have restarted since an earlier registration. A smaller
+// start time counts as well, disputed or not: StartTime may have come from another writer, and the
+// member may have restarted after that.
+func (m Member) RestartedSince(earlier Member) bool {
+	if m.StartTime == 0 || earlier.StartTime == 0 {
+		return false
+	}
+	return m.StartTime != earlier.StartTime || m.DisputedStart != 0 && m.DisputedStart != earlier.DisputedStart
+}
--- a/internal/watcher/entries.go
+++ b/internal/watcher/entries.go
@@ -66,7 +66,7 @@
 		w.applyDeletion(p.Key, e)
 		return
 	}
-	if e != nil && e.Revision > p.Revision {
+	if e != nil && max(e.Revision, e.disputed.Revision) > p.Revision {
 		return
 	}
 	m, err := w.DecodeMember(p.Key, p.Value, p.Revision)
@@ -80,13 +80,19 @@
 	if e == nil {
 		e = &entry{}
 	}
-	if m.StartTime < e.StartTime {
-		w.Log("event", "earlier-life-ignored", "member", m.ID, "born", m.StartTime, "known", e.StartTime, "revision", p.Revision)
+	if m.StartTime < e.StartTime && !e.confirms(m, w.Clock()) {
+		w.dispute(p.Key, e, m)
 		return
 	}
+	w.register(p.Key, e, m)
+}
+
+// register stores the registration of a member.
+func (w *Watcher) register(key string, e *entry, m tracker.Member) {
 	before := *e
-	if m.StartTime > e.StartTime && e.StartTime != 0 {
-		w.Log("event", "member-restarted", "member", m.ID, "group", m.Group, "born", m.StartTime, "before", e.StartTime, "revision", p.Revision)
+	e.disputed, e.disputedSince = tracker.Member{}, 0
+	if m.StartTime != e.StartTime && e.StartTime != 0 {
+		w.Log("event", "member-restarted", "member", m.ID, "group", m.Group, "born", m.StartTime, "before", e.StartTime, "revision", m.Revision)
 		*e = entry{}
 	}
 	expired := e.Expired && m.Leaving
@@ -97,7 +103,7 @@
 	} else if e.leavingSince == 0 {
 		e.leavingSince = w.changedSince
 	}
-	w.storeEntry(p.Key, before.Group, e)
+	w.storeEntry(key, before.Group, e)
 	same := before.Member
 	same.Revision = m.Revision
 	if same == e.Member && before.missingSince == 0 {
@@ -107,8 +113,58 @@
 	w.Log("event", "member", "member", m.ID, "group", m.Group, "zone", m.Zone, "primary", m.Primary, "leaving", m.Leaving, "revision", m.Revision, "born", m.StartTime)
 }
 
+// dispute keeps a registration with a smaller start time than the known one. It may be a late one of a
+// former incarnation, which the next report replaces. It is that of the running member if the known
+// start time came from another writer.
+func (w *Watcher) dispute(key string, e *entry, m tracker.Member) {
+	if m.Revision == e.disputed.Revision {
+		return
+	}
+	w.Log("event", "earlier-life-ignored", "member", m.ID, "born", m.StartTime, "known", e.StartTime, "revision", m.Revision)
+	if e.disputedSince == 0 {
+		e.disputedSince = w.Clock()
+	}
+	if e.DisputedStart != m.StartTime {
+		e.DisputedStart = m.StartTime
+		w.changedGroups[e.Group] = true
+	}
+	e.disputed, w.ending[key] = m, e
+}
+
+// confirms reports whether a registration repeats the disputed start time.
+func (e *entry) confirms(m tracker.Member, now tracker.Timestamp) bool {
+	return e.disputedSince != 0 && m.StartTime == e.DisputedStart && m.Revision > e.disputed.Revision && now-e.disputedSince >= repeatedDisputeTimeout
+}
+
+// withdrawDispute ends a dispute when the store no longer holds the registration.
+func (w *Watcher) withdrawDispute(e *entry) {
+	if e == nil || e.disputedSince == 0 {
+		return
+	}
+	e.disputed, e.disputedSince, e.DisputedStart = tracker.Member{}, 0, 0
+	w.changedGroups[e.Group] = true
+}
+
+// settleDispute accepts a disputed registration that no other has replaced in time, and reports whether
+// it did. While the store is not reachable, the other may not be visible.
+func (w *Watcher) settleDispute(key string, e *entry, now tracker.Timestamp) bool {
+	if e.disputedSince == 0 {
+		return false
+	}
+	if !w.storeReachable() {
+		e.disputedSince = now
+		return false
+	}
+	if now-e.disputedSince < disputeTimeout && !w.isDropped(e) {
+		return false
+	}
+	w.register(key, e, e.disputed)
+	return true
+}
+
 // applyDeletion applies the deletion of a member's entry, which may be unknown.
 func (w *Watcher) applyDeletion(key string, e *entry) {
+	w.withdrawDispute(e)
 	if e == nil || e.missingSince != 0 {
 		return
 	}
@@ -152,6 +208,7 @@
 // its entry with its next heartbeat.
 func (w *Watcher) rejectEntry(p storer.Pair, e *entry, cause error) {
 	w.Log("event", "entry-rejected", "key", p.Key, "revision", p.Revision, "known", e != nil, "cause", cause)
+	w.withdrawDispute(e)
 	if e == nil || e.missingSince != 0 {
 		return
 	}
@@ -184,12 +241,15 @@
 func (w *Watcher) expireMembers() {
 	now := w.Clock()
 	for key, e := range w.ending {
+		if w.settleDispute(key, e, now) {
+			continue
+		}
 		if e.leavingSince != 0 && now-e.leavingSince > leavingTimeout && !e.Expired {
 			w.Log("event", "member-expired", "member", e.ID, "group", e.Group)
 			e.Expired = true
 			w.changedGroups[e.Group] = true
 		}
-		if e.missingSince != 0 && now-w.missingFrom(e) > missingRetention {
+		if w.isDropped(e) {
 			w.Log("event", "member-dropped", "member", e.ID, "group", e.Group)
 			w.dropEntry(key, e)
 		} else if e.missingSince != 0 && !e.Leaving && w.isMissing(e) {
@@ -209,6 +269,11 @@
 	return e.missingSince
 }
 
+// isDropped reports whether a deleted entry is not to be kept any longer.
+func (w *Watcher) isDropped(e *entry) bool {
+	return e.missingSince != 0 && w.Clock()-w.missingFrom(e) > missingRetention
+}
+
 // isMissing reports whether a deleted entry counts as missing now.
 func (w *Watcher) isMissing(e *entry) bool {
 	return w.storeReachable() && w.Clock() >= w.missingFrom(e)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -35,6 +35,10 @@
 	// missingRetention is how long a member without an entry is kept as leaving, so that another
 	// member can be promoted if it is the primary. Nothing may be sent to it after 7 s.
 	missingRetention = 5 * time.Second
+	// disputeTimeout is how long a start time that is smaller than the known one must be the newest to
+	// be accepted, repeatedDisputeTimeout if it is reported again. A member that had started later would
+	// have reported several times.
+	disputeTimeout, repeatedDisputeTimeout = 10 * time.Second, 3 * time.Second
 	// leavingTimeout is how long after its announcement a leaving member may still receive
 	// statements.
 	leavingTimeout = 6 * time.Second
@@ -153,6 +157,10 @@
 		// missingSince is when the entry was deleted, leavingSince when the member announced
 		// its shutdown; 0 if it did not happen.
 		missingSince, leavingSince tracker.Timestamp
+		// disputed is the newest registration if its start time is smaller than the known one, and
+		// disputedSince since when there was no other while the store was reachable; 0 if none.
+		disputed      tracker.Member
+		disputedSince tracker.Timestamp
 	}
 
 	// update is the result of a read of the store, or of a request to a peer.
