watcher: empty values that are too large to be of this system

Callers of instances that get their state from peers would work with an old state: they stop following it when other writers have added two values of the largest size, or one beside a configuration of that size. A message between instances holds 2 MiB.

Evidence, before: TestOversizedValues: the state for peers holds 1048585 bytes where 1024 are the limit of the test.

A value of more than 64 KiB is emptied on arrival, so it is rejected like any other invalid one, and neither kept in memory nor decoded nor sent on. The configuration is exempt: it may have the full size.

--- a/internal/watcher/odd_entries_test.go
+++ b/internal/watcher/odd_entries_test.go
@@ -1,6 +1,7 @@
 package watcher_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -140,3 +141,32 @@
 		})
 	})
 }
+
+// Guards against instances that can't pass on their state to peers, as another writer has added values that
+// exceed the size of a message between instances.
+func TestOversizedValues(t *testing.T) {
+	oversized := strings.Repeat("x", 1<<20)
+	for _, key := range []string{"member/m", "member/x", "duty/g"} {
+		t.Run(key, func(t *testing.T) {
+			runWithMembers(t, func(t *testing.T, f *fixture) {
+				f.put(t, key, oversized)
+				time.Sleep(time.Second)
+				pairs, _ := f.watcher.State().Records.Whole()
+				size := 0
+				for _, p := range pairs {
+					size += len(p.Value)
+				}
+				must.Less(t, 1<<10, size)
+				must.SliceLen(t, len(f.pairs), pairs)
+				f.mustRecover(t, "ready@10", 10, 3*time.Second)
+			})
+		})
+	}
+	t.Run("configuration", func(t *testing.T) {
+		runWithMembers(t, func(t *testing.T, f *fixture) {
+			f.put(t, "configuration", strings.Repeat(" ", 1<<19)+"9")
+			time.Sleep(time.Second)
+			must.Eq(t, []int64{7, 9}, f.configured())
+		})
+	})
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -50,6 +50,9 @@
 	// fleet, when all members register.
 	startupBatchDelay = time.Second
 	startupPeriod     = 8 * time.Second
+	// maxValueBytes bounds the values but the configuration. Those of members and of instances are far
+	// smaller.
+	maxValueBytes = 64 << 10
 	// expiryCheckInterval is the time between two checks for expired entries. It is a tenth of the
 	// shortest expiry time.
 	expiryCheckInterval = 250 * time.Millisecond
@@ -320,6 +323,7 @@
 		}
 		return
 	}
+	w.clearOversized(u.pairs)
 	if u.isListing {
 		for _, p := range u.pairs {
 			w.applyPair(p)
@@ -359,6 +363,17 @@
 	}
 }
 
+// clearOversized empties the values that only another writer can have added, and which are thus
+// rejected. Peers could not receive a state that holds two of the largest ones.
+func (w *Watcher) clearOversized(pairs []storer.Pair) {
+	for n, p := range pairs {
+		if len(p.Value) > maxValueBytes && p.Key != w.ConfigurationKey {
+			w.Log("event", "value-too-large", "key", p.Key, "revision", p.Revision, "bytes", len(p.Value))
+			pairs[n].Value = nil
+		}
+	}
+}
+
 // applyInOrder applies changes in the order in which a starting instance needs them: the
 // configuration, the members, and then the ownership and instance records, of which a whole state
 // has most. The states of groups precede the ownership records, as an owner's record shows that
