elector: record the state again when another writer has replaced it

Callers could lose acknowledged commits, or find a group without a primary, after the instances that know its state are gone: a state in the store that can't be read, or is missing, stayed so for ever, and an instance that starts takes it for none. The pending order and the members that may hold a commit are then unknown to the next owner.

Cause: the owner keeps the last valid value, compares that with its own state, finds it unchanged, and doesn't write.

Invalid ownership records heal already: the group counts as vacant (TestInvalidOwnershipRecord), and so do instance records, which their instance writes again.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -94,7 +94,9 @@
 		// state is the group's recorded state. If the stored value is invalid or absent, the value is
 		// the last valid one.
 		state storer.Pair
-		held  bool
+		// stateLost is set if the store does not hold the value of state.
+		stateLost bool
+		held      bool
 		// acquiredRevision is the revision of the record with which this instance acquired the group,
 		// watchedRevision that of the last record that the watch has shown. Changes are shown in
 		// order, so once the watch has shown the acquisition, state holds what earlier owners
@@ -216,7 +218,9 @@
 
 // applyState stores a group's state as read from the store; the mutex is held.
 func (e *Elector) applyState(o *groupOwnership, p storer.Pair) {
-	if _, err := parseState(p.Value); err != nil {
+	_, err := parseState(p.Value)
+	o.stateLost = err != nil && (p.Revision != 0 || len(o.state.Value) > 0)
+	if err != nil {
 		if p.Revision != 0 {
 			e.Log("event", "group-state-rejected", "key", p.Key, "revision", p.Revision, "held", o.held, "cause", err)
 		}
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -193,6 +194,38 @@
 	})
 }
 
+// Guards against an owner that doesn't notice that the store lost the group's state to another writer.
+func TestInvalidState(t *testing.T) {
+	for _, value := range []string{"nonsense", "{}", `{"members": 7, "order-open": true}`, `{"order-open": true, "term": 1e999}`, strings.Repeat("[", 1<<16)} {
+		t.Run(fmt.Sprintf("%.40s", value), func(t *testing.T) {
+			runTwoInstances(t, func(t *testing.T, m *storer.Memory, a, b *testInstance) {
+				owner := a
+				if b.owns() {
+					owner = b
+				}
+				o := owner.ownership.Load()
+				must.True(t, o.StateStored())
+				recorded := elector.State{Members: map[string]string{"g-1": "10.0.0.1:1"}, PromotionPending: true}
+				_, err := o.NextFencingToken(t.Context(), recorded)
+				must.NoError(t, err)
+				must.True(t, o.StateStored())
+				now, err := m.Get(t.Context(), elector.StatePrefix+"g")
+				must.NoError(t, err)
+				now.Value = []byte(value)
+				_, ok, err := m.Swap(t.Context(), now, 0)
+				must.NoError(t, err)
+				must.True(t, ok)
+				time.Sleep(time.Second)
+				must.Eq(t, recorded, o.State())
+				must.False(t, o.StateStored())
+				_, err = o.NextFencingToken(t.Context(), o.State())
+				must.NoError(t, err)
+				must.True(t, o.StateStored())
+			})
+		})
+	}
+}
+
 // Guards against losing the member list, or the group, to an invalid record.
 func TestInvalidOwnershipRecord(t *testing.T) {
 	for _, value := range []string{"nonsense", "{}", `{"holder": 7}`} {
--- a/internal/elector/ownership.go
+++ b/internal/elector/ownership.go
@@ -30,6 +30,15 @@
 	return stateOrEmpty(e.ownership(o.group).state.Value)
 }
 
+// StateStored reports whether the store holds State. Otherwise another writer has replaced it, and an
+// instance that starts would know nothing of it.
+func (o *Ownership) StateStored() bool {
+	e := o.elector
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return !e.ownership(o.group).stateLost
+}
+
 // StateConfirmed reports whether State includes everything that earlier owners have recorded. It
 // may lack their last records for as long as the watch of the store is behind.
 func (o *Ownership) StateConfirmed() bool {
--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,8 @@
 	registryReadings int
 	// unregistered are the members that a reading of the registry doesn't show either.
 	unregistered map[string]bool
+	// stateLost is set if the store doesn't hold the state that was recorded.
+	stateLost atomic.Bool
 	// knownStart holds start times that other writers have registered.
 	knownStart map[string]int64
 	// delayOrder, when set, returns how long after an order to promote a member it is executed; an order
@@ -227,7 +230,7 @@
 		SendPooled:       h.sendPooled,
 		Holds:            func(time.Duration) bool { return true },
 		NextFencingToken: h.ownership.NextFencingToken, State: h.ownership.State,
-		StateConfirmed: func() bool { return true }, ReadState: func(context.Context) (bool, error) { return false, nil },
+		StateStored: func() bool { return !h.stateLost.Load() }, StateConfirmed: func() bool { return true }, ReadState: func(context.Context) (bool, error) { return false, nil },
 		Promote:             h.order,
 		Refused:             func(err error) bool { return errors.Is(err, errOrderRefused) },
 		SynchronousReplicas: func() int { return h.synchronous }, ConnectionLimit: func() int { return h.group.MaxConnections }, PrimaryChanged: func() {}, Log: h.log,
@@ -273,6 +276,13 @@
 	return seen
 }
 
+// loggedEvents returns the log lines so far.
+func (h *harness) loggedEvents() []string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return slices.Clone(h.events)
+}
+
 // logged reports whether the supervisor has logged a line that contains a text.
 func (h *harness) logged(text string) bool {
 	h.mutex.Lock()
@@ -819,6 +829,22 @@
 	})
 }
 
+// Guards against a state that stays lost for later owners because it hasn't changed.
+func TestLostStateIsRecordedAgain(t *testing.T) {
+	runScenario(t, func(t *testing.T, h *harness) {
+		time.Sleep(3 * time.Second)
+		recorded := func() int {
+			return len(slices.DeleteFunc(h.loggedEvents(), func(e string) bool { return !strings.Contains(e, "event roster") }))
+		}
+		before := recorded()
+		time.Sleep(3 * time.Second)
+		must.Eq(t, before, recorded())
+		h.stateLost.Store(true)
+		time.Sleep(3 * time.Second)
+		must.Greater(t, before, recorded())
+	})
+}
+
 // Guards against ignoring the log of an excluded member that has returned.
 func TestExcludedMemberReturns(t *testing.T) {
 	runScenario(t, func(t *testing.T, h *harness) {
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -57,6 +57,8 @@
 		// ones; State returns the last recorded state.
 		NextFencingToken func(ctx context.Context, f State) (int64, error)
 		State            func() State
+		// StateStored reports whether the store holds the last recorded state, as far as is known.
+		StateStored func() bool
 		// StateConfirmed reports whether State includes everything that earlier owners recorded;
 		// ReadState reads it from the store and reports whether it has changed.
 		StateConfirmed func() bool
@@ -266,7 +268,7 @@
 // the only copy of a commit.
 func (sv *Supervisor) saveState(ctx context.Context) {
 	now, state := sv.Clock(), sv.stateToRecord()
-	if state.equal(sv.State()) || now-sv.recordedAt < minRecordInterval {
+	if state.equal(sv.State()) && sv.StateStored() || now-sv.recordedAt < minRecordInterval {
 		return
 	}
 	sv.recordedAt = now
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -437,7 +437,7 @@
 			return lender.Connect(ctx, i.Network, i.Platform.MemberCodec, m, i.Settings.Name)
 		},
 		SendPooled: b.sendPooled, ReadRegistry: i.watcher.ReadRegistry,
-		Holds: o.Holds, NextFencingToken: o.NextFencingToken, State: o.State, StateConfirmed: o.StateConfirmed, ReadState: o.ReadState,
+		Holds: o.Holds, NextFencingToken: o.NextFencingToken, State: o.State, StateStored: o.StateStored, StateConfirmed: o.StateConfirmed, ReadState: o.ReadState,
 		Promote: i.Platform.Promote, Refused: i.Platform.IsPromotionRefused,
 		SynchronousReplicas: func() int {
 			c := i.configuration.Load()
