launcher: the soak also overwrites entries with a later start time

Half of the overwritten entries are now copies with a start time an hour later and another address; the rest are invalid as before.

--- a/internal/launcher/soak_test.go
+++ b/internal/launcher/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"maps"
@@ -197,10 +198,28 @@
 	if err != nil {
 		return
 	}
-	now.Value = []byte(`{"service": "g", "phase": "unheard-of"}`)
+	if s.random.IntN(2) == 0 {
+		now.Value = withLaterStart(now.Value)
+	} else {
+		now.Value = []byte(`{"service": "g", "phase": "unheard-of"}`)
+	}
 	_, _, _ = s.store.Swap(s.ctx, now, 0)
 }
 
+// withLaterStart returns a member's entry with a later start time and the address of no member.
+func withLaterStart(value []byte) []byte {
+	var entry map[string]any
+	if json.Unmarshal(value, &entry) != nil {
+		return value
+	}
+	entry["born"], entry["address"] = time.Now().Add(time.Hour).UnixMilli(), "10.9.9.9:1"
+	text, err := json.Marshal(entry)
+	if err != nil {
+		return value
+	}
+	return text
+}
+
 // replaceMember adds a new member and has the old one announce its departure; the returned
 // function removes the old one eight seconds after that.
 func (s *soak) replaceMember(id string) func() {
