--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -57,6 +57,8 @@
 		// ones; State returns the last recorded state.
 		NextFencingToken func(ctx context.Context, f State) (int64, error)
 		State            func() State
+		// StateStored reports whether the store holds the last recorded state, as far as is known.
+		StateStored func() bool
 		// StateConfirmed reports whether State includes everything that earlier owners recorded;
 		// ReadState reads it from the store and reports whether it has changed.
 		StateConfirmed func() bool
@@ -268,7 +270,7 @@
 // the only copy of a commit.
 func (sv *Supervisor) saveState(ctx context.Context) {
 	now, state := sv.Clock(), sv.stateToRecord()
-	if state.equal(sv.State()) || now-sv.recordedAt < minRecordInterval {
+	if state.equal(sv.State()) && sv.StateStored() || now-sv.recordedAt < minRecordInterval {
 		return
 	}
 	sv.recordedAt = now
@@ -348,7 +350,7 @@
 	var joined []*memberState
 	for _, m := range members {
 		state := sv.members[m.ID]
-		if state != nil && m.StartTime > state.StartTime && state.StartTime != 0 {
+		if state != nil && m.RestartedSince(state.Member) {
 			sv.handleRestart(state)
 			state = nil
 		}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -341,7 +341,7 @@
 func anyRestarted(before, now []tracker.Member) bool {
 	for _, m := range now {
 		for _, old := range before {
-			if old.ID == m.ID && old.StartTime != 0 && m.StartTime > old.StartTime {
+			if old.ID == m.ID && m.RestartedSince(old) {
 				return true
 			}
 		}
@@ -437,7 +437,7 @@
 			return lender.Connect(ctx, i.Network, i.Platform.MemberCodec, m, i.Settings.Name)
 		},
 		SendPooled: b.sendPooled, ReadRegistry: i.watcher.ReadRegistry,
-		Holds: o.Holds, NextFencingToken: o.NextFencingToken, State: o.State, StateConfirmed: o.StateConfirmed, ReadState: o.ReadState,
+		Holds: o.Holds, NextFencingToken: o.NextFencingToken, State: o.State, StateStored: o.StateStored, StateConfirmed: o.StateConfirmed, ReadState: o.ReadState,
 		Promote: i.Platform.Promote, Refused: i.Platform.IsPromotionRefused,
 		SynchronousReplicas: func() int {
 			c := i.configuration.Load()
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -35,6 +35,10 @@
 	// missingRetention is how long a member without an entry is kept as leaving, so that another
 	// member can be promoted if it is the primary. Nothing may be sent to it after 7 s.
 	missingRetention = 5 * time.Second
+	// disputeTimeout is how long a start time that is smaller than the known one must be the newest to
+	// be accepted, repeatedDisputeTimeout if it is reported again. A member that had started later would
+	// have reported several times.
+	disputeTimeout, repeatedDisputeTimeout = 10 * time.Second, 3 * time.Second
 	// leavingTimeout is how long after its announcement a leaving member may still receive
 	// statements.
 	leavingTimeout = 6 * time.Second
@@ -46,6 +50,9 @@
 	// fleet, when all members register.
 	startupBatchDelay = time.Second
 	startupPeriod     = 8 * time.Second
+	// maxValueBytes bounds the values but the configuration. Those of members and of instances are far
+	// smaller.
+	maxValueBytes = 64 << 10
 	// expiryCheckInterval is the time between two checks for expired entries. It is a tenth of the
 	// shortest expiry time.
 	expiryCheckInterval = 250 * time.Millisecond
@@ -153,6 +160,10 @@
 		// missingSince is when the entry was deleted, leavingSince when the member announced
 		// its shutdown; 0 if it did not happen.
 		missingSince, leavingSince tracker.Timestamp
+		// disputed is the newest registration if its start time is smaller than the known one, and
+		// disputedSince since when there was no other while the store was reachable; 0 if none.
+		disputed      tracker.Member
+		disputedSince tracker.Timestamp
 	}
 
 	// update is the result of a read of the store, or of a request to a peer.
@@ -312,6 +323,7 @@
 		}
 		return
 	}
+	w.clearOversized(u.pairs)
 	if u.isListing {
 		for _, p := range u.pairs {
 			w.applyPair(p)
@@ -351,6 +363,17 @@
 	}
 }
 
+// clearOversized empties the values that only another writer can have added, and which are thus
+// rejected. Peers could not receive a state that holds two of the largest ones.
+func (w *Watcher) clearOversized(pairs []storer.Pair) {
+	for n, p := range pairs {
+		if len(p.Value) > maxValueBytes && p.Key != w.ConfigurationKey {
+			w.Log("event", "value-too-large", "key", p.Key, "revision", p.Revision, "bytes", len(p.Value))
+			pairs[n].Value = nil
+		}
+	}
+}
+
 // applyInOrder applies changes in the order in which a starting instance needs them: the
 // configuration, the members, and then the ownership and instance records, of which a whole state
 // has most. The states of groups precede the ownership records, as an owner's record shows that
