--- a/internal/exchanger/serve.go
+++ b/internal/exchanger/serve.go
@@ -45,6 +45,17 @@
 	return s.exchanger.Account(r), nil
 }
 
+// RenewLeases implements wire.DRPCNeighboursServer.
+func (s *peerServer) RenewLeases(ctx context.Context, r *wire.LeaseRequest) (*wire.LeaseReply, error) {
+	if err := s.session.CheckAuthenticated(); err != nil {
+		return nil, err
+	}
+	if s.exchanger.GrantLeases == nil || s.exchanger.StoreResponds == nil {
+		return s.DRPCNeighboursUnimplementedServer.RenewLeases(ctx, r)
+	}
+	return s.exchanger.renewLeases(r)
+}
+
 // Tell implements wire.DRPCNeighboursServer.
 func (s *peerServer) Tell(_ context.Context, r *wire.TellRequest) (*wire.TellReply, error) {
 	if err := s.session.CheckAuthenticated(); err != nil {
