exchanger: the reply to a request for leases says whether the group is owned

An owner that can't renew its ownership has to know whether an instance that may have acquired the group owns it; whether the store responds to that instance doesn't matter.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -112,11 +112,9 @@
 	Lend func(stream wire.DRPCNeighbours_LendStream) error
 	// Account, if set, handles a usage report of a peer.
 	Account func(r *wire.AccountRequest) *wire.AccountReply
-	// GrantLeases returns the leases, or their refusals, of the groups that a peer asks for, and
-	// StoreResponds reports whether the store responds to this instance or it owns a group. They are
-	// called concurrently. If either is nil, peers' requests for leases fail as unimplemented.
-	GrantLeases   func(groups []string) []GroupLease
-	StoreResponds func() bool
+	// GrantLeases, if set, returns the leases, or their refusals, of the groups that a peer asks for. It
+	// is called concurrently.
+	GrantLeases func(groups []string) []GroupLease
 	// Store is where instances register.
 	Store storer.Store
 	// Log writes a log line of alternating keys and values.
--- a/internal/exchanger/leases.go
+++ b/internal/exchanger/leases.go
@@ -52,19 +52,20 @@
 	// Term is the group's term that the lease is for.
 	Term    uint64
 	Refusal LeaseRefusal
+	// Owned is set if the replying instance owns the group as far as it knows.
+	Owned bool
 }
 
-// RequestLeases requests leases of at most MaxLeaseGroups groups from their owner, and whether the
-// store responds to it or it owns a group. Their validity counts from a time before the call. The
-// error is ECONNREFUSED if nothing listens on the address.
-func (e *Exchanger) RequestLeases(ctx context.Context, address string, groups []string) (leases []GroupLease, storeResponds bool, err error) {
+// RequestLeases requests leases of at most MaxLeaseGroups groups from their owner. Their validity
+// counts from a time before the call. The error is ECONNREFUSED if nothing listens on the address.
+func (e *Exchanger) RequestLeases(ctx context.Context, address string, groups []string) (leases []GroupLease, err error) {
 	var reply *wire.LeaseReply
 	err = e.Links.Call(ctx, leaseTimeout, address, func(ctx context.Context, l *linker.Link) (err error) {
 		reply, err = wire.NewDRPCNeighboursClient(l.Conn()).RenewLeases(ctx, &wire.LeaseRequest{Groups: groups})
 		return err
 	})
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	wanted := make(map[string]bool, len(groups))
 	for _, g := range groups {
@@ -75,7 +76,7 @@
 			leases = append(leases, fromLease(l))
 		}
 	}
-	return leases, reply.StoreResponds, nil
+	return leases, nil
 }
 
 // renewLeases handles a request for leases.
@@ -83,7 +84,7 @@
 	if len(r.Groups) > MaxLeaseGroups {
 		return nil, errors.Wrapf(errTooManyLeaseGroups, "%d", len(r.Groups))
 	}
-	reply := &wire.LeaseReply{StoreResponds: e.StoreResponds()}
+	reply := &wire.LeaseReply{}
 	if len(r.Groups) == 0 {
 		return reply, nil
 	}
@@ -95,7 +96,7 @@
 
 // toLease rounds the validity down: a lease must not last longer for its holder than for its owner.
 func toLease(l GroupLease) *wire.CommitLease {
-	w := &wire.CommitLease{Group: l.Group, Term: l.Term}
+	w := &wire.CommitLease{Group: l.Group, Term: l.Term, Owned: l.Owned}
 	switch l.Refusal {
 	case LeaseGranted:
 		w.ValidMs = uint32(min(max(0, l.Valid.Milliseconds()), math.MaxUint32))
@@ -110,7 +111,7 @@
 }
 
 func fromLease(w *wire.CommitLease) GroupLease {
-	l := GroupLease{Group: w.Group, Term: w.Term}
+	l := GroupLease{Group: w.Group, Term: w.Term, Owned: w.Owned}
 	switch w.Refusal {
 	case wire.LeaseRefusal_LEASE_GRANTED:
 		l.Valid = min(time.Duration(w.ValidMs)*time.Millisecond, maxLeaseValid)
--- a/internal/exchanger/serve.go
+++ b/internal/exchanger/serve.go
@@ -50,7 +50,7 @@
 	if err := s.session.CheckAuthenticated(); err != nil {
 		return nil, err
 	}
-	if s.exchanger.GrantLeases == nil || s.exchanger.StoreResponds == nil {
+	if s.exchanger.GrantLeases == nil {
 		return s.DRPCNeighboursUnimplementedServer.RenewLeases(ctx, r)
 	}
 	return s.exchanger.renewLeases(r)
