Commits are acknowledged only under a lease for the primary's term

Cause: the owner reads the registry, pauses the replicas and compares their logs, and the promotion takes effect 0.3 s to 12 s later. An instance that reaches the primary, but neither the owner nor the store, goes on passing on what the primary acknowledges meanwhile through a replica that joins. A decision rests on a reading that can't stay true until the decision takes effect.

Change: an instance acknowledges a commit only under a lease for its term, from the owner or from the group's recorded state. The owner suspends leases, and records that, when the primary doesn't answer; it replaces a primary that it can't demote once all leases have expired and members that may have acknowledged under them are registered. No leases while an order for another member may be executed late, so that an order outlives its grounds without harm. The same holds for a primary that refuses connections: a cut can do that, too. docs/design/0053 compares the ways.

Evidence: TestReplicaJoinsBehindPartition (11 subtests failed before), TestReplicaJoinsBehindRefusingPartition (6), TestReplicaJoinsBesideRefusingPrimary (6), TestReplicaJoinsBeforeOrderBesideSilentPrimary (3) and 18 cases of TestPendingOrderBesideSilentPrimary pass and leave KNOWN-RED.txt. In the last one the stand-in's writers now acknowledge under the supervisor's leases, as instances do; with a supervisor that never suspends them the cases fail as before.

--- a/internal/dispatcher/reasons.go
+++ b/internal/dispatcher/reasons.go
@@ -25,6 +25,7 @@
 	ReasonKeyUncertain      Reason = "key-uncertain"
 	ReasonKeyRevoked        Reason = "key-withdrawn"
 	ReasonOverLimit         Reason = "over-limit"
+	ReasonNoLease           Reason = "no-commit-lease"
 )
 
 // ReasonText describes a reason for docs/DECISIONS.md.
@@ -49,6 +50,7 @@
 	{ReasonKeyUncertain, "The caller's key is unknown here, but this instance may have missed a newer configuration, since neither the store nor an instance that reads it has answered recently. Nothing was sent.", "part=belief event=dependency-lost dependency=store of the instance; part=peers."},
 	{ReasonKeyRevoked, "The caller's key was revoked, or assigned to another customer, while its transaction was open; it was rolled back.", "version in the line; part=belief event=configuration."},
 	{ReasonOverLimit, "The customer has run as many operations as its limit allows, over all instances. Nothing was sent; the reply says when to retry.", "customer in the line; oriolegwctl limits: limit, use, what is withheld and why; docs/OPERATIONS.md, \"A customer is refused below its limit\"."},
+	{ReasonNoLease, "The instance has no lease to acknowledge commits of the group: neither the group's owner nor the store grants one, as when the instance is cut off from both or the primary is about to be replaced. Nothing was kept.", "part=belief event=commit-lease-lost and commit-lease-regained of the group, with the cause; part=duty event=leases-suspended at the owner."},
 	{reasonForCode(messenger.CodeUnknownDatabase), "No route of the configuration in force has the database's name.", "version in the line; part=belief event=configuration."},
 	{reasonForCode(messenger.CodeBusy), "The member had no capacity to run it.", "part=duty event=observed: busy."},
 	{reasonForCode(messenger.CodeBehind), "The replica's log did not hold the position that the read requires.", "need in the line; lag-ms in part=duty event=observed."},
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/oriolegw/oriolegw/internal/forecaster"
+	"github.com/oriolegw/oriolegw/internal/leaser"
 	"github.com/oriolegw/oriolegw/internal/lender"
 	"github.com/oriolegw/oriolegw/internal/messenger"
 	"github.com/oriolegw/oriolegw/internal/networker"
@@ -47,6 +48,10 @@
 		// ReportSuspect reports a member that did not answer or is no longer primary, so that
 		// it is checked.
 		ReportSuspect func(member string)
+		// Leases, when set, holds the lease under which commits are acknowledged, if NeedsLease reports
+		// that they need one.
+		Leases     *leaser.Leaser
+		NeedsLease func() bool
 
 		transactions atomic.Int32
 	}
--- a/internal/dispatcher/transaction.go
+++ b/internal/dispatcher/transaction.go
@@ -15,6 +15,11 @@
 	if reply, ok := x.checkKey(); !ok {
 		return reply
 	}
+	if x.writes {
+		if err := x.backend.checkLease(); err != nil {
+			return x.abort(ReasonNoLease)
+		}
+	}
 	if t.conn == nil {
 		if reply, ok := x.bindConnection(ctx); !ok {
 			return reply
@@ -114,6 +119,11 @@
 			return s.finishTransaction(reply)
 		}
 	}
+	if t.wrote {
+		if err := x.backend.checkLease(); err != nil {
+			return s.finishTransaction(x.abort(ReasonNoLease))
+		}
+	}
 	sentAt := s.server.Clock()
 	r, err := x.sendCommit(t)
 	if err != nil {
@@ -127,9 +137,18 @@
 	}
 	switch {
 	case r.Code == messenger.CodeNone:
+		member := t.conn.Member
+		if r.State == messenger.StateIdle {
+			x.backend.Pool.Return(t.conn)
+			s.clearTransaction()
+		}
 		if t.wrote {
+			if err := x.confirmCommit(ctx, r); err != nil {
+				return s.finishTransaction(x.outcomeUnknown(member, err))
+			}
 			x.recordCommit(sentAt, r)
 		}
+		return s.finishTransaction(x.complete(member, r))
 	case r.Code == messenger.CodeNotPrimary:
 		x.backend.handleNotPrimary(t.conn.Member)
 		return s.finishTransaction(x.abort(reasonForCode(r.Code)))
--- a/internal/dispatcher/write.go
+++ b/internal/dispatcher/write.go
@@ -12,6 +12,9 @@
 // replies that it has not run it.
 func (x *execution) write(ctx context.Context) messenger.Reply {
 	for {
+		if err := x.backend.checkLease(); err != nil {
+			return x.refuseWithRetryAfter(ReasonNoLease, "", noLeaseRetryAfter, "cause", err)
+		}
 		c, err := x.checkout(ctx, x.primaryCandidates)
 		if err != nil {
 			return x.refuseCheckout(err)
@@ -43,6 +46,9 @@
 		}
 		x.backend.Pool.Return(c)
 		if r.Code == messenger.CodeNone {
+			if err := x.confirmCommit(ctx, r); err != nil {
+				return x.outcomeUnknown(c.Member, err)
+			}
 			x.recordCommit(sentAt, r)
 		}
 		return x.complete(c.Member, r)
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -57,6 +57,8 @@
 		Clock func() tracker.Timestamp
 		// Name identifies this process; it is new after each restart.
 		Name string
+		// Instance is the name of this instance, which it keeps when it restarts.
+		Instance string
 		// ColdStart is set when the whole fleet starts for the first time.
 		ColdStart bool
 		// Groups lists the configured groups.
@@ -66,6 +68,9 @@
 		AcquireRank func(group, last string) int
 		// StoreReachable, when set, reports whether the store responds.
 		StoreReachable func() bool
+		// DeniedAt, when set, returns when an instance was last asked whether it owns a group and replied
+		// that it doesn't, or wasn't running.
+		DeniedAt func(instance, group string) tracker.Timestamp
 		// Supervise supervises a group until the context ends.
 		Supervise func(ctx context.Context, group string, d *Ownership) error
 		Log       func(fields ...any)
@@ -86,6 +91,8 @@
 	Ownership struct {
 		elector *Elector
 		group   string
+		// acquiredRevision is the revision of the record with which the group was acquired.
+		acquiredRevision int64
 	}
 
 	// groupOwnership is this instance's state of one group's ownership.
@@ -108,6 +115,7 @@
 		invalid bool
 		// acquireAt is when this instance tries to acquire the group, 0 if not scheduled.
 		acquireAt tracker.Timestamp
+		leases    leaseGrants
 		cancel    context.CancelFunc
 		done      chan error
 	}
@@ -123,6 +131,10 @@
 		Ordered          string
 		// Leader is the last known primary.
 		Leader Leadership
+		// LeasesSuspended is set while no instance may have a commit lease.
+		LeasesSuspended bool
+		// Candidates are the instances that may be the next owner.
+		Candidates []string
 	}
 
 	// Leadership identifies a primary by member, incarnation and term.
@@ -188,6 +200,9 @@
 	if p.Revision != 0 && p.Revision <= o.record.Revision {
 		return
 	}
+	if p.Revision != 0 {
+		o.leases.lapsedAt = 0
+	}
 	if p.Revision == 0 && o.held {
 		// The key expires with the lease, so the ownership is lost.
 		e.lose(p.Key, o, "record-gone")
@@ -227,6 +242,7 @@
 		p.Value = o.state.Value
 	}
 	o.state = p
+	o.leases.candidates = union(o.leases.candidates, stateOrEmpty(p.Value).Candidates)
 }
 
 // ownsRecord reports whether a record was written by this instance under its current lease, as
@@ -330,6 +346,9 @@
 	if e.AcquireRank != nil {
 		rank = e.AcquireRank(group, ownershipOrEmpty(o.record.Value).Owner)
 	}
+	if len(o.leases.candidates) > 0 && !slices.Contains(o.leases.candidates, e.Instance) {
+		rank += candidateRankBonus
+	}
 	if rank >= staggeredInstances {
 		later := time.Duration(rank-staggeredInstances) * stagger / 2
 		return staggeredInstances*stagger + later + rand.N(stagger)
@@ -376,7 +395,7 @@
 
 // lose ends the ownership of a group; the mutex is held.
 func (e *Elector) lose(key string, o *groupOwnership, reason string) {
-	o.held, o.acquireAt = false, 0
+	o.held, o.acquireAt, o.leases.lapsedAt = false, 0, e.Clock()
 	e.owned--
 	o.cancel()
 	e.Log("event", "duty-lost", "duty", key, "why", reason, "fence", o.record.Revision)
@@ -456,8 +475,10 @@
 
 // startSupervisor starts the group's supervisor; the mutex is held.
 func (e *Elector) startSupervisor(ctx context.Context, group string, o *groupOwnership) {
-	o.held, o.acquiredRevision, o.stateRead = true, o.record.Revision, false
+	acquired := o.record.Revision
+	o.held, o.acquiredRevision, o.stateRead = true, acquired, false
 	e.owned++
+	o.leases = leaseGrants{acquiredAt: e.Clock(), candidates: o.leases.candidates}
 	state := stateOrEmpty(o.state.Value)
 	e.Log("event", "duty-taken", "group", group, "fence", o.record.Revision, "state-revision", o.state.Revision,
 		"members", len(state.Members), "order-open", state.PromotionPending)
@@ -465,7 +486,9 @@
 	// The group may be acquired again before this supervisor has stopped.
 	done := make(chan error, 1)
 	o.cancel, o.done = cancel, done
-	go func() { done <- e.Supervise(supervisorCtx, group, &Ownership{elector: e, group: group}) }()
+	go func() {
+		done <- e.Supervise(supervisorCtx, group, &Ownership{elector: e, group: group, acquiredRevision: acquired})
+	}()
 }
 
 // shutdown stops the supervisors and revokes the lease, so that others can take over at once.
--- a/internal/elector/member_state.go
+++ b/internal/elector/member_state.go
@@ -137,6 +137,9 @@
 			return s, err
 		}
 		m.close()
+		if lender.IsTimeout(err) && m.ID == sv.primary && c.Kind == messenger.KindStatus {
+			sv.suspendLeases(ctx)
+		}
 	}
 	return sv.commandOnNewConnection(ctx, m, c)
 }
--- a/internal/elector/ownership.go
+++ b/internal/elector/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -45,7 +46,10 @@
 	e := o.elector
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	g := e.ownership(o.group)
+	return e.ownership(o.group).stateConfirmed()
+}
+
+func (g *groupOwnership) stateConfirmed() bool {
 	return g.stateRead || g.watchedRevision >= g.acquiredRevision
 }
 
@@ -76,6 +80,10 @@
 	e.mutex.Lock()
 	g := e.ownership(o.group)
 	record, state, lease := g.record, g.state, e.lease
+	g.resolveListed(e.Instance)
+	g.leases.listedKnown = true
+	// Without a response it isn't known whether the store holds the new candidates or the old ones.
+	g.leases.candidates = union(g.leases.candidates, s.Candidates)
 	e.mutex.Unlock()
 	record.Value, state.Value = e.encodeOwnership(lease), encodeState(s)
 	now, ok, err := e.Store.Commit(ctx, []storer.Swap{{Pair: record, Lease: lease}, {Pair: state}})
@@ -92,9 +100,17 @@
 	}
 	switch {
 	case ok:
+		g.leases.candidates = s.Candidates
 		return now[0].Revision, nil
 	case ownershipOrEmpty(now[0].Value).Owner != e.Name:
 		return 0, errNotOwner
 	}
 	return 0, errRecordChanged
 }
+
+// union returns the names that are in either list, sorted.
+func union(a, b []string) []string {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
--- a/internal/elector/pending_order_test.go
+++ b/internal/elector/pending_order_test.go
@@ -78,6 +78,7 @@
 	t.Helper()
 	runScenario(t, func(_ *testing.T, h *harness) {
 		p := &pendingOrder{harness: h}
+		h.group.SetMayAcknowledge(h.leases.valid)
 		var orderedAt tracker.Timestamp
 		h.mutex.Lock()
 		h.peersUnreachable = true
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -51,6 +51,7 @@
 	errMemberRestarted     = errors.New("a member has restarted")
 	errNoneCaughtUp        = errors.New("no member holds everything that the demoted primary holds")
 	errReasonCleared       = errors.New("the reason for the change no longer applies")
+	errLeasesOutstanding   = errors.New("the primary may still acknowledge commits through instances that hold leases")
 	errPromotionPending    = errors.New("an earlier promotion order may still be executed")
 )
 
@@ -94,11 +95,24 @@
 	if err != nil {
 		return "", errors.Wrap(err, "fence")
 	}
-	if sv.Clock()-v.Now > pollInterval {
-		if c, err = sv.replan(ctx); err != nil {
+	planned := c
+	if c.oldPrimary == nil {
+		if sv.suspensionRecordedAt == 0 {
+			sv.suspensionRecordedAt = sv.Clock()
+		}
+		if planned, err = sv.awaitLeaseExpiry(ctx, c, reason); err != nil {
+			return "", err
+		}
+	}
+	if planned == c && sv.Clock()-v.Now > pollInterval {
+		if planned, err = sv.replan(ctx); err != nil {
 			return "", err
 		}
 	}
+	c = planned
+	if c.oldPrimary == nil && sv.leaseWait() > 0 {
+		return "", errLeasesOutstanding
+	}
 	c.fencingToken = token
 	if c.pooled {
 		// Without the registry the change would have to restore the primary.
@@ -435,6 +449,7 @@
 		m.StalledSince = 0
 	}
 	sv.promotionPending = c.unanswered
+	sv.allowLeases(c.candidate.Status.Term)
 }
 
 // fencePendingPromotion prevents late execution of an earlier promotion order, by naming the
--- a/internal/elector/primary_change_test.go
+++ b/internal/elector/primary_change_test.go
@@ -62,6 +62,38 @@
 	held      []func()
 	// peersUnreachable is set if no other instance responds to the supervisor.
 	peersUnreachable bool
+	leases           callerLeases
+}
+
+// callerLeases are the commit leases of the callers' instances, which renew them all the time.
+type callerLeases struct {
+	mutex sync.Mutex
+	clock func() tracker.Timestamp
+	// term is that of the leases; until is when they end, 0 while they are renewed.
+	term  uint64
+	until tracker.Timestamp
+}
+
+func (l *callerLeases) allow(term uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.term, l.until = term, 0
+}
+
+func (l *callerLeases) suspend() tracker.Timestamp {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.until == 0 {
+		l.until = l.clock() + elector.CommitLeaseTTL
+	}
+	return l.until + 100*time.Millisecond
+}
+
+// valid reports whether a commit of a term may be acknowledged.
+func (l *callerLeases) valid(term uint64) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return term == l.term && (l.until == 0 || l.clock() < l.until)
 }
 
 // errOrderRefused is the platform's refusal of an order, errNoResponse the outcome of a delayed one.
@@ -231,6 +263,7 @@
 		Holds:            func(time.Duration) bool { return true },
 		NextFencingToken: h.ownership.NextFencingToken, State: h.ownership.State,
 		StateStored: func() bool { return !h.stateLost.Load() }, StateConfirmed: func() bool { return true }, ReadState: func(context.Context) (bool, error) { return false, nil },
+		AllowLeases: h.leases.allow, SuspendLeases: h.leases.suspend, Candidates: func() []string { return nil },
 		Promote:             h.order,
 		Refused:             func(err error) bool { return errors.Is(err, errOrderRefused) },
 		SynchronousReplicas: func() int { return h.synchronous }, ConnectionLimit: func() int { return h.group.MaxConnections }, PrimaryChanged: func() {}, Log: h.log,
@@ -324,7 +357,7 @@
 		h.group.Start(ctx, "a", "b", "c")
 		begin := time.Now()
 		clock := func() tracker.Timestamp { return time.Since(begin) }
-		h.clock = clock
+		h.clock, h.leases.clock = clock, clock
 		var running sync.WaitGroup
 		for i := range 3 {
 			host := net.Host(fmt.Sprintf("10.8.0.%d", i+1), "a")
--- a/internal/elector/record.go
+++ b/internal/elector/record.go
@@ -29,6 +29,9 @@
 		Leader           string `json:"leader"`
 		LeaderStartTime  int64  `json:"leader-born"`
 		Term             uint64 `json:"term"`
+		// LeasesSuspended and Candidates are absent in the states of earlier versions.
+		LeasesSuspended bool     `json:"leases-suspended,omitempty"`
+		Candidates      []string `json:"candidates,omitempty"`
 	}
 )
 
@@ -48,6 +51,7 @@
 	return mustMarshal(stateRecord{
 		Members: s.Members, PromotionPending: &s.PromotionPending, Ordered: s.Ordered,
 		Leader: s.Leader.ID, LeaderStartTime: s.Leader.StartTime, Term: s.Leader.Term,
+		LeasesSuspended: s.LeasesSuspended, Candidates: s.Candidates,
 	})
 }
 
@@ -91,7 +95,8 @@
 	}
 	return State{
 		Members: r.Members, PromotionPending: *r.PromotionPending, Ordered: r.Ordered,
-		Leader: Leadership{ID: r.Leader, StartTime: r.LeaderStartTime, Term: r.Term},
+		Leader:          Leadership{ID: r.Leader, StartTime: r.LeaderStartTime, Term: r.Term},
+		LeasesSuspended: r.LeasesSuspended, Candidates: r.Candidates,
 	}, nil
 }
 
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -63,6 +63,12 @@
 		// ReadState reads it from the store and reports whether it has changed.
 		StateConfirmed func() bool
 		ReadState      func(ctx context.Context) (changed bool, err error)
+		// AllowLeases lets instances have commit leases for the term of the primary. SuspendLeases ends
+		// that and returns when those granted so far have expired, also by earlier owners.
+		AllowLeases   func(term uint64)
+		SuspendLeases func() tracker.Timestamp
+		// Candidates returns the instances that may be the group's next owner.
+		Candidates func() []string
 		// Promote orders a promotion.
 		Promote func(ctx context.Context, group, member string, fencingToken int64) error
 		// Refused reports whether an error of Promote is a refusal.
@@ -113,6 +119,11 @@
 		restoredAt tracker.Timestamp
 		// fencedAt is when earlier promotion orders were last fenced off.
 		fencedAt tracker.Timestamp
+		// leasesAllowed is set while instances may have commit leases; suspensionRecordedAt is when the
+		// group's state has said since that they may not, 0 if it doesn't; suspensionTriedAt is when that
+		// was last tried.
+		leasesAllowed                           bool
+		suspensionRecordedAt, suspensionTriedAt tracker.Timestamp
 		// resumePendingUntil is until when an unanswered resume command may take effect, by member.
 		resumePendingUntil map[string]tracker.Timestamp
 	}
@@ -206,6 +217,9 @@
 	if sv.restoredAt != 0 && v.Now-sv.restoredAt < restoreCooldown && (leads || d.Reason.primaryAlive()) {
 		return
 	}
+	if d.Reason != ReasonNone && !leads && sv.leasesOutstanding(v, d.Reason) {
+		return
+	}
 	if d.Reason != ReasonNone {
 		sv.updateRebalanceInterval(d.Reason)
 		start := sv.Clock()
@@ -280,20 +294,24 @@
 
 // stateToRecord returns the state for the next owner.
 func (sv *Supervisor) stateToRecord() State {
-	if !sv.promotionPending {
-		return State{Members: sv.memberAddresses(), Leader: sv.lastLeader}
+	if sv.promotionPending {
+		return sv.stateWithOrder(sv.orderedMember)
 	}
-	return sv.stateWithOrder(sv.orderedMember)
+	return State{Members: sv.memberAddresses(), Leader: sv.lastLeader, LeasesSuspended: !sv.leasesAllowed, Candidates: sv.Candidates()}
 }
 
 // stateWithOrder returns the state for the next owner while an order that names a member is pending.
 func (sv *Supervisor) stateWithOrder(member string) State {
-	return State{Members: sv.memberAddresses(), PromotionPending: true, Ordered: member, Leader: sv.lastLeader}
+	return State{
+		Members: sv.memberAddresses(), PromotionPending: true, Ordered: member, Leader: sv.lastLeader,
+		LeasesSuspended: !sv.leasesAllowed, Candidates: sv.Candidates(),
+	}
 }
 
 // equal reports whether two states are the same.
 func (s State) equal(o State) bool {
-	return maps.Equal(s.Members, o.Members) && s.PromotionPending == o.PromotionPending && s.Ordered == o.Ordered && s.Leader == o.Leader
+	return maps.Equal(s.Members, o.Members) && s.PromotionPending == o.PromotionPending && s.Ordered == o.Ordered && s.Leader == o.Leader &&
+		s.LeasesSuspended == o.LeasesSuspended && slices.Equal(s.Candidates, o.Candidates)
 }
 
 // outcomeText returns the "outcome" of a log line: the error, or "done".
@@ -318,6 +336,7 @@
 	sv.pollAll(ctx, due)
 	applyPooled()
 	v := sv.buildView()
+	sv.updateLeases(ctx)
 	sv.excludeDeparted()
 	return v
 }
--- a/internal/launcher/backend.go
+++ b/internal/launcher/backend.go
@@ -80,6 +80,7 @@
 	tasks.Go(func() { _ = b.Pool.Run(ctx) })
 	tasks.Go(func() { b.detectPrimary(ctx) })
 	tasks.Go(func() { b.renewProofs(ctx) })
+	tasks.Go(func() { _ = b.Leases.Run(ctx) })
 	tasks.Wait()
 }
 
--- a/internal/launcher/groups.go
+++ b/internal/launcher/groups.go
@@ -51,7 +51,7 @@
 	g.NotePlacement = i.recordPlacement(group)
 	b.commitHolders = func() ([]string, bool) { return i.commitHolders(group) }
 	b.registry, b.statusOf = i.registry, b.queryStatus
-	b.Backend = dispatcher.Backend{Group: g, ReportSuspect: b.reportSuspect, Pool: &lender.Pool{
+	b.Backend = dispatcher.Backend{Group: g, Leases: i.newLeaser(group), NeedsLease: func() bool { return i.needsLease(group) }, ReportSuspect: b.reportSuspect, Pool: &lender.Pool{
 		Group: g, Network: i.Network, Codec: i.Platform.MemberCodec, ClientName: i.Settings.Name, Clock: i.Clock, NoteOpened: i.recordConnect(group), MaintainedExternally: true,
 		NoteBroken: i.recordIdleLoss(group), NoteLent: i.recordCheckout,
 		NotePacing: func(member string, hasCapacity bool) {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -122,6 +122,8 @@
 		watcher  *watcher.Watcher
 		registry *registryReader
 		peers    *peerServices
+		// denials are the replies of other instances that they don't own groups.
+		denials denials
 	}
 )
 
@@ -133,7 +135,7 @@
 	i.prepare(ctx)
 	i.stateLog.Log("event", "start", "name", i.Settings.Name, "zone", i.Settings.Zone, "callers", i.Settings.Callers, "cores", i.Settings.Cores)
 
-	exits, running := make(chan error, 11), 0
+	exits, running := make(chan error, 12), 0
 	run := func(component func(context.Context) error) {
 		running++
 		go func() { exits <- component(ctx) }()
@@ -154,6 +156,7 @@
 		run(i.peers.accountant.Run)
 		run(i.requestLoads)
 		run(i.balanceLoad)
+		run(i.confirmUnclaimed)
 	}
 	electorContext, stopElector := context.WithCancel(ctx)
 	defer stopElector()
@@ -212,8 +215,8 @@
 		RecordRead:       i.reads.record,
 	}
 	i.elector = &elector.Elector{
-		Store: i.Platform.Store, Clock: i.Clock, Name: i.Settings.Name + runIDSeparator + newRunID(),
-		ColdStart: i.Settings.ColdStart, Groups: i.promotableGroups, Supervise: i.superviseGroup, Log: i.LogWriter.Logger("duty").Log,
+		Store: i.Platform.Store, Clock: i.Clock, Name: i.Settings.Name + runIDSeparator + newRunID(), Instance: i.Settings.Name,
+		DeniedAt: i.denials.deniedAt, ColdStart: i.Settings.ColdStart, Groups: i.promotableGroups, Supervise: i.superviseGroup, Log: i.LogWriter.Logger("duty").Log,
 	}
 	i.watcher = i.newWatcher()
 	i.registry = &registryReader{Read: i.watcher.ReadRegistry, Available: i.watcher.StoreAvailable, Clock: i.Clock}
@@ -437,6 +440,7 @@
 			return lender.Connect(ctx, i.Network, i.Platform.MemberCodec, m, i.Settings.Name)
 		},
 		SendPooled: b.sendPooled, ReadRegistry: i.watcher.ReadRegistry,
+		AllowLeases: o.AllowLeases, SuspendLeases: o.SuspendLeases, Candidates: func() []string { return i.ownerCandidates(group) },
 		Holds: o.Holds, NextFencingToken: o.NextFencingToken, State: o.State, StateStored: o.StateStored, StateConfirmed: o.StateConfirmed, ReadState: o.ReadState,
 		Promote: i.Platform.Promote, Refused: i.Platform.IsPromotionRefused,
 		SynchronousReplicas: func() int {
--- a/internal/launcher/peers.go
+++ b/internal/launcher/peers.go
@@ -60,6 +60,7 @@
 		Count: func(name string) { i.metrics.Counter(metricPrefix + name).Inc(1) },
 	}
 	s.accountant = i.newAccountant(s)
+	s.exchanger.GrantLeases = i.grantLeases
 	s.exchanger.Lend, s.exchanger.Account = s.forwarder.ServeLoans, s.accountant.HandleReport
 	s.exchanger.Proofs, s.exchanger.AddProof = i.recentProofs, i.acceptPeerProof
 	s.exchanger.Loads, s.exchanger.AddLoad = i.recentLoads, i.acceptPeerLoad
--- a/internal/standin/groupsimulator/group.go
+++ b/internal/standin/groupsimulator/group.go
@@ -47,9 +47,11 @@
 		replicationSource *Member
 		// acknowledged holds the commits confirmed to clients.
 		acknowledged []Entry
-		violations   []string
-		goroutines   sync.WaitGroup
-		ctx          context.Context
+		// mayAcknowledge, when set, reports whether a commit of a term is confirmed to its client.
+		mayAcknowledge func(term uint64) bool
+		violations     []string
+		goroutines     sync.WaitGroup
+		ctx            context.Context
 	}
 
 	// Entry is one committed write in the log.
@@ -303,6 +305,14 @@
 	return nil
 }
 
+// SetMayAcknowledge sets what decides whether the client of a commit gets the confirmation, by its term,
+// as for an instance that acknowledges commits under leases.
+func (g *Group) SetMayAcknowledge(may func(term uint64) bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.mayAcknowledge = may
+}
+
 // Violations returns the acknowledged commits that a promoted member lacked.
 func (g *Group) Violations() []string {
 	g.mutex.Lock()
@@ -405,7 +415,7 @@
 			replicated = replicated || o != m && !o.terminated && !g.Net.Dead(o.IP) && slices.ContainsFunc(o.log, func(x Entry) bool { return x.Term == e.Term && x.Number == e.Number })
 		}
 		isPrimary := m.primary && m.term == e.Term
-		if replicated && isPrimary && !g.Net.Dead(m.IP) {
+		if replicated && isPrimary && !g.Net.Dead(m.IP) && (g.mayAcknowledge == nil || g.mayAcknowledge(e.Term)) {
 			g.acknowledged = append(g.acknowledged, e)
 		}
 		g.mutex.Unlock()
