elector: a primary that refuses the owner's connections is demoted through others

A primary whose host refused the owner's connections counted as crashed and was never asked through the pool or other instances, although a cut between the two can refuse connections while others reach the primary. It was replaced without being demoted: with leases nothing is lost, but callers wait for these to expire, and commits in flight are answered as unknown. It is asked like a silent one now, and demoted first if it leads.

--- a/internal/elector/pooled.go
+++ b/internal/elector/pooled.go
@@ -37,11 +37,11 @@
 }
 
 // pollPooled starts to request the primary's status through the pool if it hasn't responded otherwise,
-// and returns a function that waits for the response and applies it. A host that refuses connections
-// runs no primary that others could reach.
+// and returns a function that waits for the response and applies it. A primary that refuses this
+// instance's connections may accept those of others.
 func (sv *Supervisor) pollPooled(ctx context.Context) (apply func()) {
 	p := sv.members[sv.primary]
-	if sv.SendPooled == nil || p == nil || p.FailedSince == 0 || p.Refused {
+	if sv.SendPooled == nil || p == nil || p.FailedSince == 0 {
 		return func() {}
 	}
 	type result struct {
@@ -66,8 +66,7 @@
 	}
 }
 
-// leads reports whether a member has responded as the primary, and whether only through the pool. What
-// was received there doesn't count once its host refuses connections: the process has ended.
+// leads reports whether a member has responded as the primary, and whether only through the pool.
 func (sv *Supervisor) leads(m *memberState) (leads, pooledOnly bool) {
 	switch {
 	case m == nil:
@@ -75,7 +74,7 @@
 	case m.Answered:
 		return m.Status.Primary, false
 	}
-	fresh := !m.Refused && m.pooledAt != 0 && sv.Clock()-m.pooledAt < pooledStatusMaxAge
+	fresh := m.pooledAt != 0 && sv.Clock()-m.pooledAt < pooledStatusMaxAge
 	return fresh && m.pooledStatus.Primary, true
 }
 
