elector: an order for a member that has restarted is fenced off at once

A promotion order that got no answer may be executed when the member that it names has restarted with an empty log. It was fenced off only once a primary led, and while none did each change ended because the member's former incarnation can't be reached: the empty member led, and everything that had been acknowledged was gone (491 to 500 commits in the test). The order is now fenced off as soon as the restart is seen, by an order for the last known primary under a new token, whoever leads. The state records the start time of the ordered member, so that the next owner sees the restart as well.

The four cases "ordered member restarts" of TestPendingOrderBesideSilentPrimary failed before, also with leases, and pass.

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -129,6 +129,8 @@
 		// that the last one named, "" if unknown.
 		PromotionPending bool
 		Ordered          string
+		// OrderedStartTime is the start time of that member when it was ordered, 0 if unknown.
+		OrderedStartTime int64
 		// Leader is the last known primary.
 		Leader Leadership
 		// LeasesSuspended is set while no instance may have a commit lease.
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -386,7 +386,7 @@
 
 // sendPromotion sends the promotion order.
 func (sv *Supervisor) sendPromotion(ctx context.Context, c *primaryChange) error {
-	sv.promotionOrderedAt, sv.promotionPending, sv.orderedMember = sv.Clock(), true, c.candidate.ID
+	sv.promotionOrderedAt, sv.promotionPending, sv.orderedMember, sv.orderedStartTime = sv.Clock(), true, c.candidate.ID, c.candidate.StartTime
 	err := sv.Promote(ctx, sv.Group.Name, c.candidate.ID, c.fencingToken)
 	sv.Log("event", "promotion-ordered", "group", sv.Group.Name, "member", c.candidate.ID, "term", c.term, "fence", c.fencingToken, "outcome", outcomeText(err),
 		"position", c.candidate.Status.Received, "furthest", sv.furthestKnown(), "registry-age-ms", (sv.promotionOrderedAt - sv.registryConfirmedAt).Milliseconds())
@@ -452,16 +452,23 @@
 	sv.allowLeases(c.candidate.Status.Term)
 }
 
+// orderedRestarted reports whether the member that a pending order names has restarted since. It would
+// lead with an empty log.
+func (sv *Supervisor) orderedRestarted() bool {
+	m := sv.members[sv.orderedMember]
+	return sv.promotionPending && m != nil && sv.orderedStartTime != 0 && m.StartTime != 0 && m.StartTime != sv.orderedStartTime
+}
+
 // fencePendingPromotion prevents late execution of an earlier promotion order, by naming the
 // current primary under a new fencing token. The token takes effect even if the platform
 // refuses the order. Otherwise the earlier order could be executed seconds later, when the replicas
 // have continued without the member that it names.
 func (sv *Supervisor) fencePendingPromotion(ctx context.Context) {
 	p := sv.members[sv.primary]
-	if leads, _ := sv.leads(p); !leads || !sv.Holds(minRemainingLease) {
+	if leads, _ := sv.leads(p); p == nil || !leads && !sv.orderedRestarted() || !sv.Holds(minRemainingLease) {
 		return
 	}
-	token, err := sv.NextFencingToken(ctx, sv.stateWithOrder(sv.orderedMember))
+	token, err := sv.NextFencingToken(ctx, sv.stateToRecord())
 	if err != nil {
 		sv.Log("event", "order-not-closed", "group", sv.Group.Name, "cause", err)
 		return
--- a/internal/elector/record.go
+++ b/internal/elector/record.go
@@ -26,6 +26,7 @@
 		// PromotionPending is nil in a value that is not the state of a group.
 		PromotionPending *bool  `json:"order-open"`
 		Ordered          string `json:"ordered,omitempty"`
+		OrderedStartTime int64  `json:"ordered-born,omitempty"`
 		Leader           string `json:"leader"`
 		LeaderStartTime  int64  `json:"leader-born"`
 		Term             uint64 `json:"term"`
@@ -49,7 +50,7 @@
 
 func encodeState(s State) []byte {
 	return mustMarshal(stateRecord{
-		Members: s.Members, PromotionPending: &s.PromotionPending, Ordered: s.Ordered,
+		Members: s.Members, PromotionPending: &s.PromotionPending, Ordered: s.Ordered, OrderedStartTime: s.OrderedStartTime,
 		Leader: s.Leader.ID, LeaderStartTime: s.Leader.StartTime, Term: s.Leader.Term,
 		LeasesSuspended: s.LeasesSuspended, Candidates: s.Candidates,
 	})
@@ -94,7 +95,7 @@
 		return State{}, errNoState
 	}
 	return State{
-		Members: r.Members, PromotionPending: *r.PromotionPending, Ordered: r.Ordered,
+		Members: r.Members, PromotionPending: *r.PromotionPending, Ordered: r.Ordered, OrderedStartTime: r.OrderedStartTime,
 		Leader:          Leadership{ID: r.Leader, StartTime: r.LeaderStartTime, Term: r.Term},
 		LeasesSuspended: r.LeasesSuspended, Candidates: r.Candidates,
 	}, nil
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -107,6 +107,8 @@
 		// the member that the last one named.
 		promotionPending bool
 		orderedMember    string
+		// orderedStartTime is the start time of orderedMember when it was ordered, 0 if unknown.
+		orderedStartTime int64
 		// rebalanceInterval is the minimum time between changes made only to balance load,
 		// rebalancedAt the time of the last one.
 		rebalanceInterval time.Duration
@@ -160,7 +162,7 @@
 func (sv *Supervisor) adoptState() {
 	recorded := sv.State()
 	if recorded.PromotionPending && !sv.promotionPending {
-		sv.promotionPending, sv.orderedMember = true, recorded.Ordered
+		sv.promotionPending, sv.orderedMember, sv.orderedStartTime = true, recorded.Ordered, recorded.OrderedStartTime
 	}
 	if recorded.Leader.Term > sv.lastLeader.Term {
 		sv.lastLeader = recorded.Leader
@@ -202,7 +204,7 @@
 	if !sv.confirmState(ctx, d) {
 		return
 	}
-	if sv.fenceBeforeChange(ctx, d) {
+	if sv.fenceBeforeChange(ctx, d) || sv.fenceRestarted(ctx) {
 		return
 	}
 	if d.Reason != ReasonNone && d.Reason != ReasonReplicationStalled && v.Now-sv.fencedAt < fencingDelay {
@@ -228,6 +230,8 @@
 		sv.Log("event", "move-ended", "group", sv.Group.Name, "reason", d.Reason, "from", v.Primary, "to", to,
 			"outcome", outcomeText(err), "ms", (sv.Clock() - start).Milliseconds())
 		if err != nil {
+			sv.refreshMembers()
+			sv.fenceRestarted(ctx)
 			_ = sleeper.Sleep(ctx, retryDelay)
 		}
 		return
@@ -255,6 +259,16 @@
 	return true
 }
 
+// fenceRestarted fences off an earlier promotion order whose member has restarted, and reports whether
+// that was due. It doesn't wait for a primary that leads.
+func (sv *Supervisor) fenceRestarted(ctx context.Context) bool {
+	if !sv.orderedRestarted() {
+		return false
+	}
+	sv.fencePendingPromotion(ctx)
+	return true
+}
+
 // findFollower looks for a replica that the watch of the store has not shown yet, while none of the
 // known ones follows the primary. A change would only interrupt reads: no known replica can be
 // promoted, as it lacks commits that an unknown one may have acknowledged.
@@ -295,7 +309,9 @@
 // stateToRecord returns the state for the next owner.
 func (sv *Supervisor) stateToRecord() State {
 	if sv.promotionPending {
-		return sv.stateWithOrder(sv.orderedMember)
+		s := sv.stateWithOrder(sv.orderedMember)
+		s.OrderedStartTime = sv.orderedStartTime
+		return s
 	}
 	return State{Members: sv.memberAddresses(), Leader: sv.lastLeader, LeasesSuspended: !sv.leasesAllowed, Candidates: sv.Candidates()}
 }
@@ -303,14 +319,22 @@
 // stateWithOrder returns the state for the next owner while an order that names a member is pending.
 func (sv *Supervisor) stateWithOrder(member string) State {
 	return State{
-		Members: sv.memberAddresses(), PromotionPending: true, Ordered: member, Leader: sv.lastLeader,
+		Members: sv.memberAddresses(), PromotionPending: true, Ordered: member, OrderedStartTime: sv.startTimeOf(member), Leader: sv.lastLeader,
 		LeasesSuspended: !sv.leasesAllowed, Candidates: sv.Candidates(),
 	}
 }
 
+// startTimeOf returns the start time of a member, 0 if it is unknown.
+func (sv *Supervisor) startTimeOf(id string) int64 {
+	if m := sv.members[id]; m != nil {
+		return m.StartTime
+	}
+	return 0
+}
+
 // equal reports whether two states are the same.
 func (s State) equal(o State) bool {
-	return maps.Equal(s.Members, o.Members) && s.PromotionPending == o.PromotionPending && s.Ordered == o.Ordered && s.Leader == o.Leader &&
+	return maps.Equal(s.Members, o.Members) && s.PromotionPending == o.PromotionPending && s.Ordered == o.Ordered && s.OrderedStartTime == o.OrderedStartTime && s.Leader == o.Leader &&
 		s.LeasesSuspended == o.LeasesSuspended && slices.Equal(s.Candidates, o.Candidates)
 }
 
