--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -69,27 +69,27 @@
 	})
 }
 
-// confirm returns the result of a confirmation within a time, and how long it took.
-func confirm(t *testing.T, l *leaser.Leaser, term uint64, within time.Duration) (error, time.Duration) {
+// confirm returns how long a confirmation within a time took, and its result.
+func confirm(t *testing.T, l *leaser.Leaser, term uint64, within time.Duration) (took time.Duration, err error) {
 	t.Helper()
 	start := time.Now()
-	err := l.Confirm(t.Context(), term, start.Add(within))
-	return err, time.Since(start)
+	err = l.Confirm(t.Context(), term, start.Add(within))
+	return time.Since(start), err
 }
 
 // Guards against acknowledging a commit after the lease under which it was written has ended, when
 // no other is granted.
 func TestNoAcknowledgementAfterExpiry(t *testing.T) {
 	run(t, func(t *testing.T, l *leaser.Leaser, s *source) {
-		err, _ := confirm(t, l, 1, time.Second)
+		_, err := confirm(t, l, 1, time.Second)
 		must.NoError(t, err)
 		s.set(1, errCutOff)
 		time.Sleep(ttl - 10*time.Millisecond)
-		err, took := confirm(t, l, 1, time.Second)
+		took, err := confirm(t, l, 1, time.Second)
 		must.NoError(t, err)
 		must.Eq(t, 0, took)
 		time.Sleep(10 * time.Millisecond)
-		err, took = confirm(t, l, 1, time.Second)
+		took, err = confirm(t, l, 1, time.Second)
 		must.ErrorIs(t, err, leaser.ErrNoLease)
 		must.Eq(t, time.Second, took)
 	})
@@ -100,7 +100,7 @@
 	run(t, func(t *testing.T, l *leaser.Leaser, s *source) {
 		s.set(1, errCutOff)
 		time.AfterFunc(700*time.Millisecond, func() { s.set(1, nil) })
-		err, took := confirm(t, l, 1, 2*time.Second)
+		took, err := confirm(t, l, 1, 2*time.Second)
 		must.NoError(t, err)
 		must.Between(t, 700*time.Millisecond, took, 850*time.Millisecond)
 	})
@@ -112,35 +112,35 @@
 	t.Run("earlier term", func(t *testing.T) {
 		run(t, func(t *testing.T, l *leaser.Leaser, s *source) {
 			s.set(2, nil)
-			err, took := confirm(t, l, 1, time.Second)
+			took, err := confirm(t, l, 1, time.Second)
 			must.ErrorIs(t, err, leaser.ErrSuperseded)
 			must.Less(t, 50*time.Millisecond, took)
 		})
 	})
 	t.Run("later term", func(t *testing.T) {
 		run(t, func(t *testing.T, l *leaser.Leaser, s *source) {
-			err, _ := confirm(t, l, 1, time.Second)
+			_, err := confirm(t, l, 1, time.Second)
 			must.NoError(t, err)
 			time.AfterFunc(300*time.Millisecond, func() { s.set(2, nil) })
-			err, took := confirm(t, l, 2, time.Second)
+			took, err := confirm(t, l, 2, time.Second)
 			must.NoError(t, err)
 			must.Between(t, 300*time.Millisecond, took, 450*time.Millisecond)
 		})
 	})
 	t.Run("term unknown", func(t *testing.T) {
 		run(t, func(t *testing.T, l *leaser.Leaser, _ *source) {
-			err, _ := confirm(t, l, 0, time.Second)
+			_, err := confirm(t, l, 0, time.Second)
 			must.NoError(t, err)
 		})
 	})
 	t.Run("stale grant", func(t *testing.T) {
 		run(t, func(t *testing.T, l *leaser.Leaser, s *source) {
 			s.set(3, nil)
-			err, _ := confirm(t, l, 3, time.Second)
+			_, err := confirm(t, l, 3, time.Second)
 			must.NoError(t, err)
 			s.set(2, nil)
 			time.Sleep(ttl)
-			err, _ = confirm(t, l, 3, time.Second)
+			_, err = confirm(t, l, 3, time.Second)
 			must.ErrorIs(t, err, leaser.ErrNoLease)
 		})
 	})
@@ -177,7 +177,7 @@
 // Guards against renewing without a pause while the owner doesn't know the term of a commit.
 func TestRenewalsPauseForUnknownTerm(t *testing.T) {
 	run(t, func(t *testing.T, l *leaser.Leaser, s *source) {
-		err, _ := confirm(t, l, 7, time.Second)
+		_, err := confirm(t, l, 7, time.Second)
 		must.ErrorIs(t, err, leaser.ErrNoLease)
 		must.LessEq(t, 12, s.count())
 	})
