elector, leaser: leases end with every way in which another member may lead

- A candidate that had owned the group, ordered a promotion and ended replied that it doesn't own the group, so that its predecessor, cut off from the store, granted leases again (TestLapsedOwnerAfterSuccessor).
The reply names the last owner; only one that names the asking process counts.
- The order that fences off one for a restarted member named what the registry had last shown as primary and could promote it (TestFenceRestartedNamesEarlierPrimary).
Unless it leads, it has to be the latest known primary.
- Candidates that were meant to be recorded counted as recorded (TestCandidatesNotRecorded).
- A process that was frozen counted the time for which it grants leases from when it woke (TestLapsedOwnerFrozen).
- A commit whose term isn't known was confirmed under any lease (TestLeaseIsForOneTerm, "term unknown", which asked for that, now asks for an error).

--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -68,8 +68,8 @@
 		AcquireRank func(group, last string) int
 		// StoreReachable, when set, reports whether the store responds.
 		StoreReachable func() bool
-		// DeniedAt, when set, returns when an instance was last asked whether it owns a group and replied
-		// that it doesn't, or wasn't running.
+		// DeniedAt, when set, returns when an instance was last asked who owns a group, and replied that it
+		// knows of no later owner than this process.
 		DeniedAt func(instance, group string) tracker.Timestamp
 		// Supervise supervises a group until the context ends.
 		Supervise func(ctx context.Context, group string, d *Ownership) error
@@ -397,7 +397,8 @@
 
 // lose ends the ownership of a group; the mutex is held.
 func (e *Elector) lose(key string, o *groupOwnership, reason string) {
-	o.held, o.acquireAt, o.leases.lapsedAt = false, 0, e.Clock()
+	// A process that was frozen notices late.
+	o.held, o.acquireAt, o.leases.lapsedAt = false, 0, min(e.Clock(), e.leaseExpiry)
 	e.owned--
 	o.cancel()
 	e.Log("event", "duty-lost", "duty", key, "why", reason, "fence", o.record.Revision)
--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -20,7 +20,7 @@
 	CommitLeaseTTL = 500 * time.Millisecond
 	// commitLeaseMargin is left after a lease's end for acknowledgements that are being sent.
 	commitLeaseMargin = 100 * time.Millisecond
-	// denialMaxAge is how long a candidate's reply that it doesn't own a group is used.
+	// denialMaxAge is how long a candidate's reply that it knows of no later owner is used.
 	denialMaxAge = 600 * time.Millisecond
 	// lapsedLeaseLimit is how long an instance that lost a group because the store didn't respond grants
 	// leases for it, as long as no candidate owns it. An instance that isn't among the candidates waits
@@ -49,8 +49,9 @@
 	Refusal LeaseRefusal
 	// Term is that of the primary, if the lease is granted.
 	Term uint64
-	// Owned is set if the instance owns the group as far as it knows.
-	Owned bool
+	// Owner is the name of the process that owns the group or was the last to own it, as far as the
+	// instance knows; "" if it doesn't know any.
+	Owner string
 }
 
 // leaseGrants is what an instance has granted for a group.
@@ -74,18 +75,22 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	o, ok := e.ownerships[group]
-	if !ok || !o.held && o.leases.lapsedAt == 0 {
+	if !ok {
 		return LeaseReply{Refusal: LeaseNotOwner}
 	}
+	r := LeaseReply{Owner: ownershipOrEmpty(o.record.Value).Owner}
 	now := e.Clock()
 	switch {
+	case !o.held && o.leases.lapsedAt == 0:
+		r.Refusal = LeaseNotOwner
 	case !e.certain(o, now) && !e.unclaimed(group, o, now):
-		return LeaseReply{Refusal: LeaseUncertain, Owned: o.held}
+		r.Refusal = LeaseUncertain
 	case o.leases.term == 0:
-		return LeaseReply{Refusal: LeasePrimarySuspected, Owned: o.held}
+		r.Refusal = LeasePrimarySuspected
+	default:
+		r.Term, o.leases.grantedAt = o.leases.term, now
 	}
-	o.leases.grantedAt = now
-	return LeaseReply{Term: o.leases.term, Owned: o.held}
+	return r
 }
 
 // certain reports whether the group is certain to be owned until a lease that is granted now has
@@ -94,11 +99,15 @@
 	return o.held && now+CommitLeaseTTL+leaseSafetyMargin < e.leaseExpiry
 }
 
-// unclaimed reports whether every candidate has recently replied that it doesn't own the group. The
-// group then has no other owner that replaces a primary without demoting it, since a new owner waits
-// until the leases of its predecessor have expired. The mutex is held.
+// unclaimed reports whether every candidate has recently replied that it knows of no later owner. The
+// group then has none that replaces a primary without demoting it, since a new owner waits until the
+// leases of its predecessor have expired. The mutex is held.
 func (e *Elector) unclaimed(group string, o *groupOwnership, now tracker.Timestamp) bool {
-	if e.DeniedAt == nil || len(o.leases.candidates) == 0 || !o.held && now-o.leases.lapsedAt > lapsedLeaseLimit {
+	lapsedAt := o.leases.lapsedAt
+	if o.held {
+		lapsedAt = e.leaseExpiry
+	}
+	if e.DeniedAt == nil || len(o.leases.candidates) == 0 || now-lapsedAt > lapsedLeaseLimit {
 		return false
 	}
 	for _, name := range o.leases.candidates {
--- a/internal/elector/lease_expiry.go
+++ b/internal/elector/lease_expiry.go
@@ -19,16 +19,24 @@
 	maxLeaseWait = 1200 * time.Millisecond
 )
 
-// updateLeases allows leases while the primary responds, and suspends them otherwise. They are also
-// suspended while an order for another member may still be executed: that member would lack what is
-// acknowledged meanwhile.
+// otherMayLead reports whether an order for another member than the primary may still be executed, or may
+// take effect although it was fenced off or superseded. That member would lack what is acknowledged
+// meanwhile.
+func (sv *Supervisor) otherMayLead() bool {
+	now := sv.Clock()
+	pending := sv.promotionPending || sv.fencedAt != 0 && now-sv.fencedAt < fencingDelay
+	return pending && sv.orderedMember != sv.primary || sv.supersededAt != 0 && now-sv.supersededAt < fencingDelay
+}
+
+// updateLeases allows leases while the primary responds and no other member may lead, and suspends them
+// otherwise.
 func (sv *Supervisor) updateLeases(ctx context.Context) {
 	p := sv.members[sv.primary]
 	leads, pooled := sv.leads(p)
 	switch {
 	case !leads:
 		sv.suspendLeases(ctx)
-	case !sv.stateConfirmed || sv.promotionPending && sv.orderedMember != sv.primary:
+	case !sv.stateConfirmed || sv.otherMayLead():
 		sv.stopLeases()
 	case pooled:
 		sv.allowLeases(p.pooledStatus.Term)
--- a/internal/elector/lease_test.go
+++ b/internal/elector/lease_test.go
@@ -164,7 +164,7 @@
 			o.deny("b")
 			o.deny("c")
 			mustGrant(t, o, 4)
-			must.False(t, o.GrantLease("g").Owned)
+			must.Eq(t, "a-1", o.GrantLease("g").Owner)
 			time.Sleep(time.Second)
 			mustRefuse(t, o, elector.LeaseUncertain)
 		})
--- a/internal/elector/ownership.go
+++ b/internal/elector/ownership.go
@@ -82,8 +82,11 @@
 	record, state, lease := g.record, g.state, e.lease
 	g.resolveListed(e.Instance)
 	g.leases.listedKnown = true
-	// Without a response it isn't known whether the store holds the new candidates or the old ones.
-	g.leases.candidates = union(g.leases.candidates, s.Candidates)
+	// Without a response it isn't known whether the store holds the new candidates or the old ones. If the
+	// old state names none, any instance may count itself as one.
+	if len(g.leases.candidates) > 0 {
+		g.leases.candidates = union(g.leases.candidates, s.Candidates)
+	}
 	e.mutex.Unlock()
 	record.Value, state.Value = e.encodeOwnership(lease), encodeState(s)
 	now, ok, err := e.Store.Commit(ctx, []storer.Swap{{Pair: record, Lease: lease}, {Pair: state}})
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -386,6 +386,9 @@
 
 // sendPromotion sends the promotion order.
 func (sv *Supervisor) sendPromotion(ctx context.Context, c *primaryChange) error {
+	if sv.promotionPending && sv.orderedMember != c.candidate.ID {
+		sv.supersededAt = sv.Clock()
+	}
 	sv.promotionOrderedAt, sv.promotionPending, sv.orderedMember, sv.orderedStartTime = sv.Clock(), true, c.candidate.ID, c.candidate.StartTime
 	err := sv.Promote(ctx, sv.Group.Name, c.candidate.ID, c.fencingToken)
 	sv.Log("event", "promotion-ordered", "group", sv.Group.Name, "member", c.candidate.ID, "term", c.term, "fence", c.fencingToken, "outcome", outcomeText(err),
@@ -449,7 +452,9 @@
 		m.StalledSince = 0
 	}
 	sv.promotionPending = c.unanswered
-	sv.allowLeases(c.candidate.Status.Term)
+	if !sv.otherMayLead() {
+		sv.allowLeases(c.candidate.Status.Term)
+	}
 }
 
 // orderedRestarted reports whether the member that a pending order names has restarted since. It would
@@ -465,7 +470,12 @@
 // have continued without the member that it names.
 func (sv *Supervisor) fencePendingPromotion(ctx context.Context) {
 	p := sv.members[sv.primary]
-	if leads, _ := sv.leads(p); p == nil || !leads && !sv.orderedRestarted() || !sv.Holds(minRemainingLease) {
+	if p == nil || !sv.Holds(minRemainingLease) {
+		return
+	}
+	// An order for a member that isn't the latest primary would promote it.
+	leads, _ := sv.leads(p)
+	if !leads && (!sv.orderedRestarted() || p.ID != sv.lastLeader.ID || p.StartTime != sv.lastLeader.StartTime) {
 		return
 	}
 	token, err := sv.NextFencingToken(ctx, sv.stateToRecord())
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -109,6 +109,8 @@
 		orderedMember    string
 		// orderedStartTime is the start time of orderedMember when it was ordered, 0 if unknown.
 		orderedStartTime int64
+		// supersededAt is when an order was last sent while one for another member was pending.
+		supersededAt tracker.Timestamp
 		// rebalanceInterval is the minimum time between changes made only to balance load,
 		// rebalancedAt the time of the last one.
 		rebalanceInterval time.Duration
--- a/internal/exchanger/leases.go
+++ b/internal/exchanger/leases.go
@@ -52,8 +52,9 @@
 	// Term is the group's term that the lease is for.
 	Term    uint64
 	Refusal LeaseRefusal
-	// Owned is set if the replying instance owns the group as far as it knows.
-	Owned bool
+	// Owner is the name of the process that owns the group or was the last to own it, as far as the
+	// replying instance knows; "" if it knows none.
+	Owner string
 }
 
 // RequestLeases requests leases of at most MaxLeaseGroups groups from their owner. Their validity
@@ -96,7 +97,7 @@
 
 // toLease rounds the validity down: a lease must not last longer for its holder than for its owner.
 func toLease(l GroupLease) *wire.CommitLease {
-	w := &wire.CommitLease{Group: l.Group, Term: l.Term, Owned: l.Owned}
+	w := &wire.CommitLease{Group: l.Group, Term: l.Term, Owner: l.Owner}
 	switch l.Refusal {
 	case LeaseGranted:
 		w.ValidMs = uint32(min(max(0, l.Valid.Milliseconds()), math.MaxUint32))
@@ -111,7 +112,7 @@
 }
 
 func fromLease(w *wire.CommitLease) GroupLease {
-	l := GroupLease{Group: w.Group, Term: w.Term, Owned: w.Owned}
+	l := GroupLease{Group: w.Group, Term: w.Term, Owner: w.Owner}
 	switch w.Refusal {
 	case wire.LeaseRefusal_LEASE_GRANTED:
 		l.Valid = min(time.Duration(w.ValidMs)*time.Millisecond, maxLeaseValid)
--- a/internal/exchanger/leases_test.go
+++ b/internal/exchanger/leases_test.go
@@ -116,10 +116,10 @@
 // than for the owner would let commits be acknowledged after the primary is replaced.
 func TestLeasesArriveUnchanged(t *testing.T) {
 	for _, l := range []exchanger.GroupLease{
-		{Group: "g", Valid: 1500 * time.Millisecond, Term: 7, Owned: true},
+		{Group: "g", Valid: 1500 * time.Millisecond, Term: 7, Owner: "x-1"},
 		{Group: "g", Term: 7},
 		{Group: "g", Refusal: exchanger.LeaseNotOwner},
-		{Group: "g", Term: 1 << 63, Refusal: exchanger.LeaseUncertain, Owned: true},
+		{Group: "g", Term: 1 << 63, Refusal: exchanger.LeaseUncertain, Owner: "x-1"},
 		{Group: "g", Term: 7, Refusal: exchanger.LeasePrimarySuspected},
 	} {
 		t.Run(fmt.Sprint(l.Refusal, " ", l.Valid), func(t *testing.T) { mustReceive(t, granter(l), l) })
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -122,7 +122,7 @@
 		watcher  *watcher.Watcher
 		registry *registryReader
 		peers    *peerServices
-		// denials are the replies of other instances that they don't own groups.
+		// denials are the replies of other instances that they know of no later owner of groups.
 		denials denials
 	}
 )
--- a/internal/launcher/leases.go
+++ b/internal/launcher/leases.go
@@ -38,13 +38,13 @@
 	errPrimarySuspect = errors.New("primary may be about to be replaced")
 )
 
-// denials are the replies of instances that they don't own groups.
+// denials are the replies of instances that they know of no later owner of groups than this process.
 type denials struct {
 	mutex sync.Mutex
 	at    map[string]map[string]tracker.Timestamp
 }
 
-// record records that an instance denied at a time to own a group.
+// record records that an instance, asked at a time, knew of no later owner of a group.
 func (d *denials) record(instance, group string, at tracker.Timestamp) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -174,7 +174,7 @@
 	replies := make([]exchanger.GroupLease, 0, len(groups))
 	for _, g := range groups {
 		r := i.elector.GrantLease(g)
-		reply := exchanger.GroupLease{Group: g, Term: r.Term, Owned: r.Owned}
+		reply := exchanger.GroupLease{Group: g, Term: r.Term, Owner: r.Owner}
 		switch r.Refusal {
 		case elector.LeaseGranted:
 			reply.Valid = elector.CommitLeaseTTL
@@ -238,8 +238,8 @@
 	return names
 }
 
-// confirmUnclaimed asks the candidates of the groups that this instance may have lost whether they own
-// them, until the context ends.
+// confirmUnclaimed asks the candidates of the groups that this instance may have lost who owns them, until
+// the context ends.
 func (i *Instance) confirmUnclaimed(ctx context.Context) error {
 	for {
 		groups := i.elector.UncertainGroups()
@@ -254,7 +254,7 @@
 	}
 }
 
-// askCandidates asks the candidates of groups whether they own them.
+// askCandidates asks the candidates of groups who owns these.
 func (i *Instance) askCandidates(ctx context.Context, groups map[string][]string) {
 	questions := map[string][]string{}
 	for group, candidates := range groups {
@@ -275,8 +275,8 @@
 	requests.Wait()
 }
 
-// askCandidate asks an instance whether it owns groups. A refused connection isn't a denial, since the
-// instance may be cut off from this one only.
+// askCandidate asks an instance who owns groups. A refused connection isn't a denial, since the instance
+// may be cut off from this one only.
 func (i *Instance) askCandidate(ctx context.Context, name, address string, groups []string) {
 	askedAt := i.Clock()
 	replies, err := i.peers.exchanger.RequestLeases(ctx, address, groups)
@@ -284,7 +284,7 @@
 		return
 	}
 	for _, r := range replies {
-		if !r.Owned {
+		if r.Owner == i.elector.Name {
 			i.denials.record(name, r.Group, askedAt)
 		}
 	}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -28,6 +28,8 @@
 	// ErrSuperseded means that the commit is of an earlier term than the group's present one. It may
 	// have been rolled back.
 	ErrSuperseded = errors.New("the commit is of an earlier term")
+	// ErrUnknownTerm means that the member hasn't reported the commit's term.
+	ErrUnknownTerm = errors.New("the term of the commit is unknown")
 	// errEarlierTerm rejects a lease that was granted by an instance which missed a change of the primary.
 	errEarlierTerm = errors.New("lease for an earlier term")
 	// ErrNoLease means that no lease was obtained in time.
@@ -115,8 +117,8 @@
 	return err
 }
 
-// Confirm waits until a commit of a term may be acknowledged. A term of 0 is unknown and counts as the
-// lease's. It returns ErrSuperseded if another term has begun, and ErrNoLease at the deadline.
+// Confirm waits until a commit of a term may be acknowledged. It returns ErrSuperseded if another term has
+// begun, ErrNoLease at the deadline, and ErrUnknownTerm if the term is 0.
 func (l *Leaser) Confirm(ctx context.Context, term uint64, deadline time.Time) error {
 	var timeout <-chan time.Time
 	for {
@@ -145,10 +147,13 @@
 func (l *Leaser) check(term uint64) (ok bool, changed <-chan struct{}, err error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if term != 0 && term < l.lease.Term {
+	if term == 0 {
+		return false, nil, ErrUnknownTerm
+	}
+	if term < l.lease.Term {
 		return false, nil, ErrSuperseded
 	}
-	if l.Clock() < l.lease.ExpiresAt && (term == 0 || term == l.lease.Term) {
+	if l.Clock() < l.lease.ExpiresAt && term == l.lease.Term {
 		return true, nil, nil
 	}
 	l.wantedTerm = max(l.wantedTerm, term)
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -130,7 +130,7 @@
 	t.Run("term unknown", func(t *testing.T) {
 		run(t, func(t *testing.T, l *leaser.Leaser, _ *source) {
 			_, err := confirm(t, l, 0, time.Second)
-			must.NoError(t, err)
+			must.ErrorIs(t, err, leaser.ErrUnknownTerm)
 		})
 	})
 	t.Run("stale grant", func(t *testing.T) {
