elector: a member that restarted while no owner looked isn't taken for the recorded one

The state records the start times of the members whose logs count, and a member that shows with another one counts as a new member beside its former incarnation.

--- a/internal/elector/departed.go
+++ b/internal/elector/departed.go
@@ -72,6 +72,7 @@
 	sv.Log("event", "member-counted-out", "group", sv.Group.Name, "member", id, "covered-by", by, "position", sv.positionOf(by))
 	sv.excluded[id] = true
 	delete(sv.formerIncarnations, id)
+	delete(sv.startTimes, id)
 }
 
 // positionOf returns a member's last known log position.
@@ -82,6 +83,17 @@
 	return orderer.Position{}
 }
 
+// countedStartTimes returns the start times of the members whose logs count, as far as they are known.
+func (sv *Supervisor) countedStartTimes() map[string]int64 {
+	times := map[string]int64{}
+	for id := range sv.memberAddresses() {
+		if t := sv.startTimes[id]; t != 0 {
+			times[id] = t
+		}
+	}
+	return times
+}
+
 // handleRestart treats a restarted member as new. Its former incarnation counts as a missing
 // member until a replica is known to hold everything it may have acknowledged; a former
 // primary's commits are on a replica already.
@@ -133,5 +145,5 @@
 
 // missingMember represents a recorded member that is not registered.
 func (sv *Supervisor) missingMember(id, address string) tracker.Member {
-	return tracker.Member{ID: id, Group: sv.Group.Name, Address: address, Leaving: true, Missing: true}
+	return tracker.Member{ID: id, Group: sv.Group.Name, Address: address, StartTime: sv.startTimes[id], Leaving: true, Missing: true}
 }
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -125,6 +125,9 @@
 	State struct {
 		// Members maps each member whose log may hold acknowledged commits to its address.
 		Members map[string]string
+		// StartTimes are the start times of these members, as far as they are known. One that registers
+		// with another has lost the log that it had.
+		StartTimes map[string]int64
 		// PromotionPending is set while a promotion order may still be executed; Ordered is the member
 		// that the last one named, "" if unknown.
 		PromotionPending bool
--- a/internal/elector/record.go
+++ b/internal/elector/record.go
@@ -23,6 +23,8 @@
 	// stateRecord is the stored form of a group's State.
 	stateRecord struct {
 		Members map[string]string `json:"members"`
+		// StartTimes is absent in the states of earlier versions.
+		StartTimes map[string]int64 `json:"born,omitempty"`
 		// PromotionPending is nil in a value that is not the state of a group.
 		PromotionPending *bool  `json:"order-open"`
 		Ordered          string `json:"ordered,omitempty"`
@@ -50,7 +52,7 @@
 
 func encodeState(s State) []byte {
 	return mustMarshal(stateRecord{
-		Members: s.Members, PromotionPending: &s.PromotionPending, Ordered: s.Ordered, OrderedStartTime: s.OrderedStartTime,
+		Members: s.Members, StartTimes: s.StartTimes, PromotionPending: &s.PromotionPending, Ordered: s.Ordered, OrderedStartTime: s.OrderedStartTime,
 		Leader: s.Leader.ID, LeaderStartTime: s.Leader.StartTime, Term: s.Leader.Term,
 		LeasesSuspended: s.LeasesSuspended, Candidates: s.Candidates,
 	})
@@ -95,7 +97,7 @@
 		return State{}, errNoState
 	}
 	return State{
-		Members: r.Members, PromotionPending: *r.PromotionPending, Ordered: r.Ordered, OrderedStartTime: r.OrderedStartTime,
+		Members: r.Members, StartTimes: r.StartTimes, PromotionPending: *r.PromotionPending, Ordered: r.Ordered, OrderedStartTime: r.OrderedStartTime,
 		Leader:          Leadership{ID: r.Leader, StartTime: r.LeaderStartTime, Term: r.Term},
 		LeasesSuspended: r.LeasesSuspended, Candidates: r.Candidates,
 	}, nil
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -93,6 +93,9 @@
 		// formerIncarnations maps former incarnations that may hold the only copy of a commit to
 		// their addresses; see incarnationID.
 		formerIncarnations map[string]string
+		// startTimes are the last known start times of the members whose logs count, also of those that
+		// earlier owners knew.
+		startTimes map[string]int64
 		// registered are the registered members.
 		registered map[string]bool
 		// excluded are departed members whose commits are all held by others.
@@ -137,6 +140,7 @@
 func (sv *Supervisor) Run(ctx context.Context) error {
 	sv.members, sv.resumePendingUntil = map[string]*memberState{}, map[string]tracker.Timestamp{}
 	sv.announcedLeave, sv.excluded, sv.formerIncarnations = map[string]bool{}, map[string]bool{}, map[string]string{}
+	sv.startTimes = map[string]int64{}
 	sv.adoptState()
 	defer sv.closeConnections()
 	t := time.NewTicker(pollInterval)
@@ -169,6 +173,14 @@
 	if recorded.Leader.Term > sv.lastLeader.Term {
 		sv.lastLeader = recorded.Leader
 	}
+	for id, startTime := range recorded.StartTimes {
+		earlier := tracker.Member{ID: id, Address: recorded.Members[id], StartTime: startTime}
+		if m := sv.members[id]; m == nil {
+			sv.startTimes[id] = startTime
+		} else if m.RestartedSince(earlier) {
+			sv.handleRestart(&memberState{Observation: Observation{Member: earlier}})
+		}
+	}
 }
 
 // confirmState reports whether the state includes everything that earlier owners recorded. It reads
@@ -315,13 +327,13 @@
 		s.OrderedStartTime = sv.orderedStartTime
 		return s
 	}
-	return State{Members: sv.memberAddresses(), Leader: sv.lastLeader, LeasesSuspended: !sv.leasesAllowed, Candidates: sv.Candidates()}
+	return State{Members: sv.memberAddresses(), StartTimes: sv.countedStartTimes(), Leader: sv.lastLeader, LeasesSuspended: !sv.leasesAllowed, Candidates: sv.Candidates()}
 }
 
 // stateWithOrder returns the state for the next owner while an order that names a member is pending.
 func (sv *Supervisor) stateWithOrder(member string) State {
 	return State{
-		Members: sv.memberAddresses(), PromotionPending: true, Ordered: member, OrderedStartTime: sv.startTimeOf(member), Leader: sv.lastLeader,
+		Members: sv.memberAddresses(), StartTimes: sv.countedStartTimes(), PromotionPending: true, Ordered: member, OrderedStartTime: sv.startTimeOf(member), Leader: sv.lastLeader,
 		LeasesSuspended: !sv.leasesAllowed, Candidates: sv.Candidates(),
 	}
 }
@@ -336,7 +348,7 @@
 
 // equal reports whether two states are the same.
 func (s State) equal(o State) bool {
-	return maps.Equal(s.Members, o.Members) && s.PromotionPending == o.PromotionPending && s.Ordered == o.Ordered && s.OrderedStartTime == o.OrderedStartTime && s.Leader == o.Leader &&
+	return maps.Equal(s.Members, o.Members) && maps.Equal(s.StartTimes, o.StartTimes) && s.PromotionPending == o.PromotionPending && s.Ordered == o.Ordered && s.OrderedStartTime == o.OrderedStartTime && s.Leader == o.Leader &&
 		s.LeasesSuspended == o.LeasesSuspended && slices.Equal(s.Candidates, o.Candidates)
 }
 
@@ -399,6 +411,13 @@
 			sv.handleRestart(state)
 			state = nil
 		}
+		earlier := tracker.Member{ID: m.ID, Address: m.Address, StartTime: sv.startTimes[m.ID]}
+		if state == nil && earlier.StartTime != 0 && m.RestartedSince(earlier) {
+			sv.handleRestart(&memberState{Observation: Observation{Member: earlier}})
+		}
+		if m.StartTime != 0 {
+			sv.startTimes[m.ID] = m.StartTime
+		}
 		if state == nil {
 			state = &memberState{}
 			sv.members[m.ID] = state
