--- a/internal/launcher/partition_test.go
+++ b/internal/launcher/partition_test.go
@@ -197,7 +197,7 @@
 		} else {
 			p.net.Partition(a, b)
 		}
-	})
+	}, (*partition).assertChange)
 }
 
 // Guards against taking a primary for crashed because it refuses the owner's connections only: the owner
@@ -207,18 +207,21 @@
 		if a == oldPrimaryIP && b == ownerIP {
 			p.net.Refuse(a, b)
 		}
+	}, func(p *partition) {
+		p.assertChange()
+		must.StrContains(p.t, p.log.String(), "event=stepped-down group=g member=g-1 ")
 	})
 }
 
 // testRefusingPrimary has a replica join at several times after a cut.
-func testRefusingPrimary(t *testing.T, sever func(p *partition, a, b string)) {
+func testRefusingPrimary(t *testing.T, sever func(p *partition, a, b string), assertions func(p *partition)) {
 	t.Helper()
 	for after := 300 * time.Millisecond; after <= 1500*time.Millisecond; after += 200 * time.Millisecond {
 		t.Run(fmt.Sprint("joins-after-", after), func(t *testing.T) {
 			t.Parallel()
 			runPartition(t, func(p *partition) {
 				p.joinDuringCut(after, func(a, b string) { sever(p, a, b) })
-			}, (*partition).assertChange)
+			}, assertions)
 		})
 	}
 }
