elector: an order that fences off another one counts as one that may be executed late

The owner now keeps every member that an order of its own may yet make lead, and allows leases only while there is none but the primary; an answered order ends earlier ones, but for fencingDelay one that has been executed just before may take effect. A new owner that finds an order pending can't know which members its predecessor named, and waits for an answer to an order of its own.

--- a/internal/elector/lease_expiry.go
+++ b/internal/elector/lease_expiry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math"
 	"time"
 
 	"github.com/oriolegw/oriolegw/internal/sleeper"
@@ -17,15 +19,37 @@
 	// maxLeaseWait is the longest wait for the end of leases within a change. Longer ones are left to
 	// later rounds, which notice if the primary responds again.
 	maxLeaseWait = 1200 * time.Millisecond
+	// untilAnswered is the value in mayLeadUntil of a member whose order may be executed at any time.
+	untilAnswered = tracker.Timestamp(math.MaxInt64)
+	// unknownMember stands in mayLeadUntil for the members that orders of earlier owners may name.
+	unknownMember = ""
 )
 
-// otherMayLead reports whether an order for another member than the primary may still be executed, or may
-// take effect although it was fenced off or superseded. That member would lack what is acknowledged
-// meanwhile.
+// orderSent records that an order names a member. It may be executed until a later one is answered.
+func (sv *Supervisor) orderSent(member string) { sv.mayLeadUntil[member] = untilAnswered }
+
+// orderAnswered records that the latest order has been answered. Earlier ones are not executed any more, but
+// may have been executed shortly before and not have taken effect yet.
+func (sv *Supervisor) orderAnswered() {
+	now := sv.Clock()
+	for id, until := range sv.mayLeadUntil {
+		if until == untilAnswered {
+			sv.mayLeadUntil[id] = now + fencingDelay
+		}
+	}
+}
+
+// otherMayLead reports whether an order may yet make another member than the primary lead. That member
+// would lack what is acknowledged meanwhile.
 func (sv *Supervisor) otherMayLead() bool {
 	now := sv.Clock()
-	pending := sv.promotionPending || sv.fencedAt != 0 && now-sv.fencedAt < fencingDelay
-	return pending && sv.orderedMember != sv.primary || sv.supersededAt != 0 && now-sv.supersededAt < fencingDelay
+	maps.DeleteFunc(sv.mayLeadUntil, func(_ string, until tracker.Timestamp) bool { return now >= until })
+	for id := range sv.mayLeadUntil {
+		if id != sv.primary {
+			return true
+		}
+	}
+	return false
 }
 
 // updateLeases allows leases while the primary responds and no other member may lead, and suspends them
--- a/internal/elector/primary_change.go
+++ b/internal/elector/primary_change.go
@@ -386,15 +386,19 @@
 
 // sendPromotion sends the promotion order.
 func (sv *Supervisor) sendPromotion(ctx context.Context, c *primaryChange) error {
-	if sv.promotionPending && sv.orderedMember != c.candidate.ID {
-		sv.supersededAt = sv.Clock()
-	}
+	sv.orderSent(c.candidate.ID)
 	sv.promotionOrderedAt, sv.promotionPending, sv.orderedMember, sv.orderedStartTime = sv.Clock(), true, c.candidate.ID, c.candidate.StartTime
 	err := sv.Promote(ctx, sv.Group.Name, c.candidate.ID, c.fencingToken)
 	sv.Log("event", "promotion-ordered", "group", sv.Group.Name, "member", c.candidate.ID, "term", c.term, "fence", c.fencingToken, "outcome", outcomeText(err),
 		"position", c.candidate.Status.Received, "furthest", sv.furthestKnown(), "registry-age-ms", (sv.promotionOrderedAt - sv.registryConfirmedAt).Milliseconds())
 	if err != nil && !sv.Refused(err) {
 		c.unanswered = true
+		return err
+	}
+	sv.orderAnswered()
+	if c.unanswered {
+		// An earlier attempt with the same token may still be executed.
+		sv.orderSent(c.candidate.ID)
 	}
 	return err
 }
@@ -484,10 +488,12 @@
 		return
 	}
 	sv.fencedAt = sv.Clock()
+	sv.orderSent(p.ID)
 	err = sv.Promote(ctx, sv.Group.Name, p.ID, token)
 	sv.Log("event", "order-closed", "group", sv.Group.Name, "primary", p.ID, "fence", token, "outcome", outcomeText(err))
 	if err == nil || sv.Refused(err) {
 		sv.promotionPending = false
+		sv.orderAnswered()
 	}
 }
 
--- a/internal/elector/supervisor.go
+++ b/internal/elector/supervisor.go
@@ -112,8 +112,8 @@
 		orderedMember    string
 		// orderedStartTime is the start time of orderedMember when it was ordered, 0 if unknown.
 		orderedStartTime int64
-		// supersededAt is when an order was last sent while one for another member was pending.
-		supersededAt tracker.Timestamp
+		// mayLeadUntil is until when an order that names a member may make it lead.
+		mayLeadUntil map[string]tracker.Timestamp
 		// rebalanceInterval is the minimum time between changes made only to balance load,
 		// rebalancedAt the time of the last one.
 		rebalanceInterval time.Duration
@@ -140,7 +140,7 @@
 func (sv *Supervisor) Run(ctx context.Context) error {
 	sv.members, sv.resumePendingUntil = map[string]*memberState{}, map[string]tracker.Timestamp{}
 	sv.announcedLeave, sv.excluded, sv.formerIncarnations = map[string]bool{}, map[string]bool{}, map[string]string{}
-	sv.startTimes = map[string]int64{}
+	sv.startTimes, sv.mayLeadUntil = map[string]int64{}, map[string]tracker.Timestamp{}
 	sv.adoptState()
 	defer sv.closeConnections()
 	t := time.NewTicker(pollInterval)
@@ -169,6 +169,9 @@
 	recorded := sv.State()
 	if recorded.PromotionPending && !sv.promotionPending {
 		sv.promotionPending, sv.orderedMember, sv.orderedStartTime = true, recorded.Ordered, recorded.OrderedStartTime
+		// The state doesn't say which members the orders that were to fence it off have named.
+		sv.orderSent(recorded.Ordered)
+		sv.orderSent(unknownMember)
 	}
 	if recorded.Leader.Term > sv.lastLeader.Term {
 		sv.lastLeader = recorded.Leader
