elector: a new owner waits for 1.7 s instead of 2.6 s for its predecessor's leases

An owner granted leases on its own until its ownership's lease would end, up to 2.5 s after the last renewal; as a store may remove the record early, a new owner had to wait as long from its acquisition. An owner now grants leases on its own for 1.1 s after a renewal, and beyond that only while the candidates reply. No wait is longer than before; a late renewal is covered by the candidates (TestLeasesDuringStoreOutage, "renewal is late").

TestLeasesOfPreviousOwner's bound follows from what the predecessor may grant: 1.6 s.

--- a/internal/elector/lease.go
+++ b/internal/elector/lease.go
@@ -20,6 +20,12 @@
 	CommitLeaseTTL = 500 * time.Millisecond
 	// commitLeaseMargin is left after a lease's end for acknowledgements that are being sent.
 	commitLeaseMargin = 100 * time.Millisecond
+	// certaintyPeriod is for how long after a renewal of the ownership's lease an owner grants leases on its
+	// own. It allows for a late renewal; the lease itself lasts longer, but a new owner waits for the end
+	// of this period, since the record of the ownership may be removed early.
+	certaintyPeriod = 1100 * time.Millisecond
+	// renewalGrace is how late a renewal may be before the candidates are asked.
+	renewalGrace = 100 * time.Millisecond
 	// denialMaxAge is how long a candidate's reply that it knows of no later owner is used.
 	denialMaxAge = 600 * time.Millisecond
 	// lapsedLeaseLimit is how long an instance that lost a group because the store didn't respond grants
@@ -93,10 +99,10 @@
 	return r
 }
 
-// certain reports whether the group is certain to be owned until a lease that is granted now has
-// expired; the mutex is held.
+// certain reports whether the ownership's lease was renewed recently enough for leases to be granted
+// without asking the candidates; the mutex is held.
 func (e *Elector) certain(o *groupOwnership, now tracker.Timestamp) bool {
-	return o.held && now+CommitLeaseTTL+leaseSafetyMargin < e.leaseExpiry
+	return o.held && now-(e.leaseExpiry-leaseTTL) < certaintyPeriod
 }
 
 // unclaimed reports whether every candidate has recently replied that it knows of no later owner. The
@@ -125,7 +131,7 @@
 	defer e.mutex.Unlock()
 	now := e.Clock()
 	// Asked in time for the replies to be there when the leases need them.
-	soon := now + leaseRenewInterval
+	soon := now + certaintyPeriod - leaseRenewInterval - renewalGrace
 	groups := map[string][]string{}
 	for g, o := range e.ownerships {
 		if o.held && !e.certain(o, soon) || o.leases.lapsedAt != 0 && now-o.leases.lapsedAt <= lapsedLeaseLimit {
@@ -164,9 +170,7 @@
 	if !o.leases.listed {
 		return o.leases.acquiredAt + lapsedLeaseLimit + CommitLeaseTTL + commitLeaseMargin
 	}
-	// The previous owner grants leases until its ownership lease would end, even if its record has been
-	// removed sooner.
-	return o.leases.acquiredAt + leaseTTL + commitLeaseMargin
+	return o.leases.acquiredAt + certaintyPeriod + CommitLeaseTTL + commitLeaseMargin
 }
 
 // resolveListed determines whether the previous owner's state names an instance as a candidate, as long
